--- /dev/null
+++ b/crates/config/src/class.rs
@@ -0,0 +1,30 @@
+use super::*;
+
+/// A request class: how urgent its requests are and what they promise.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Target for the time between two tokens, on average over the answer.
+    pub between_token_target_ms: u64,
+    /// Longest time from arrival until the last attempt starts.
+    pub deadline_ms: u64,
+    /// Target for the time from arrival to the first token.
+    pub first_token_target_ms: u64,
+    /// Whether a request may run twice without harm.
+    #[serde(default = "default_idempotent")]
+    pub idempotent: bool,
+    /// Share of requests that should meet the targets, between 0 and 1. The
+    /// rest is the error budget of the burn report.
+    #[serde(default = "default_objective")]
+    pub objective: f64,
+    /// Service tier.
+    pub tier: Tier,
+}
+
+fn default_idempotent() -> bool {
+    true
+}
+
+fn default_objective() -> f64 {
+    0.95
+}
--- /dev/null
+++ b/crates/config/src/engine.rs
@@ -0,0 +1,24 @@
+use super::*;
+
+/// A model engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Engine {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it refuses an order that carries an old fencing number. Where
+    /// this is not told, it counts as ignoring the number.
+    #[serde(default)]
+    pub checks_fence: bool,
+    /// Failure domain it stands in.
+    pub failure_domain: FailureDomainId,
+    /// Models it serves.
+    pub models: BTreeSet<ModelId>,
+    /// Requests it holds beyond its slots, in order of priority.
+    pub queue_bound: u32,
+    /// Whether it resumes a broken stream after a named event.
+    #[serde(default)]
+    pub resumes: bool,
+    /// Requests it runs at one moment.
+    pub slots: u32,
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,37 @@
+//! Settings of one host (TOML) and the shared, numbered configuration that the
+//! platform holds (JSON): document, patch and validation.
+
+use {
+    json_patch::Patch as JsonPatch,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt::{self, Display, Formatter},
+        net::SocketAddr,
+    },
+    types::prelude::*,
+};
+
+mod class;
+mod config_error;
+mod document;
+mod engine;
+mod limits;
+mod numbered;
+mod patch;
+mod plan;
+mod service;
+mod service_replica;
+mod settings;
+mod settings_error;
+mod team;
+mod trial_rules;
+mod upstream;
+mod validation;
+
+pub use {
+    class::Class, config_error::ConfigError, document::Document, engine::Engine, limits::Limits,
+    numbered::Numbered, patch::Patch, plan::Plan, service::Service,
+    service_replica::ServiceReplica, settings::Settings, settings_error::SettingsError, team::Team,
+    trial_rules::TrialRules, upstream::Upstream,
+};
--- /dev/null
+++ b/crates/config/src/limits.rs
@@ -0,0 +1,38 @@
+use super::*;
+
+/// Limits that protect a host from its callers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Time that a caller may take to send a request's body.
+    pub body_timeout_ms: u64,
+    /// Time that a caller may take to send a request's head.
+    pub head_timeout_ms: u64,
+    /// Answers kept for a repeated idempotency key, at most this long each.
+    pub max_answer_bytes: ByteSize,
+    /// Largest body of a request.
+    pub max_body_bytes: ByteSize,
+    /// Caller connections at one moment.
+    pub max_connections: usize,
+    /// Requests queued at one moment.
+    pub max_queued: usize,
+    /// Time that a caller may leave a stream unread.
+    pub slow_reader_timeout_ms: u64,
+    /// Time that an upstream may stay silent within an answer.
+    pub upstream_idle_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_timeout_ms: 10_000,
+            head_timeout_ms: 10_000,
+            max_answer_bytes: ByteSize::new(64 * 1024),
+            max_body_bytes: ByteSize::new(4 * 1024 * 1024),
+            max_connections: 10_000,
+            max_queued: 4_000,
+            slow_reader_timeout_ms: 30_000,
+            upstream_idle_timeout_ms: 30_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/numbered.rs
@@ -0,0 +1,10 @@
+use super::*;
+
+/// A document together with its version.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Numbered {
+    /// The document.
+    pub document: Document,
+    /// Its version.
+    pub version: ConfigVersion,
+}
--- /dev/null
+++ b/crates/config/src/service_replica.rs
@@ -0,0 +1,15 @@
+use super::*;
+
+/// One replica of a plain service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceReplica {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain it stands in.
+    pub failure_domain: FailureDomainId,
+    /// Service that it is a replica of.
+    pub service: ServiceId,
+    /// Requests it runs at one moment.
+    pub slots: u32,
+}
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,132 @@
+use super::*;
+
+/// Settings of one host, read from a TOML file at start.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Pause between failing the readiness check and closing the listener, so
+    /// that the balancer sees it first.
+    #[serde(default = "default_balancer_pause_ms")]
+    pub balancer_pause_ms: u64,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Threads that serve callers.
+    #[serde(default = "default_caller_threads")]
+    pub caller_threads: usize,
+    /// Failure domain this host stands in.
+    pub failure_domain: FailureDomainId,
+    /// Id of this host.
+    pub host: HostId,
+    /// Limits that protect this host from its callers.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Address for operators: health checks, metrics, configuration.
+    pub operator_address: SocketAddr,
+    /// Bearer token that operators present; at least 16 characters.
+    pub operator_token: String,
+    /// Address for other hosts.
+    pub peer_address: SocketAddr,
+    /// Secret that hosts present to each other; at least 16 characters.
+    pub peer_token: String,
+    /// Address of the platform's table, object store and host list.
+    pub platform_address: SocketAddr,
+}
+
+fn default_balancer_pause_ms() -> u64 {
+    2_000
+}
+
+fn default_caller_threads() -> usize {
+    1
+}
+
+/// Shortest token that is accepted, in characters.
+const MIN_TOKEN_LEN: usize = 16;
+
+/// Most caller threads.
+const MAX_CALLER_THREADS: usize = 64;
+
+impl Settings {
+    /// Reads settings from TOML text and checks them.
+    pub fn from_toml(text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = toml::from_str(text).map_err(|error| SettingsError::Syntax {
+            message: error.to_string().trim_end().to_string(),
+        })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        self.check_addresses()?;
+        self.check_tokens()?;
+        if !(1..=MAX_CALLER_THREADS).contains(&self.caller_threads) {
+            return Err(SettingsError::OutOfRange {
+                expected: "1 to 64".to_string(),
+                field: "caller_threads".to_string(),
+            });
+        }
+        self.check_limits()
+    }
+
+    fn check_addresses(&self) -> Result<(), SettingsError> {
+        let addresses = [
+            ("caller_address", self.caller_address),
+            ("operator_address", self.operator_address),
+            ("peer_address", self.peer_address),
+            ("platform_address", self.platform_address),
+        ];
+        for (index, (first, address)) in addresses.iter().enumerate() {
+            let twin = addresses[index + 1..]
+                .iter()
+                .find(|(_, other)| other == address && address.port() != 0);
+            if let Some((second, _)) = twin {
+                return Err(SettingsError::AddressTwice {
+                    address: *address,
+                    first: (*first).to_string(),
+                    second: (*second).to_string(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_tokens(&self) -> Result<(), SettingsError> {
+        let tokens = [
+            ("operator_token", &self.operator_token),
+            ("peer_token", &self.peer_token),
+        ];
+        match tokens.iter().find(|(_, token)| token.len() < MIN_TOKEN_LEN) {
+            Some((field, _)) => Err(SettingsError::OutOfRange {
+                expected: "at least 16 characters".to_string(),
+                field: (*field).to_string(),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    fn check_limits(&self) -> Result<(), SettingsError> {
+        let limits = &self.limits;
+        let fields = [
+            ("limits.body_timeout_ms", limits.body_timeout_ms),
+            ("limits.head_timeout_ms", limits.head_timeout_ms),
+            ("limits.max_body_bytes", limits.max_body_bytes.get()),
+            ("limits.max_connections", limits.max_connections as u64),
+            ("limits.max_queued", limits.max_queued as u64),
+            (
+                "limits.slow_reader_timeout_ms",
+                limits.slow_reader_timeout_ms,
+            ),
+            (
+                "limits.upstream_idle_timeout_ms",
+                limits.upstream_idle_timeout_ms,
+            ),
+        ];
+        match fields.iter().find(|(_, value)| *value == 0) {
+            Some((field, _)) => Err(SettingsError::OutOfRange {
+                expected: "1 or more".to_string(),
+                field: (*field).to_string(),
+            }),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/validation.rs
@@ -0,0 +1,155 @@
+//! Checks that a document is whole: every reference resolves, every number is
+//! in range, no key or address stands twice.
+
+use super::*;
+
+/// Longest deadline of a class: one day.
+const MAX_DEADLINE_MS: u64 = 86_400_000;
+
+/// Most slots of one upstream.
+const MAX_SLOTS: u32 = 100_000;
+
+pub(crate) fn check(document: &Document) -> Result<(), ConfigError> {
+    check_trial(&document.trial)?;
+    for (id, class) in &document.classes {
+        check_class(id, class)?;
+    }
+    for (id, team) in &document.teams {
+        check_team(document, id, team)?;
+    }
+    check_keys(document)?;
+    for (id, upstream) in &document.upstreams {
+        check_upstream(document, id, upstream)?;
+    }
+    check_addresses(document)
+}
+
+fn in_range(ok: bool, field: String, expected: &str) -> Result<(), ConfigError> {
+    if ok {
+        return Ok(());
+    }
+    Err(ConfigError::OutOfRange {
+        expected: expected.to_string(),
+        field,
+    })
+}
+
+fn check_trial(trial: &TrialRules) -> Result<(), ConfigError> {
+    let share = trial.max_slot_share;
+    in_range(
+        share > 0.0 && share <= 1.0,
+        "trial.max_slot_share".to_string(),
+        "above 0, at most 1",
+    )
+}
+
+fn check_class(id: &ClassId, class: &Class) -> Result<(), ConfigError> {
+    in_range(
+        (1..=MAX_DEADLINE_MS).contains(&class.deadline_ms),
+        format!("classes.{id}.deadline_ms"),
+        "1 to 86400000",
+    )?;
+    in_range(
+        (1..=class.deadline_ms).contains(&class.first_token_target_ms),
+        format!("classes.{id}.first_token_target_ms"),
+        "1 to the class's deadline_ms",
+    )?;
+    in_range(
+        class.objective > 0.0 && class.objective < 1.0,
+        format!("classes.{id}.objective"),
+        "above 0, below 1",
+    )
+}
+
+fn check_team(document: &Document, id: &TeamId, team: &Team) -> Result<(), ConfigError> {
+    in_range(
+        (1..=1_000).contains(&team.weight),
+        format!("teams.{id}.weight"),
+        "1 to 1000",
+    )?;
+    in_range(
+        team.max_concurrent >= 1,
+        format!("teams.{id}.max_concurrent"),
+        "1 or more",
+    )?;
+    in_range(
+        team.max_requests_per_s.get() > 0.0,
+        format!("teams.{id}.max_requests_per_s"),
+        "above 0",
+    )?;
+    if !team.classes.contains(&team.default_class) {
+        return Err(ConfigError::DefaultNotAllowed { team: id.clone() });
+    }
+    team.classes
+        .iter()
+        .try_for_each(|class| check_team_class(document, id, team, class))
+}
+
+fn check_team_class(
+    document: &Document,
+    id: &TeamId,
+    team: &Team,
+    class: &ClassId,
+) -> Result<(), ConfigError> {
+    let Some(definition) = document.classes.get(class) else {
+        return Err(ConfigError::UnknownClass {
+            class: class.clone(),
+            team: id.clone(),
+        });
+    };
+    let floor = document.trial.most_urgent_tier;
+    if team.plan == Plan::Trial && definition.tier.is_more_urgent_than(floor) {
+        return Err(ConfigError::TrialTooUrgent {
+            class: class.clone(),
+            team: id.clone(),
+        });
+    }
+    Ok(())
+}
+
+fn check_keys(document: &Document) -> Result<(), ConfigError> {
+    let mut owners: BTreeMap<KeyHash, &TeamId> = BTreeMap::new();
+    for (id, team) in &document.teams {
+        if let Some(first) = owners.insert(team.key_sha256, id) {
+            return Err(ConfigError::KeyTwice {
+                first: first.clone(),
+                second: id.clone(),
+            });
+        }
+    }
+    Ok(())
+}
+
+fn check_upstream(
+    document: &Document,
+    id: &UpstreamId,
+    upstream: &Upstream,
+) -> Result<(), ConfigError> {
+    in_range(
+        (1..=MAX_SLOTS).contains(&upstream.slots()),
+        format!("upstreams.{id}.slots"),
+        "1 to 100000",
+    )?;
+    match upstream {
+        Upstream::Engine(_) => Ok(()),
+        Upstream::Service(replica) if document.services.contains_key(&replica.service) => Ok(()),
+        Upstream::Service(replica) => Err(ConfigError::UnknownService {
+            service: replica.service.clone(),
+            upstream: id.clone(),
+        }),
+    }
+}
+
+fn check_addresses(document: &Document) -> Result<(), ConfigError> {
+    let mut owners: BTreeMap<SocketAddr, &UpstreamId> = BTreeMap::new();
+    for (id, upstream) in &document.upstreams {
+        if let Some(first) = owners.insert(upstream.address(), id) {
+            return Err(ConfigError::AddressTwice {
+                address: upstream.address(),
+                first: first.clone(),
+                second: id.clone(),
+            });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/operator/src/checks.rs
@@ -0,0 +1,196 @@
+//! Checks of the promises over a run's history: what callers saw, joined with
+//! what upstreams ran. A case counts as checked only where the history can
+//! show whether the promise held.
+
+use super::*;
+
+/// Time after which an upstream that is leaving gets nothing new.
+const LEAVING_WITHIN_MS: u64 = 3_000;
+
+/// Tiers whose requests are never shed for less urgent ones.
+const PRESSING_TIERS: usize = 2;
+
+/// Less urgent requests that the floors against starvation may start in
+/// 2 seconds, on each host.
+const FLOOR_STARTS_PER_2_S: f64 = 11.0;
+
+/// Checks every promise that a history can show.
+pub fn check_promises(scenario: &Scenario, experiment: &Experiment) -> Vec<Promise> {
+    let history = History::new(experiment);
+    vec![
+        history.never_shed_for_less(scenario),
+        history.every_class_served(),
+        history.complete_answers(),
+        history.not_run_is_true(),
+        history.at_most_once(),
+        history.leaving_gets_nothing(),
+        history.stop_cuts_nothing(scenario),
+        history.versions_never_fall(),
+    ]
+}
+
+struct History<'a> {
+    experiment: &'a Experiment,
+    runs: HashMap<&'a str, Vec<&'a Run>>,
+    tiers: HashMap<&'a str, Tier>,
+}
+
+impl<'a> History<'a> {
+    fn new(experiment: &'a Experiment) -> Self {
+        let mut runs: HashMap<&str, Vec<&Run>> = HashMap::default();
+        for run in &experiment.runs {
+            runs.entry(&run.tag).or_default().push(run);
+        }
+        let tiers = experiment
+            .records
+            .iter()
+            .map(|record| (record.tag.as_str(), record.tier))
+            .collect();
+        Self {
+            experiment,
+            runs,
+            tiers,
+        }
+    }
+
+    fn runs_of(&self, tag: &str) -> usize {
+        self.runs.get(tag).map_or(0, Vec::len)
+    }
+
+    fn count<'b>(
+        name: &str,
+        cases: impl Iterator<Item = &'b Record>,
+        breaks: impl Fn(&Record) -> bool,
+    ) -> Promise {
+        let mut promise = Promise {
+            broken: 0,
+            checked: 0,
+            name: name.to_string(),
+        };
+        for record in cases {
+            promise.checked += 1;
+            promise.broken += u64::from(breaks(record));
+        }
+        promise
+    }
+
+    /// A pressing request was shed although less urgent ones were started
+    /// while it waited, more than the floors allow.
+    fn never_shed_for_less(&self, scenario: &Scenario) -> Promise {
+        let hosts = scenario.fleet.hosts as f64;
+        let pressing = self
+            .experiment
+            .records
+            .iter()
+            .filter(|record| record.tier.index() < PRESSING_TIERS);
+        Self::count("urgent-never-shed-for-less", pressing, |record| {
+            let shed = matches!(
+                record.code.as_deref(),
+                Some("queue_full" | "deadline_passed" | "deadline_unreachable" | "host_busy")
+            );
+            if !shed {
+                return false;
+            }
+            let waited_s = (record.ended_ms - record.intended_ms) / 1e3;
+            let allowed = hosts * FLOOR_STARTS_PER_2_S * (1.0 + waited_s / 2.0);
+            let started = self.experiment.runs.iter().filter(|run| {
+                let at_ms = run.started_ms as f64;
+                let less = self
+                    .tiers
+                    .get(run.tag.as_str())
+                    .is_some_and(|tier| record.tier.is_more_urgent_than(*tier));
+                less && at_ms >= record.intended_ms && at_ms <= record.ended_ms
+            });
+            started.count() as f64 > allowed
+        })
+    }
+
+    /// A class that sent requests had none finished.
+    fn every_class_served(&self) -> Promise {
+        let mut served: BTreeMap<&ClassId, bool> = BTreeMap::new();
+        for record in &self.experiment.records {
+            let whole = matches!(record.ending, Ending::Finished | Ending::Replayed);
+            *served.entry(&record.class).or_default() |= whole;
+        }
+        Promise {
+            broken: served.values().filter(|served| !**served).count() as u64,
+            checked: served.len() as u64,
+            name: "every-class-served".to_string(),
+        }
+    }
+
+    /// An answer that ended well was not whole, or was another request's.
+    fn complete_answers(&self) -> Promise {
+        let ended = self
+            .experiment
+            .records
+            .iter()
+            .filter(|record| matches!(record.ending, Ending::Finished | Ending::Replayed));
+        Self::count("complete-own-answer", ended, |record| !record.is_whole())
+    }
+
+    /// A request was told `not-run` and had run. Only tags with one request
+    /// show it.
+    fn not_run_is_true(&self) -> Promise {
+        let mut requests: HashMap<&str, u32> = HashMap::default();
+        for record in &self.experiment.records {
+            *requests.entry(&record.tag).or_default() += 1;
+        }
+        let told = self.experiment.records.iter().filter(|record| {
+            record.verdict == Some(Verdict::NotRun) && requests[record.tag.as_str()] == 1
+        });
+        Self::count("not-run-is-true", told, |record| {
+            self.runs_of(&record.tag) > 0
+        })
+    }
+
+    /// A request that may run once at most ran more often.
+    fn at_most_once(&self) -> Promise {
+        let once = self.experiment.records.iter().filter(|record| record.once);
+        Self::count("at-most-once", once, |record| self.runs_of(&record.tag) > 1)
+    }
+
+    /// An upstream got new work after it had been leaving for a while.
+    fn leaving_gets_nothing(&self) -> Promise {
+        let mut promise = Promise {
+            broken: 0,
+            checked: 0,
+            name: "leaving-gets-no-new-work".to_string(),
+        };
+        for (upstream, leaving_ms) in &self.experiment.leaving_ms {
+            promise.checked += 1;
+            let late = self.experiment.runs.iter().any(|run| {
+                run.upstream == upstream.as_str() && run.started_ms > leaving_ms + LEAVING_WITHIN_MS
+            });
+            promise.broken += u64::from(late);
+        }
+        promise
+    }
+
+    /// A request was cut or lost in a run whose only faults are planned stops.
+    fn stop_cuts_nothing(&self, scenario: &Scenario) -> Promise {
+        let is_stop = |fault: &Fault| matches!(fault.kind, FaultKind::HostReplaced { .. });
+        let stops_only = scenario.faults.iter().all(is_stop);
+        let any = scenario.faults.iter().any(is_stop);
+        let records = self.experiment.records.iter().filter(|_| stops_only && any);
+        Self::count("planned-stop-cuts-nothing", records, |record| {
+            matches!(record.ending, Ending::Broken | Ending::Lost)
+        })
+    }
+
+    /// A host was seen with an older version after a newer one.
+    fn versions_never_fall(&self) -> Promise {
+        let mut promise = Promise {
+            broken: 0,
+            checked: 0,
+            name: "versions-never-fall".to_string(),
+        };
+        for versions in &self.experiment.versions {
+            for pair in versions.windows(2) {
+                promise.checked += 1;
+                promise.broken += u64::from(pair[1] < pair[0]);
+            }
+        }
+        promise
+    }
+}
--- /dev/null
+++ b/crates/operator/src/config_command.rs
@@ -0,0 +1,198 @@
+use super::*;
+
+/// Longest time of one call to the platform.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What to do with the configuration.
+#[derive(Bpaf, Clone, Debug)]
+pub enum ConfigCommand {
+    /// Check a document and say what is wrong with it
+    #[bpaf(command)]
+    Check {
+        /// Document, as JSON
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Write the first version
+    #[bpaf(command)]
+    Create {
+        /// Address of the platform
+        #[bpaf(argument("ADDRESS"))]
+        platform: SocketAddr,
+        /// Document, as JSON
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Print the newest version
+    #[bpaf(command)]
+    Get {
+        /// Address of the platform
+        #[bpaf(argument("ADDRESS"))]
+        platform: SocketAddr,
+    },
+    /// Print who changed what, newest last
+    #[bpaf(command)]
+    History {
+        /// Address of the platform
+        #[bpaf(argument("ADDRESS"))]
+        platform: SocketAddr,
+        /// Versions to print
+        #[bpaf(argument("NUMBER"), fallback(20), display_fallback)]
+        last: u64,
+    },
+    /// Submit a JSON Patch against a version
+    #[bpaf(command)]
+    Patch {
+        /// Address of the platform
+        #[bpaf(argument("ADDRESS"))]
+        platform: SocketAddr,
+        /// Who makes the change
+        #[bpaf(argument("NAME"))]
+        author: String,
+        /// Version that the patch was made against
+        #[bpaf(argument("VERSION"))]
+        base: ConfigVersion,
+        /// Check the result, change nothing
+        dry_run: bool,
+        /// Id of the patch, to submit it once more after a lost answer
+        #[bpaf(argument("ID"))]
+        id: Option<String>,
+        /// Operations, as JSON Patch (RFC 6902)
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Make a new version with the content of an old one
+    #[bpaf(command)]
+    Rollback {
+        /// Address of the platform
+        #[bpaf(argument("ADDRESS"))]
+        platform: SocketAddr,
+        /// Who makes the change
+        #[bpaf(argument("NAME"))]
+        author: String,
+        /// Version whose content is wanted
+        #[bpaf(positional("VERSION"))]
+        version: ConfigVersion,
+    },
+}
+
+impl ConfigCommand {
+    pub(crate) async fn run(self) -> eyre::Result<()> {
+        match self {
+            Self::Check { file } => {
+                read_document(&file)?;
+                println!("{} is a valid configuration", file.display());
+                Ok(())
+            }
+            Self::Create { platform, file } => {
+                let version = store(platform).create(read_document(&file)?).await?;
+                println!("version {version} is in force");
+                Ok(())
+            }
+            Self::Get { platform } => {
+                let newest = store(platform).read(None).await?;
+                println!("{}", serde_json::to_string_pretty(&newest)?);
+                Ok(())
+            }
+            Self::History { platform, last } => history(&store(platform), last).await,
+            Self::Patch {
+                platform,
+                author,
+                base,
+                dry_run,
+                id,
+                file,
+            } => {
+                let operations = serde_json::from_str(&read(&file)?)
+                    .wrap_err_with(|| format!("{} is not a JSON Patch", file.display()))?;
+                let patch = config::Patch {
+                    author,
+                    base,
+                    id: id.unwrap_or_else(new_patch_id),
+                    operations,
+                };
+                submit(&store(platform), &patch, dry_run).await
+            }
+            Self::Rollback {
+                platform,
+                author,
+                version,
+            } => rollback(&store(platform), author, version).await,
+        }
+    }
+}
+
+fn store(platform: SocketAddr) -> ConfigStore {
+    ConfigStore::new(Arc::new(PlatformClient::new(platform, CALL_TIMEOUT)))
+}
+
+fn new_patch_id() -> String {
+    uuid::Uuid::new_v4().to_string()
+}
+
+fn read(file: &Path) -> eyre::Result<String> {
+    std::fs::read_to_string(file).wrap_err_with(|| format!("cannot read {}", file.display()))
+}
+
+fn read_document(file: &Path) -> eyre::Result<Document> {
+    Document::from_json(&read(file)?).wrap_err_with(|| format!("{} is not valid", file.display()))
+}
+
+async fn history(store: &ConfigStore, last: u64) -> eyre::Result<()> {
+    let newest = store.newest().await?;
+    let first = newest.get().saturating_sub(last.saturating_sub(1)).max(1);
+    let rows = store.log(ConfigVersion::new(first), newest).await?;
+    for (number, row) in (first..).zip(rows) {
+        match row.patch {
+            Some(patch) => println!(
+                "{number} by {} as {}: {}",
+                patch.author,
+                patch.id,
+                serde_json::to_string(&patch.operations)?
+            ),
+            None => println!("{number} first version"),
+        }
+    }
+    Ok(())
+}
+
+/// Says the id before it submits, so that it is known should the answer be
+/// lost together with this process.
+async fn submit(store: &ConfigStore, patch: &config::Patch, dry_run: bool) -> eyre::Result<()> {
+    if dry_run {
+        let current = store.read(None).await?;
+        if current.version != patch.base {
+            return Err(ConfigStoreError::Stale {
+                current: current.version,
+            }
+            .into());
+        }
+        current.document.patched(&patch.operations)?;
+        println!("patch fits version {}, nothing was changed", patch.base);
+        return Ok(());
+    }
+    println!("submitting patch {}", patch.id);
+    let version = store.submit(patch).await?;
+    println!("accepted as version {version}");
+    Ok(())
+}
+
+async fn rollback(store: &ConfigStore, author: String, to: ConfigVersion) -> eyre::Result<()> {
+    let current = store.read(None).await?;
+    if to > current.version {
+        bail!(
+            "there is no version {to}, the newest is {}",
+            current.version
+        );
+    }
+    let wanted = store.read_version(to, None).await?;
+    let from = serde_json::to_value(&current.document)?;
+    let operations = json_patch::diff(&from, &serde_json::to_value(&wanted.document)?);
+    let patch = config::Patch {
+        author,
+        base: current.version,
+        id: new_patch_id(),
+        operations,
+    };
+    submit(store, &patch, false).await
+}
--- /dev/null
+++ b/crates/operator/src/demo_command.rs
@@ -0,0 +1,32 @@
+use super::*;
+
+/// Scenario of the demo.
+const DEMO: &str = include_str!("../../../scenarios/demo.toml");
+
+/// Options of `demo`.
+#[derive(Bpaf, Clone, Debug)]
+pub struct DemoCommand {
+    /// Length of the load in seconds
+    #[bpaf(argument("SECONDS"), fallback(10.0), display_fallback)]
+    for_s: f64,
+    /// Write the report as JSON
+    #[bpaf(argument("FILE"))]
+    json: Option<PathBuf>,
+    /// Draw attainment as SVG
+    #[bpaf(argument("FILE"))]
+    svg: Option<PathBuf>,
+}
+
+impl DemoCommand {
+    pub(crate) async fn run(self) -> eyre::Result<()> {
+        let mut scenario = Scenario::from_toml(DEMO)?;
+        let scale = self.for_s / scenario.duration_s;
+        scenario.duration_s = self.for_s;
+        for fault in &mut scenario.faults {
+            fault.at_s *= scale;
+            fault.for_s *= scale;
+        }
+        load_command::run_and_report(&scenario, 1.0, self.json.as_deref(), self.svg.as_deref())
+            .await
+    }
+}
--- /dev/null
+++ b/crates/operator/src/experiment.rs
@@ -0,0 +1,293 @@
+use super::*;
+
+/// Base of the patches that racing operators submit.
+const RACE_PATH: &str = "/trial/max_slot_share";
+
+/// Pause before a caller sends a request again with the same key.
+const RESEND_AFTER: Duration = Duration::from_millis(300);
+
+/// Progress bar of a run.
+const BAR: &str = "{bar:40} {pos}/{len} requests, {elapsed}";
+
+/// The result of one run of a scenario.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Experiment {
+    /// What callers saw.
+    pub records: Vec<Record>,
+    /// What upstreams ran.
+    pub runs: Vec<Run>,
+    /// Versions of the configuration that each host was seen to have in force.
+    pub versions: Vec<Vec<ConfigVersion>>,
+    /// When each upstream was told to leave, by the run log's clock.
+    pub leaving_ms: BTreeMap<UpstreamId, u64>,
+}
+
+/// Runs a scenario at a multiple of its load, on a fleet of its own.
+pub async fn run_experiment(
+    scenario: &Scenario,
+    load: f64,
+    show: bool,
+) -> eyre::Result<Experiment> {
+    let scenario = Arc::new(scenario.clone());
+    let fleet = Fleet::start(&scenario).await?;
+    let planned = plan_requests(&scenario, load)?;
+    let bar = if show {
+        ProgressBar::new(planned.len() as u64).with_style(ProgressStyle::with_template(BAR)?)
+    } else {
+        ProgressBar::hidden()
+    };
+    let (addresses, balancer) = watch::channel(fleet.caller_addresses());
+    let start = Instant::now();
+    let caller = Caller {
+        client: HttpClient::default(),
+        scenario: Arc::clone(&scenario),
+        start,
+    };
+    let mut watched = Watched {
+        fleet,
+        leaving_ms: BTreeMap::new(),
+        versions: vec![Vec::new(); scenario.fleet.hosts],
+    };
+    let load = send_all(caller, planned, balancer, bar.clone());
+    let mut load = tokio::spawn(load);
+    let faults = watched.run_faults(&scenario, start, &addresses);
+    let records = tokio::select! {
+        records = &mut load => records?,
+        done = faults => {
+            done?;
+            load.await?
+        }
+    };
+    bar.finish_and_clear();
+    watched.note_versions();
+    let runs = watched.fleet.log.runs();
+    watched.fleet.stop().await?;
+    Ok(Experiment {
+        records,
+        runs,
+        versions: watched.versions,
+        leaving_ms: watched.leaving_ms,
+    })
+}
+
+async fn send_all(
+    caller: Caller,
+    planned: Vec<PlannedRequest>,
+    balancer: watch::Receiver<Vec<SocketAddr>>,
+    bar: ProgressBar,
+) -> Vec<Record> {
+    let mut calls = JoinSet::new();
+    for (number, request) in planned.into_iter().enumerate() {
+        sleep_until(caller.start + request.at).await;
+        let caller = caller.clone();
+        let balancer = balancer.clone();
+        let bar = bar.clone();
+        calls.spawn(async move {
+            let mut records = vec![caller.call(pick(&balancer, number), &request).await];
+            if request.resend {
+                sleep(RESEND_AFTER).await;
+                let again = PlannedRequest {
+                    at: caller.start.elapsed(),
+                    ..request
+                };
+                records.push(caller.call(pick(&balancer, number + 1), &again).await);
+            }
+            bar.inc(1);
+            records
+        });
+    }
+    let mut records = Vec::new();
+    while let Some(done) = calls.join_next().await {
+        records.extend(done.unwrap_or_default());
+    }
+    records
+}
+
+/// The balancer: requests go to the ready hosts in turn.
+fn pick(balancer: &watch::Receiver<Vec<SocketAddr>>, number: usize) -> SocketAddr {
+    let addresses = balancer.borrow();
+    addresses[number % addresses.len()]
+}
+
+/// A fleet under faults, and what was seen of it.
+struct Watched {
+    fleet: Fleet,
+    leaving_ms: BTreeMap<UpstreamId, u64>,
+    versions: Vec<Vec<ConfigVersion>>,
+}
+
+impl Watched {
+    async fn run_faults(
+        &mut self,
+        scenario: &Scenario,
+        start: Instant,
+        addresses: &watch::Sender<Vec<SocketAddr>>,
+    ) -> eyre::Result<()> {
+        let mut steps: Vec<(f64, &FaultKind, bool)> = Vec::new();
+        for fault in &scenario.faults {
+            steps.push((fault.at_s, &fault.kind, true));
+            steps.push((fault.at_s + fault.for_s, &fault.kind, false));
+        }
+        steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (at_s, kind, on) in steps {
+            sleep_until(start + Duration::from_secs_f64(at_s)).await;
+            self.note_versions();
+            self.switch(scenario, kind, on, addresses).await?;
+        }
+        Ok(())
+    }
+
+    fn note_versions(&mut self) {
+        for (seen, host) in self.versions.iter_mut().zip(&self.fleet.hosts) {
+            if let Some(version) = host.as_ref().and_then(|host| host.status().version) {
+                seen.push(version);
+            }
+        }
+    }
+
+    async fn switch(
+        &mut self,
+        scenario: &Scenario,
+        kind: &FaultKind,
+        on: bool,
+        addresses: &watch::Sender<Vec<SocketAddr>>,
+    ) -> eyre::Result<()> {
+        match kind {
+            FaultKind::EngineBreaks {
+                after_events,
+                upstream,
+            } => {
+                let break_after_events = on.then_some(*after_events);
+                self.engine_faults(upstream, |faults| {
+                    faults.break_after_events = break_after_events;
+                })
+            }
+            FaultKind::EngineCrash { upstream } => {
+                self.engine_faults(upstream, |faults| faults.crashed = on)
+            }
+            FaultKind::EngineLeaves { upstream } => {
+                self.list_upstream(upstream, on);
+                Ok(())
+            }
+            FaultKind::EngineSlow { factor, upstream } => {
+                let slow_factor = if on { *factor } else { 1.0 };
+                self.engine_faults(upstream, |faults| faults.slow_factor = slow_factor)
+            }
+            FaultKind::HostReplaced { host } if on => {
+                self.replace_host(scenario, *host, addresses).await
+            }
+            FaultKind::OperatorsRace { operators } if on => self.race(*operators).await,
+            FaultKind::HostReplaced { .. } | FaultKind::OperatorsRace { .. } => Ok(()),
+            FaultKind::ServiceResets { upstream } => {
+                let service = self.fleet.services.get(upstream);
+                let service = service.ok_or_else(|| eyre!("no replica {upstream}"))?;
+                service.set_faults(ServiceFaults {
+                    reset_after_run: on,
+                    ..ServiceFaults::default()
+                });
+                Ok(())
+            }
+            FaultKind::StoreDown => {
+                self.platform_faults(PlatformFaults {
+                    down: on,
+                    ..PlatformFaults::default()
+                });
+                Ok(())
+            }
+            FaultKind::StoreLosesAnswers { answers } => {
+                self.platform_faults(PlatformFaults {
+                    lose_answers: if on { *answers } else { 0 },
+                    ..PlatformFaults::default()
+                });
+                Ok(())
+            }
+            FaultKind::StoreSlow { delay_ms } => {
+                self.platform_faults(PlatformFaults {
+                    delay_ms: if on { *delay_ms } else { 0 },
+                    ..PlatformFaults::default()
+                });
+                Ok(())
+            }
+        }
+    }
+
+    fn engine_faults(
+        &self,
+        upstream: &UpstreamId,
+        edit: impl FnOnce(&mut EngineFaults),
+    ) -> eyre::Result<()> {
+        let engine = self.fleet.engines.get(upstream);
+        let engine = engine.ok_or_else(|| eyre!("no engine {upstream}"))?;
+        let mut faults = EngineFaults::default();
+        edit(&mut faults);
+        engine.set_faults(faults);
+        Ok(())
+    }
+
+    fn platform_faults(&self, faults: PlatformFaults) {
+        self.fleet.platform.set_faults(faults);
+    }
+
+    fn list_upstream(&mut self, upstream: &UpstreamId, leaving: bool) {
+        let state = if leaving {
+            self.leaving_ms
+                .insert(upstream.clone(), self.fleet.log.now_ms());
+            ListedState::Leaving
+        } else {
+            ListedState::Live
+        };
+        self.fleet.platform.list_upstream(upstream.clone(), state);
+    }
+
+    /// Drains a host, as the balancer sees it, and starts another in its
+    /// place.
+    async fn replace_host(
+        &mut self,
+        scenario: &Scenario,
+        number: usize,
+        addresses: &watch::Sender<Vec<SocketAddr>>,
+    ) -> eyre::Result<()> {
+        let old = self.fleet.hosts.get_mut(number).and_then(Option::take);
+        let old = old.ok_or_else(|| eyre!("no host {number}"))?;
+        let new = self.fleet.start_host(scenario, number).await?;
+        self.fleet.hosts[number] = Some(new);
+        addresses.send_replace(self.fleet.caller_addresses());
+        fleet::stop_host(old).await?;
+        Ok(())
+    }
+
+    /// Several operators submit patches against one version; one is accepted.
+    async fn race(&self, operators: u32) -> eyre::Result<()> {
+        let store = self.fleet.store();
+        let base = store.newest().await?;
+        let share = self.fleet.hosts.len() as f64;
+        let submits = (0..operators).map(|number| {
+            let store = store.clone();
+            async move {
+                let value = (f64::from(number) + 1.0) / (f64::from(operators) + share);
+                let operations = serde_json::from_value(
+                    json!([{"op": "replace", "path": RACE_PATH, "value": value}]),
+                )?;
+                let patch = config::Patch {
+                    author: format!("operator-{number}"),
+                    base,
+                    id: format!("race-{base}-{number}"),
+                    operations,
+                };
+                match store.submit(&patch).await {
+                    Ok(_) => Ok::<_, eyre::Report>(1),
+                    Err(ConfigStoreError::Stale { .. }) => Ok(0),
+                    Err(error) => Err(error.into()),
+                }
+            }
+        });
+        let accepted: u32 = futures::future::try_join_all(submits)
+            .await?
+            .into_iter()
+            .sum();
+        if accepted != 1 {
+            bail!("{accepted} of {operators} racing patches were accepted, expected 1");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/operator/src/http_client.rs
@@ -0,0 +1,74 @@
+use super::*;
+
+/// Idle connections kept for each address.
+const MAX_IDLE: usize = 256;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// A plain HTTP client with kept connections.
+#[derive(Clone, Debug, Default)]
+pub struct HttpClient {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
+}
+
+impl HttpClient {
+    /// Sends a request; the connection comes back with the answer.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> eyre::Result<(Response<Incoming>, SendRequest<Full<Bytes>>)> {
+        let mut request = request;
+        while let Some(mut sender) = self.take(address) {
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, sender)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(error.into_error().into()),
+                },
+            }
+        }
+        let stream = TcpStream::connect(address)
+            .await
+            .wrap_err_with(|| format!("cannot connect to {address}"))?;
+        stream.set_nodelay(true)?;
+        let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
+        // Ends by itself when the sender is dropped or the far side closes.
+        tokio::spawn(connection);
+        let response = sender.send_request(request).await?;
+        Ok((response, sender))
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> eyre::Result<(StatusCode, Bytes)> {
+        let (response, sender) = self.send(address, request).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await?.to_bytes();
+        self.keep(address, sender);
+        Ok((status, body))
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let senders = idle.get_mut(&address)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() && !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer has been read to its end.
+    pub fn keep(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let senders = idle.entry(address).or_default();
+        if senders.len() < MAX_IDLE {
+            senders.push(sender);
+        }
+    }
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,100 @@
+//! Operator commands of rhubarbcove: experiments on embedded stand-ins, load,
+//! reports, configuration.
+
+use {
+    bpaf::Bpaf,
+    bytes::Bytes,
+    config::{
+        Class, Document, Engine, Limits, Plan, Service, ServiceReplica, Settings, Team, TrialRules,
+        Upstream,
+    },
+    eyre::{WrapErr, bail, eyre},
+    futures::StreamExt,
+    http_body_util::{BodyDataStream, BodyExt, Full},
+    hyper::{
+        Method, Request, Response, StatusCode,
+        body::Incoming,
+        client::conn::http1::{SendRequest, handshake},
+    },
+    hyper_util::rt::TokioIo,
+    indicatif::{ProgressBar, ProgressStyle},
+    platform::{ConfigStore, ConfigStoreError, ListedState, PlatformClient},
+    plotters::prelude::{
+        BLACK, BLUE, ChartBuilder, Color, IntoDrawingArea, RED, Rectangle, SVGBackend, WHITE,
+    },
+    policy::WasteCause,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    rand_distr::{Distribution, Exp, LogNormal},
+    router::{ClassReport, Host, Promise, Report, Serving},
+    serde::{Deserialize, Serialize},
+    serde_json::{Value, json},
+    standin::{
+        EngineFaults, EngineOptions, EngineStandin, PlatformFaults, PlatformStandin, Run, RunLog,
+        ServiceFaults, ServiceStandin,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        sync::watch,
+        task::JoinSet,
+        time::{Instant, sleep, sleep_until, timeout},
+    },
+    types::prelude::*,
+};
+
+mod caller;
+mod checks;
+mod command;
+mod compare_command;
+mod config_command;
+mod demo_command;
+mod experiment;
+mod fault;
+mod fleet;
+mod fleet_options;
+mod flow;
+mod history_report;
+mod http_client;
+mod load_command;
+mod plan;
+mod record;
+mod render;
+mod report_command;
+mod scenario;
+mod scenario_class;
+mod scenario_team;
+mod standin_command;
+
+pub use {
+    caller::Caller,
+    checks::check_promises,
+    command::{Command, command},
+    experiment::{Experiment, run_experiment},
+    fault::{Fault, FaultKind},
+    fleet::Fleet,
+    fleet_options::FleetOptions,
+    flow::{Burst, Flow},
+    history_report::history_report,
+    http_client::HttpClient,
+    record::{Ending, Record},
+    scenario::Scenario,
+    scenario_class::ScenarioClass,
+    scenario_team::ScenarioTeam,
+};
+
+use {
+    compare_command::CompareCommand,
+    config_command::ConfigCommand,
+    demo_command::DemoCommand,
+    load_command::LoadCommand,
+    plan::{PlannedRequest, plan_requests},
+    render::{render_svg, render_table},
+    report_command::ReportCommand,
+    standin_command::StandinCommand,
+};
--- /dev/null
+++ b/crates/operator/src/load_command.rs
@@ -0,0 +1,73 @@
+use super::*;
+
+/// Options of `load`.
+#[derive(Bpaf, Clone, Debug)]
+pub struct LoadCommand {
+    /// Write the report as JSON
+    #[bpaf(argument("FILE"))]
+    json: Option<PathBuf>,
+    /// Multiply every arrival rate
+    #[bpaf(argument("FACTOR"), fallback(1.0), display_fallback)]
+    load: f64,
+    /// Use another seed than the scenario's
+    #[bpaf(argument("NUMBER"))]
+    seed: Option<u64>,
+    /// Draw attainment as SVG
+    #[bpaf(argument("FILE"))]
+    svg: Option<PathBuf>,
+    /// Scenario, as TOML
+    #[bpaf(positional("FILE"))]
+    file: PathBuf,
+}
+
+impl LoadCommand {
+    pub(crate) async fn run(self) -> eyre::Result<()> {
+        let text = std::fs::read_to_string(&self.file)
+            .wrap_err_with(|| format!("cannot read {}", self.file.display()))?;
+        let mut scenario = Scenario::from_toml(&text)
+            .wrap_err_with(|| format!("{} is not valid", self.file.display()))?;
+        if let Some(seed) = self.seed {
+            scenario.seed = seed;
+        }
+        run_and_report(
+            &scenario,
+            self.load,
+            self.json.as_deref(),
+            self.svg.as_deref(),
+        )
+        .await
+    }
+}
+
+/// Runs a scenario and reports; an error if a promise was broken.
+pub(crate) async fn run_and_report(
+    scenario: &Scenario,
+    load: f64,
+    json: Option<&Path>,
+    svg: Option<&Path>,
+) -> eyre::Result<()> {
+    let experiment = run_experiment(scenario, load, true).await?;
+    let report = history_report(scenario, &experiment);
+    println!(
+        "scenario {}, seed {}, load {load}",
+        scenario.name, scenario.seed
+    );
+    print!("{}", render_table(&report));
+    if let Some(file) = json {
+        let text = serde_json::to_string_pretty(&report)?;
+        std::fs::write(file, text).wrap_err_with(|| format!("cannot write {}", file.display()))?;
+    }
+    if let Some(file) = svg {
+        render_svg(&report, file)?;
+    }
+    let broken: Vec<&str> = report
+        .promises
+        .iter()
+        .filter(|promise| promise.broken > 0)
+        .map(|promise| promise.name.as_str())
+        .collect();
+    if !broken.is_empty() {
+        bail!("promises broken: {}", broken.join(", "));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/platform/src/config_head.rs
@@ -0,0 +1,8 @@
+use super::*;
+
+/// The row that holds the number of the newest version.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigHead {
+    /// Newest version.
+    pub version: ConfigVersion,
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,63 @@
+//! Clients of the platform: its transactional table, its object store and its
+//! list of hosts. Every call has a deadline, and an answer that was lost after
+//! the write may have taken effect is an outcome of its own.
+
+use {
+    bytes::Bytes,
+    config::{ConfigError, Document, Numbered, Patch},
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        Method, Request, StatusCode,
+        client::conn::http1::{SendRequest, handshake},
+    },
+    hyper_util::rt::TokioIo,
+    rand::Rng,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::Value,
+    std::{
+        fmt::{self, Display, Formatter},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        sync::Mutex,
+        time::{Instant, timeout_at},
+    },
+    types::prelude::*,
+};
+
+mod claim_row;
+mod claim_state;
+mod config_head;
+mod config_store;
+mod config_store_error;
+mod host_list;
+mod listed_state;
+mod logged_patch;
+mod platform_client;
+mod platform_error;
+mod row;
+mod table_batch;
+mod table_operation;
+mod table_read;
+mod table_result;
+
+pub use {
+    claim_row::ClaimRow,
+    claim_state::ClaimState,
+    config_head::ConfigHead,
+    config_store::ConfigStore,
+    config_store_error::ConfigStoreError,
+    host_list::{HostList, ListedHost, ListedUpstream},
+    listed_state::ListedState,
+    logged_patch::LoggedPatch,
+    platform_client::PlatformClient,
+    platform_error::PlatformError,
+    row::Row,
+    table_batch::TableBatch,
+    table_operation::TableOperation,
+    table_read::{TableRead, TableRows},
+    table_result::{TableResult, TableResults},
+};
--- /dev/null
+++ b/crates/policy/src/action.rs
@@ -0,0 +1,69 @@
+use super::*;
+
+/// An order to send a request to an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SendOrder {
+    /// Where the upstream listens.
+    pub address: SocketAddr,
+    /// Id of this attempt.
+    pub attempt: AttemptId,
+    /// Priority for the engine, 0 the most urgent.
+    pub priority: u8,
+    /// Resume the stream of this earlier attempt after its last event.
+    pub resume: Option<AttemptId>,
+    /// The upstream.
+    pub upstream: UpstreamId,
+}
+
+/// Something to be done, ordered by the controller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// End a stream that was cut, with an error event that carries the verdict.
+    Break {
+        /// Why, and the verdict.
+        refusal: Refusal,
+        /// The request.
+        request: RequestId,
+    },
+    /// Cancel an attempt on its upstream.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The request.
+        request: RequestId,
+    },
+    /// Claim an idempotency key in the platform's table.
+    Claim(ClaimRequest),
+    /// Ask an ejected upstream whether it is well.
+    Probe {
+        /// Where it listens.
+        address: SocketAddr,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+    /// Count how a request ended.
+    Record(Outcome),
+    /// Give a request its final answer without an upstream.
+    Refuse {
+        /// Why, and the verdict.
+        refusal: Refusal,
+        /// The request.
+        request: RequestId,
+    },
+    /// Give a request the stored answer of an earlier one with the same key.
+    Replay {
+        /// The stored answer.
+        answer: StoredAnswer,
+        /// The request.
+        request: RequestId,
+    },
+    /// Send a request to an upstream.
+    Send {
+        /// Where and how.
+        order: SendOrder,
+        /// The request.
+        request: RequestId,
+    },
+    /// Write in the table how a claimed request ended.
+    Settle(Settlement),
+}
--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,279 @@
+//! Admission: who sends, what is asked for, and whether it can be done in time.
+
+use super::*;
+
+/// Refused work is told to return after the estimated wait, spread over up to
+/// twice that, so that it does not return all at once.
+const RETURN_SPREAD: f64 = 1.0;
+
+/// Shortest advice to retry after a full queue.
+const MIN_RETURN: Duration = Duration::from_secs(1);
+
+/// Longest advice to retry.
+const MAX_RETURN: Duration = Duration::from_secs(300);
+
+/// Prompt tokens that cost an engine as much as one output token.
+const PROMPT_TOKENS_PER_OUTPUT_TOKEN: u64 = 16;
+
+/// What the configuration says of an arrival.
+struct Resolved {
+    class: Class,
+    class_id: ClassId,
+    idempotent: bool,
+    plan: Plan,
+    team_id: TeamId,
+    weight: u32,
+}
+
+impl Controller {
+    pub(crate) fn on_arrived(&mut self, now: Time, arrival: Arrival, actions: &mut Vec<Action>) {
+        let request = arrival.request;
+        if let Err(refusal) = self.admit(now, arrival, actions) {
+            actions.push(Action::Refuse { refusal, request });
+            actions.push(Action::Record(refused_unknown(refusal)));
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: Time,
+        arrival: Arrival,
+        actions: &mut Vec<Action>,
+    ) -> Result<(), Refusal> {
+        let resolved = self.resolve(&arrival, now)?;
+        let rank = Rank::new(resolved.class.tier, resolved.plan);
+        let admitted = self
+            .check_wait(&arrival.target, rank, &resolved.class, now)
+            .and_then(|()| self.make_room(now, rank, actions));
+        if let Err(refusal) = admitted {
+            self.limits.release(&resolved.team_id);
+            actions.push(Action::Refuse {
+                refusal,
+                request: arrival.request,
+            });
+            actions.push(Action::Record(refused_known(refusal, &resolved)));
+            return Ok(());
+        }
+        self.enqueue_new(now, arrival, resolved, rank);
+        Ok(())
+    }
+
+    /// Finds team and class, and checks that the team may send this now.
+    fn resolve(&mut self, arrival: &Arrival, now: Time) -> Result<Resolved, Refusal> {
+        let refuse = Refusal::not_run;
+        let Some(numbered) = self.configuration.clone() else {
+            return Err(Refusal {
+                retry_after: Some(MIN_RETURN),
+                ..refuse(RefusalReason::NotReady)
+            });
+        };
+        let document = &numbered.document;
+        let team_id = self
+            .teams_by_key
+            .get(&arrival.key_hash)
+            .ok_or(refuse(RefusalReason::UnknownKey))?;
+        let team = &document.teams[team_id];
+        let class_id = arrival.class.as_ref().unwrap_or(&team.default_class);
+        let class = document
+            .classes
+            .get(class_id)
+            .ok_or(refuse(RefusalReason::UnknownClass))?;
+        if !team.classes.contains(class_id) {
+            return Err(refuse(RefusalReason::ClassNotAllowed));
+        }
+        let service_idempotent = self.check_target(document, &arrival.target)?;
+        let asked = arrival.repeatability == Repeatability::AsConfigured;
+        let resolved = Resolved {
+            class: class.clone(),
+            class_id: class_id.clone(),
+            idempotent: class.idempotent && service_idempotent && asked,
+            plan: team.plan,
+            team_id: team_id.clone(),
+            weight: team.weight,
+        };
+        self.limits.admit(&resolved.team_id, team, now)?;
+        Ok(resolved)
+    }
+
+    /// Whether the target exists, and whether it may be called twice.
+    fn check_target(&self, document: &Document, target: &Target) -> Result<bool, Refusal> {
+        match target {
+            Target::Model(_) if self.pool.serves(target) => Ok(true),
+            Target::Model(_) => Err(Refusal::not_run(RefusalReason::UnknownModel)),
+            Target::Service(service) => match document.services.get(service) {
+                Some(service) => Ok(service.idempotent),
+                None => Err(Refusal::not_run(RefusalReason::UnknownService)),
+            },
+        }
+    }
+
+    /// Refuses at once what could not start in time anyway. Only work of the
+    /// same or a more urgent rank is counted as going before it.
+    fn check_wait(
+        &mut self,
+        target: &Target,
+        rank: Rank,
+        class: &Class,
+        now: Time,
+    ) -> Result<(), Refusal> {
+        let lane = self.lanes.entry(target.clone()).or_default();
+        let ahead = lane.cost_ahead(rank) as f64;
+        let Some(tokens_per_s) = lane.rate.tokens_per_s(now) else {
+            return Ok(());
+        };
+        let wait_s = ahead / tokens_per_s;
+        let deadline_s = class.deadline_ms as f64 / 1_000.0;
+        if wait_s <= deadline_s {
+            return Ok(());
+        }
+        let excess = Duration::from_secs_f64(wait_s - deadline_s);
+        Err(Refusal {
+            retry_after: Some(self.spread(excess)),
+            ..Refusal::not_run(RefusalReason::DeadlineUnreachable)
+        })
+    }
+
+    /// Makes room in a full queue by giving up a request that is strictly less
+    /// urgent, or refuses the new one.
+    fn make_room(
+        &mut self,
+        now: Time,
+        rank: Rank,
+        actions: &mut Vec<Action>,
+    ) -> Result<(), Refusal> {
+        if self.queued < self.options.max_queued {
+            return Ok(());
+        }
+        let victim = self
+            .lanes
+            .values()
+            .filter_map(|lane| lane.worst_below(rank))
+            .max_by_key(|(rank, item)| (*rank, item.due, item.seq));
+        match victim {
+            Some((_, item)) => {
+                self.refuse_queued(now, item.request, RefusalReason::QueueFull, actions);
+                Ok(())
+            }
+            None => Err(Refusal {
+                retry_after: Some(self.spread(MIN_RETURN)),
+                ..Refusal::not_run(RefusalReason::QueueFull)
+            }),
+        }
+    }
+
+    fn enqueue_new(&mut self, now: Time, arrival: Arrival, resolved: Resolved, rank: Rank) {
+        let output =
+            self.length
+                .estimate(&resolved.class_id, &resolved.team_id, arrival.max_output);
+        let prompt_cost = u64::from(arrival.prompt.get()) / PROMPT_TOKENS_PER_OUTPUT_TOKEN;
+        let due = now.plus_ms(resolved.class.first_token_target_ms);
+        let item = QueuedItem {
+            cost: u64::from(output.get()) + prompt_cost,
+            due,
+            request: arrival.request,
+            seq: self.next_seq,
+            team: resolved.team_id.clone(),
+            weight: resolved.weight,
+        };
+        self.next_seq += 1;
+        let key = match arrival.repeatability {
+            Repeatability::AtMostOncePerKey { fingerprint, key } => Some((key, fingerprint)),
+            Repeatability::AsConfigured | Repeatability::AtMostOnce => None,
+        };
+        let facts = RequestFacts {
+            arrived: now,
+            between_token_target_ms: resolved.class.between_token_target_ms,
+            class: resolved.class_id,
+            deadline: now.plus_ms(resolved.class.deadline_ms),
+            due,
+            first_token_target_ms: resolved.class.first_token_target_ms,
+            idempotent: resolved.idempotent,
+            key,
+            prefix: arrival.prefix,
+            rank,
+            target: arrival.target,
+            team: resolved.team_id,
+        };
+        self.enqueue(now, Request::new(arrival.request, facts, item));
+    }
+
+    pub(crate) fn enqueue(&mut self, now: Time, request: Request<Queued>) {
+        let facts = &request.facts;
+        self.deadlines.insert((facts.deadline, request.id));
+        let lane = self.lanes.entry(facts.target.clone()).or_default();
+        lane.push(facts.rank, request.item.clone(), now);
+        self.queued += 1;
+        self.requests.insert(request.id, Stage::Queued(request));
+    }
+
+    /// Takes a request out of its queue, if it is queued.
+    pub(crate) fn unqueue(&mut self, now: Time, id: RequestId) -> Option<Request<Queued>> {
+        match self.requests.remove(&id)? {
+            Stage::Queued(request) => {
+                let facts = &request.facts;
+                self.deadlines.remove(&(facts.deadline, id));
+                if let Some(lane) = self.lanes.get_mut(&facts.target) {
+                    lane.remove(facts.rank, &request.item, now);
+                }
+                self.queued -= 1;
+                Some(request)
+            }
+            other => {
+                self.requests.insert(id, other);
+                None
+            }
+        }
+    }
+
+    /// Gives a queued request its final answer.
+    pub(crate) fn refuse_queued(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        reason: RefusalReason,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(request) = self.unqueue(now, id) {
+            self.refuse(now, request, reason, actions);
+        }
+    }
+
+    /// A moment to return, spread at random.
+    pub(crate) fn spread(&mut self, wait: Duration) -> Duration {
+        let factor = 1.0 + RETURN_SPREAD * self.rng.random::<f64>();
+        wait.max(MIN_RETURN).mul_f64(factor).min(MAX_RETURN)
+    }
+}
+
+fn refusal_end(refusal: Refusal) -> OutcomeEnd {
+    if refusal.reason.is_rejection() {
+        OutcomeEnd::Rejected
+    } else {
+        OutcomeEnd::Shed
+    }
+}
+
+fn refused_unknown(refusal: Refusal) -> Outcome {
+    Outcome {
+        attempts: 0,
+        class: None,
+        end: refusal_end(refusal),
+        first_token: None,
+        met_target: false,
+        team: None,
+        tier: None,
+        tokens: Tokens::default(),
+        upstream: None,
+        verdict: refusal.verdict,
+        wasted: None,
+    }
+}
+
+fn refused_known(refusal: Refusal, resolved: &Resolved) -> Outcome {
+    Outcome {
+        class: Some(resolved.class_id.clone()),
+        team: Some(resolved.team_id.clone()),
+        tier: Some(resolved.class.tier),
+        ..refused_unknown(refusal)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/arrival.rs
@@ -0,0 +1,42 @@
+use super::*;
+
+/// Hash of the start of a prompt; requests that share it may share a cached
+/// prefix on an engine.
+pub type PrefixHash = u64;
+
+/// Whether a request may run more than once.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Repeatability {
+    /// As the class or service says.
+    AsConfigured,
+    /// At most once, said by the caller.
+    AtMostOnce,
+    /// At most once for each key, over all hosts and retries of the caller.
+    AtMostOncePerKey {
+        /// Fingerprint of the request.
+        fingerprint: Fingerprint,
+        /// The caller's key.
+        key: IdempotencyKey,
+    },
+}
+
+/// A request as a caller sent it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// Class that the caller named, if any.
+    pub class: Option<ClassId>,
+    /// Hash of the bearer key.
+    pub key_hash: KeyHash,
+    /// Longest output that the caller allows, if it said so.
+    pub max_output: Option<Tokens>,
+    /// Start of the prompt.
+    pub prefix: Option<PrefixHash>,
+    /// Length of the prompt, estimated.
+    pub prompt: Tokens,
+    /// Whether it may run more than once.
+    pub repeatability: Repeatability,
+    /// Id within this host.
+    pub request: RequestId,
+    /// What it asks for.
+    pub target: Target,
+}
--- /dev/null
+++ b/crates/policy/src/attempts.rs
@@ -0,0 +1,334 @@
+//! What follows from the progress and the end of an attempt: completion,
+//! retry, resumption, or the final refusal.
+
+use super::*;
+
+/// Attempts of one request, those refused for want of room not counted.
+const MAX_ATTEMPTS: usize = 3;
+
+/// Times that one stream may be resumed.
+const MAX_RESUMES: u32 = 3;
+
+/// Advice to retry after every attempt failed.
+const FAILED_RETURN: Duration = Duration::from_secs(1);
+
+/// A failed attempt.
+struct Failure {
+    cause: FailureCause,
+    delivered: bool,
+    verdict: Verdict,
+}
+
+impl Controller {
+    pub(crate) fn on_progress(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: AttemptId,
+        tokens: Tokens,
+    ) {
+        let Some(Stage::Running(request)) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if request.stage.attempt != attempt {
+            return;
+        }
+        let span = now.since(request.stage.last_progress);
+        let is_first = request.stage.tokens.get() == 0;
+        request.note_tokens(now, tokens);
+        let upstream = request.stage.upstream.clone();
+        let lead = now.since(request.stage.sent);
+        let target = request.facts.target.clone();
+        if !is_first {
+            if let Some(state) = self.pool.get_mut(&upstream) {
+                state.note_tokens(tokens, span);
+            }
+            return;
+        }
+        if let Some(lane) = self.lanes.get_mut(&target) {
+            lane.note_lead(lead);
+        }
+    }
+
+    pub(crate) fn on_attempt_ended(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: AttemptId,
+        end: AttemptEnd,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut request = match self.requests.remove(&id) {
+            Some(Stage::Running(request)) if request.stage.attempt == attempt => request,
+            Some(other) => {
+                self.requests.insert(id, other);
+                return;
+            }
+            None => return,
+        };
+        match end {
+            AttemptEnd::Completed { answer, tokens } => {
+                request.note_rest(now, tokens);
+                self.on_completed(now, request, answer, actions);
+            }
+            AttemptEnd::Failed {
+                cause,
+                delivered,
+                tokens,
+                verdict,
+            } => {
+                request.note_rest(now, tokens);
+                let failure = Failure {
+                    cause,
+                    delivered,
+                    verdict,
+                };
+                self.on_failed(now, request, &failure, actions);
+            }
+        }
+    }
+
+    fn on_completed(
+        &mut self,
+        now: Time,
+        request: Request<Running>,
+        answer: Option<StoredAnswer>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.leave_upstream(now, &request);
+        if let Some(state) = self.pool.get_mut(&request.stage.upstream) {
+            state.health.note_success();
+        }
+        let facts = &request.facts;
+        self.limits.release(&facts.team);
+        self.length.note(&facts.class, &facts.team, request.tokens);
+        if let Some(attempt) = request.claimed_by {
+            settle(&request, attempt, Verdict::Ran, answer, actions);
+        }
+        let upstream = Some(request.stage.upstream.clone());
+        let outcome = request.outcome(OutcomeEnd::Finished, Verdict::Ran, upstream, now);
+        actions.push(Action::Record(outcome));
+    }
+
+    fn on_failed(
+        &mut self,
+        now: Time,
+        mut request: Request<Running>,
+        failure: &Failure,
+        actions: &mut Vec<Action>,
+    ) {
+        request.verdict = request.verdict.join(failure.verdict);
+        self.note_failure(now, &request, failure.cause);
+        if failure.delivered {
+            self.resume_or_break(now, request, failure, actions);
+            return;
+        }
+        self.leave_upstream(now, &request);
+        if self.may_retry(now, &request, failure) {
+            let tokens = request.stage.tokens;
+            request.waste(WasteCause::Repeated, tokens);
+            request.tokens = Tokens::default();
+            request.first_token = None;
+            self.enqueue(now, request.requeue());
+            return;
+        }
+        let tokens = request.stage.tokens;
+        request.waste(WasteCause::CutOff, tokens);
+        self.limits.release(&request.facts.team);
+        self.refuse_failed(now, request, actions);
+    }
+
+    fn note_failure(&mut self, now: Time, request: &Request<Running>, cause: FailureCause) {
+        let upstream = &request.stage.upstream;
+        if cause.counts_against_health() {
+            self.pool.note_failure(upstream, &request.facts.target, now);
+            return;
+        }
+        if let Some(state) = self.pool.get_mut(upstream) {
+            state.note_busy(now);
+        }
+    }
+
+    /// Resumes a broken stream where the engine can, else ends it with the
+    /// verdict. It keeps its slot meanwhile.
+    fn resume_or_break(
+        &mut self,
+        now: Time,
+        mut request: Request<Running>,
+        failure: &Failure,
+        actions: &mut Vec<Action>,
+    ) {
+        let resumes = match self.pool.get(&request.stage.upstream) {
+            Some(state) => matches!(&state.definition, Upstream::Engine(engine) if engine.resumes),
+            None => false,
+        };
+        let worth_it = failure.cause != FailureCause::ErrorStatus;
+        if resumes && worth_it && request.stage.resumes < MAX_RESUMES {
+            request.stage.resumes += 1;
+            let attempt = request.stage.attempt;
+            self.push_send(&request, Some(attempt), actions);
+            self.requests.insert(request.id, Stage::Running(request));
+            return;
+        }
+        self.leave_upstream(now, &request);
+        self.limits.release(&request.facts.team);
+        let tokens = request.stage.tokens;
+        request.waste(WasteCause::CutOff, tokens);
+        if let Some(attempt) = request.claimed_by {
+            settle(&request, attempt, request.verdict, None, actions);
+        }
+        actions.push(Action::Break {
+            refusal: Refusal {
+                reason: RefusalReason::UpstreamFailed,
+                retry_after: None,
+                verdict: request.verdict,
+            },
+            request: request.id,
+        });
+        let upstream = Some(request.stage.upstream.clone());
+        let outcome = request.outcome(OutcomeEnd::Broken, request.verdict, upstream, now);
+        actions.push(Action::Record(outcome));
+    }
+
+    /// A request that may have run is sent again only if running twice does no
+    /// harm.
+    fn may_retry(&mut self, now: Time, request: &Request<Running>, failure: &Failure) -> bool {
+        let harmless = request.facts.idempotent || failure.verdict == Verdict::NotRun;
+        if !harmless || now > request.facts.deadline {
+            return false;
+        }
+        if failure.cause == FailureCause::Busy {
+            return true;
+        }
+        request.tried.len() + 1 < MAX_ATTEMPTS && self.retries.take()
+    }
+
+    fn refuse_failed(&mut self, now: Time, request: Request<Running>, actions: &mut Vec<Action>) {
+        if let Some(attempt) = request.claimed_by {
+            settle(&request, attempt, request.verdict, None, actions);
+        }
+        let retry = request.facts.idempotent || request.verdict == Verdict::NotRun;
+        let refusal = Refusal {
+            reason: RefusalReason::UpstreamFailed,
+            retry_after: retry.then(|| self.spread(FAILED_RETURN)),
+            verdict: request.verdict,
+        };
+        self.finish_refused(now, &request, refusal, actions);
+    }
+
+    /// Gives a request that has left its queue its final answer.
+    pub(crate) fn refuse(
+        &mut self,
+        now: Time,
+        request: Request<Queued>,
+        reason: RefusalReason,
+        actions: &mut Vec<Action>,
+    ) {
+        self.limits.release(&request.facts.team);
+        if let Some(attempt) = request.claimed_by {
+            settle(&request, attempt, request.verdict, None, actions);
+        }
+        let refusal = Refusal {
+            reason,
+            retry_after: Some(self.spread(FAILED_RETURN)),
+            verdict: request.verdict,
+        };
+        self.finish_refused(now, &request, refusal, actions);
+    }
+
+    pub(crate) fn finish_refused<S>(
+        &mut self,
+        now: Time,
+        request: &Request<S>,
+        refusal: Refusal,
+        actions: &mut Vec<Action>,
+    ) {
+        actions.push(Action::Refuse {
+            refusal,
+            request: request.id,
+        });
+        let end = if refusal.reason.is_rejection() {
+            OutcomeEnd::Rejected
+        } else {
+            OutcomeEnd::Shed
+        };
+        let outcome = request.outcome(end, refusal.verdict, None, now);
+        actions.push(Action::Record(outcome));
+    }
+
+    pub(crate) fn on_caller_gone(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        match self.requests.remove(&id) {
+            None => {}
+            Some(Stage::Queued(request)) => {
+                self.requests.insert(id, Stage::Queued(request));
+                if let Some(request) = self.unqueue(now, id) {
+                    self.forget_queued(now, &request, actions);
+                }
+            }
+            Some(Stage::Claiming(mut request)) => {
+                request.stage.caller_gone = true;
+                self.requests.insert(id, Stage::Claiming(request));
+            }
+            Some(Stage::Running(request)) => self.forget_running(now, request, actions),
+        }
+    }
+
+    fn forget_queued(&mut self, now: Time, request: &Request<Queued>, actions: &mut Vec<Action>) {
+        self.limits.release(&request.facts.team);
+        if let Some(attempt) = request.claimed_by {
+            settle(request, attempt, request.verdict, None, actions);
+        }
+        let outcome = request.outcome(OutcomeEnd::CallerGone, request.verdict, None, now);
+        actions.push(Action::Record(outcome));
+    }
+
+    /// Cancels the attempt, so that the engine spends nothing more on it.
+    fn forget_running(
+        &mut self,
+        now: Time,
+        mut request: Request<Running>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.leave_upstream(now, &request);
+        self.limits.release(&request.facts.team);
+        let tokens = request.stage.tokens;
+        request.waste(WasteCause::Discarded, tokens);
+        let verdict = request.verdict.join(Verdict::MayHaveRun);
+        if let Some(attempt) = request.claimed_by {
+            settle(&request, attempt, verdict, None, actions);
+        }
+        actions.push(Action::Cancel {
+            attempt: request.stage.attempt,
+            request: request.id,
+        });
+        let upstream = Some(request.stage.upstream.clone());
+        let outcome = request.outcome(OutcomeEnd::CallerGone, verdict, upstream, now);
+        actions.push(Action::Record(outcome));
+    }
+
+    /// Gives the slot back and counts the work done for the lane.
+    fn leave_upstream(&mut self, now: Time, request: &Request<Running>) {
+        self.pool
+            .end(&request.stage.upstream, request.facts.rank.plan);
+        if let Some(lane) = self.lanes.get_mut(&request.facts.target) {
+            lane.rate.note_served(request.item.cost, now);
+        }
+    }
+}
+
+impl Request<Running> {
+    fn note_tokens(&mut self, now: Time, tokens: Tokens) {
+        if self.first_token.is_none() {
+            self.first_token = Some(now.since(self.facts.arrived));
+        }
+        self.note_rest(now, tokens);
+    }
+
+    /// Counts tokens without taking them as a sign of the first one: the end
+    /// of an answer that came as a whole says nothing of its first token.
+    fn note_rest(&mut self, now: Time, tokens: Tokens) {
+        self.stage.last_progress = now;
+        self.stage.tokens = Tokens::new(self.stage.tokens.get() + tokens.get());
+        self.tokens = Tokens::new(self.tokens.get() + tokens.get());
+    }
+}
--- /dev/null
+++ b/crates/policy/src/controller.rs
@@ -0,0 +1,192 @@
+use super::*;
+
+/// Limits and choices of a controller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ControllerOptions {
+    /// This host's incarnation; attempt ids start with it.
+    pub incarnation: Incarnation,
+    /// Requests queued at one moment.
+    pub max_queued: usize,
+    /// Rules by which slots are given to ranks.
+    pub room: RoomRules,
+    /// Seed of the controller's random numbers.
+    pub seed: u64,
+}
+
+/// The state machine that makes all of a host's decisions. It is given an
+/// event and the time, and answers with actions; two runs of one script of
+/// events give the same actions.
+#[derive(Debug)]
+pub struct Controller {
+    pub(crate) configuration: Option<Arc<Numbered>>,
+    /// Queued requests by the last moment at which they may start.
+    pub(crate) deadlines: BTreeSet<(Time, RequestId)>,
+    pub(crate) lanes: BTreeMap<Target, Lane>,
+    pub(crate) length: LengthEstimate,
+    pub(crate) limits: TeamLimits,
+    pub(crate) next_attempt: u64,
+    pub(crate) next_seq: u64,
+    pub(crate) options: ControllerOptions,
+    /// Requests put aside while the store is down, by when they come back.
+    pub(crate) parked: BTreeSet<(Time, RequestId)>,
+    phase: HostPhase,
+    pub(crate) pool: Pool,
+    pub(crate) queued: usize,
+    pub(crate) requests: HashMap<RequestId, Stage>,
+    pub(crate) retries: RetryBudget,
+    pub(crate) rng: SmallRng,
+    pub(crate) teams_by_key: HashMap<KeyHash, TeamId>,
+}
+
+impl Controller {
+    /// A controller without a configuration; it refuses requests until it has
+    /// one.
+    pub fn new(options: ControllerOptions) -> Self {
+        let pool = Pool::new(options.room.clone());
+        Self {
+            configuration: None,
+            deadlines: BTreeSet::new(),
+            lanes: BTreeMap::new(),
+            length: LengthEstimate::default(),
+            limits: TeamLimits::default(),
+            next_attempt: 0,
+            next_seq: 0,
+            parked: BTreeSet::new(),
+            phase: HostPhase::Starting,
+            pool,
+            queued: 0,
+            requests: HashMap::default(),
+            retries: RetryBudget::default(),
+            rng: SmallRng::seed_from_u64(options.seed),
+            teams_by_key: HashMap::default(),
+            options,
+        }
+    }
+
+    /// Takes an event at a moment, and appends what is to be done.
+    pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Arrived(arrival) => self.on_arrived(now, arrival, actions),
+            Event::AttemptEnded {
+                attempt,
+                end,
+                request,
+            } => self.on_attempt_ended(now, request, attempt, end, actions),
+            Event::CallerGone { request } => self.on_caller_gone(now, request, actions),
+            Event::ClaimAnswered { answer, request } => {
+                self.on_claim_answered(now, request, answer, actions);
+            }
+            Event::ConfigurationRead(numbered) => self.on_configuration(numbered),
+            Event::DrainStarted => self.phase = HostPhase::Draining,
+            Event::LoadReported { report, upstream } => self.on_load_report(&upstream, report),
+            Event::ProbeAnswered { healthy, upstream } => {
+                if let Some(state) = self.pool.get_mut(&upstream) {
+                    state.health.note_probe(healthy, now);
+                }
+            }
+            Event::Progressed {
+                attempt,
+                request,
+                tokens,
+            } => self.on_progress(now, request, attempt, tokens),
+            Event::Ticked => self.on_tick(now, actions),
+            Event::UpstreamLeaving { leaving, upstream } => {
+                if let Some(state) = self.pool.get_mut(&upstream) {
+                    state.leaving = leaving;
+                }
+            }
+        }
+        self.dispatch(now, actions);
+    }
+
+    /// Where this host is in its life.
+    pub const fn phase(&self) -> HostPhase {
+        self.phase
+    }
+
+    /// Version of the configuration in force.
+    pub fn version(&self) -> Option<ConfigVersion> {
+        self.configuration.as_ref().map(|numbered| numbered.version)
+    }
+
+    /// Whether no request is queued or running.
+    pub fn is_idle(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Requests queued now.
+    pub const fn queued(&self) -> usize {
+        self.queued
+    }
+
+    /// Requests that this host has on an upstream now.
+    pub fn in_flight(&self, upstream: &UpstreamId) -> Option<u32> {
+        self.pool.get(upstream).map(|state| state.in_flight)
+    }
+
+    /// A version that is not newer than the one in force is dropped: answers
+    /// of the platform may overtake each other, and a host never goes back.
+    fn on_configuration(&mut self, numbered: Arc<Numbered>) {
+        if self
+            .version()
+            .is_some_and(|version| version >= numbered.version)
+        {
+            return;
+        }
+        self.teams_by_key = numbered
+            .document
+            .teams
+            .iter()
+            .map(|(id, team)| (team.key_sha256, id.clone()))
+            .collect();
+        self.pool.apply(&numbered.document);
+        self.limits.retain(&numbered.document);
+        self.configuration = Some(numbered);
+        if self.phase == HostPhase::Starting {
+            self.phase = HostPhase::Serving;
+        }
+    }
+
+    fn on_load_report(&mut self, upstream: &UpstreamId, report: LoadReport) {
+        let Some(state) = self.pool.get_mut(upstream) else {
+            return;
+        };
+        state.note_report(report);
+        if report.leaving {
+            state.leaving = true;
+        }
+    }
+
+    fn on_tick(&mut self, now: Time, actions: &mut Vec<Action>) {
+        for (upstream, address) in self.pool.take_probes(now) {
+            actions.push(Action::Probe { address, upstream });
+        }
+        while let Some((deadline, request)) = self.deadlines.first().copied() {
+            if deadline > now {
+                break;
+            }
+            self.deadlines.pop_first();
+            self.refuse_overdue(now, request, actions);
+        }
+        self.return_parked(now);
+    }
+
+    fn refuse_overdue(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        let parked = match self.requests.get(&id) {
+            Some(Stage::Queued(request)) => request.stage.parked,
+            _ => return,
+        };
+        let reason = if parked {
+            RefusalReason::StoreUnavailable
+        } else {
+            RefusalReason::DeadlinePassed
+        };
+        self.refuse_queued(now, id, reason, actions);
+    }
+
+    pub(crate) fn new_attempt(&mut self) -> AttemptId {
+        let counter = self.next_attempt;
+        self.next_attempt += 1;
+        AttemptId::new(self.options.incarnation, counter)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch.rs
@@ -0,0 +1,194 @@
+//! Dispatch: which queued request gets the next free slot.
+
+use super::*;
+
+/// Engine priority of a request that the floor serves: an engine serves its
+/// own queue by priority, and would starve it otherwise.
+const FLOOR_PRIORITY: u8 = 0;
+
+impl Controller {
+    /// Sends queued requests while there is room for them.
+    pub(crate) fn dispatch(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.queued == 0 {
+            return;
+        }
+        self.dispatch_floors(now, actions);
+        let mut full: BTreeSet<Target> = BTreeSet::new();
+        for rank in Rank::all() {
+            let targets: Vec<Target> = self
+                .lanes
+                .iter()
+                .filter(|(target, lane)| lane.has_work(rank) && !full.contains(target))
+                .map(|(target, _)| target.clone())
+                .collect();
+            for target in targets {
+                if !self.drain_rank(now, &target, rank, actions) {
+                    full.insert(target);
+                }
+            }
+        }
+    }
+
+    /// Sends what a rank of a target has; false once there is no room for it
+    /// at all, so that no lesser rank need be tried.
+    fn drain_rank(
+        &mut self,
+        now: Time,
+        target: &Target,
+        rank: Rank,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        while let Some(item) = self.peek(now, target, rank) {
+            let Some(Stage::Queued(request)) = self.requests.get(&item.request) else {
+                return true;
+            };
+            let pace_ms = self.pace_wish(now, request);
+            match self.choose(now, item.request, pace_ms, rank) {
+                Some(upstream) => {
+                    let priority = u8::from(rank.tier);
+                    self.start(now, &item, upstream, priority, actions);
+                }
+                None if pace_ms.is_none() && rank.plan == Plan::Paid => return false,
+                None => return true,
+            }
+        }
+        true
+    }
+
+    fn dispatch_floors(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let targets: Vec<(Target, Rank)> = self
+            .lanes
+            .iter()
+            .filter_map(|(target, lane)| Some((target.clone(), lane.floor.due(now)?)))
+            .collect();
+        for (target, rank) in targets {
+            let Some(item) = self.peek(now, &target, rank) else {
+                continue;
+            };
+            // The room of the most urgent rank: headroom is open to the floor.
+            let room = Rank::new(Tier::MOST_URGENT, Plan::Paid);
+            if let Some(upstream) = self.choose(now, item.request, None, room) {
+                self.start(now, &item, upstream, FLOOR_PRIORITY, actions);
+            }
+        }
+    }
+
+    fn peek(&mut self, now: Time, target: &Target, rank: Rank) -> Option<QueuedItem> {
+        self.lanes.get_mut(target)?.peek(rank, now)
+    }
+
+    /// Token time that a request needs. One that will miss its first token
+    /// anyway takes any upstream, and so leaves the fast ones to others.
+    fn pace_wish(&self, now: Time, request: &Request<Queued>) -> Option<u64> {
+        let facts = &request.facts;
+        let lane = self.lanes.get(&facts.target)?;
+        lane.can_meet(facts.due, now)
+            .then_some(facts.between_token_target_ms)
+    }
+
+    fn choose(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        pace_ms: Option<u64>,
+        rank: Rank,
+    ) -> Option<UpstreamId> {
+        let Some(Stage::Queued(request)) = self.requests.get(&request) else {
+            return None;
+        };
+        let wish = Wish {
+            avoid: &request.tried,
+            pace_ms,
+            prefix: request.facts.prefix,
+            rank,
+            target: &request.facts.target,
+        };
+        self.pool.choose(&wish, now, &mut self.rng)
+    }
+
+    /// Takes a request from its queue and gives it a slot: sends it, or first
+    /// claims its idempotency key. The claim is made only now, with the slot
+    /// at hand, so that a crash leaves the key unresolved for the shortest
+    /// time, and shed requests cost no write.
+    fn start(
+        &mut self,
+        now: Time,
+        item: &QueuedItem,
+        upstream: UpstreamId,
+        priority: u8,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(Stage::Queued(mut request)) = self.requests.remove(&item.request) else {
+            return;
+        };
+        let facts = &request.facts;
+        self.deadlines.remove(&(facts.deadline, request.id));
+        self.queued -= 1;
+        if let Some(lane) = self.lanes.get_mut(&facts.target) {
+            lane.serve(facts.rank, item, now);
+        }
+        self.pool.start(&upstream, facts.rank.plan, facts.prefix);
+        request.attempts += 1;
+        if request.attempts == 1 {
+            self.retries.note_first_attempt();
+        }
+        let attempt = self.new_attempt();
+        let unclaimed = request
+            .facts
+            .key
+            .clone()
+            .filter(|_| request.claimed_by.is_none());
+        let stage = match unclaimed {
+            Some((key, fingerprint)) => {
+                let request = request.claim(upstream, attempt, priority);
+                actions.push(Action::Claim(claim_request(&request, key, fingerprint)));
+                Stage::Claiming(request)
+            }
+            None => {
+                let request = request.send(upstream, attempt, priority, now);
+                self.push_send(&request, None, actions);
+                Stage::Running(request)
+            }
+        };
+        self.requests.insert(item.request, stage);
+    }
+
+    /// Orders the attempt of a running request to be sent.
+    pub(crate) fn push_send(
+        &self,
+        request: &Request<Running>,
+        resume: Option<AttemptId>,
+        actions: &mut Vec<Action>,
+    ) {
+        let running = &request.stage;
+        let Some(state) = self.pool.get(&running.upstream) else {
+            return;
+        };
+        actions.push(Action::Send {
+            order: SendOrder {
+                address: state.definition.address(),
+                attempt: running.attempt,
+                priority: running.priority,
+                resume,
+                upstream: running.upstream.clone(),
+            },
+            request: request.id,
+        });
+    }
+}
+
+fn claim_request(
+    request: &Request<Claiming>,
+    key: IdempotencyKey,
+    fingerprint: Fingerprint,
+) -> ClaimRequest {
+    ClaimRequest {
+        attempt: request.stage.attempt,
+        deadline: request.facts.deadline,
+        fingerprint,
+        key,
+        request: request.id,
+        team: request.facts.team.clone(),
+        tier: request.facts.rank.tier,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/event.rs
@@ -0,0 +1,65 @@
+use super::*;
+
+/// Something that happened, told to the controller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A caller sent a request.
+    Arrived(Arrival),
+    /// An attempt ended.
+    AttemptEnded {
+        /// The attempt.
+        attempt: AttemptId,
+        /// How it ended.
+        end: AttemptEnd,
+        /// The request.
+        request: RequestId,
+    },
+    /// The caller of a request is gone.
+    CallerGone {
+        /// The request.
+        request: RequestId,
+    },
+    /// The table answered a claim, or did not.
+    ClaimAnswered {
+        /// What it said.
+        answer: ClaimAnswer,
+        /// The request.
+        request: RequestId,
+    },
+    /// A version of the configuration was read.
+    ConfigurationRead(Arc<Numbered>),
+    /// The host was asked to stop.
+    DrainStarted,
+    /// An upstream reported its load.
+    LoadReported {
+        /// The report.
+        report: LoadReport,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+    /// A probe of an ejected upstream was answered, or was not.
+    ProbeAnswered {
+        /// Whether it answered well.
+        healthy: bool,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+    /// Tokens flowed since the last event of this attempt.
+    Progressed {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The request.
+        request: RequestId,
+        /// How many tokens.
+        tokens: Tokens,
+    },
+    /// Time passed.
+    Ticked,
+    /// An upstream is leaving, or has come back, by the platform's host list.
+    UpstreamLeaving {
+        /// Whether it is leaving.
+        leaving: bool,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,91 @@
+//! The decisions of a host, as one deterministic state machine: it takes an
+//! event and the time and returns actions. No I/O, no clock, no threads, so
+//! every failure can be written as a script of events.
+
+use {
+    config::{Class, Document, Numbered, Plan, Team, Upstream},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        fmt::{self, Display, Formatter},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
+    types::prelude::*,
+};
+
+mod action;
+mod admission;
+mod affinity;
+mod arrival;
+mod attempt_end;
+mod attempts;
+mod claim_answer;
+mod claim_request;
+mod claims;
+mod controller;
+mod dispatch;
+mod event;
+mod fair_queue;
+mod floor;
+mod health;
+mod host_phase;
+mod lane;
+mod length_estimate;
+mod outcome;
+mod pool;
+mod queued_item;
+mod rank;
+mod rank_queue;
+mod refusal;
+mod refusal_reason;
+mod request;
+mod retry_budget;
+mod room_rules;
+mod service_rate;
+mod settlement;
+mod stored_answer;
+mod target;
+mod team_limits;
+mod upstream_state;
+mod waste;
+
+pub use {
+    action::{Action, SendOrder},
+    arrival::{Arrival, PrefixHash, Repeatability},
+    attempt_end::AttemptEnd,
+    claim_answer::ClaimAnswer,
+    claim_request::ClaimRequest,
+    controller::{Controller, ControllerOptions},
+    event::Event,
+    host_phase::HostPhase,
+    outcome::{Outcome, OutcomeEnd},
+    refusal::Refusal,
+    refusal_reason::RefusalReason,
+    room_rules::RoomRules,
+    settlement::Settlement,
+    stored_answer::StoredAnswer,
+    target::Target,
+    waste::WasteCause,
+};
+
+use {
+    affinity::Affinity,
+    claims::settle,
+    fair_queue::FairQueue,
+    floor::Floor,
+    health::Health,
+    lane::Lane,
+    length_estimate::LengthEstimate,
+    pool::{Pool, Wish},
+    queued_item::QueuedItem,
+    rank::Rank,
+    rank_queue::RankQueue,
+    request::{Claiming, Queued, Request, RequestFacts, Running, Stage},
+    retry_budget::RetryBudget,
+    service_rate::ServiceRate,
+    team_limits::TeamLimits,
+    upstream_state::UpstreamState,
+};
--- /dev/null
+++ b/crates/policy/src/outcome.rs
@@ -0,0 +1,60 @@
+use super::*;
+
+/// In which way a request ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OutcomeEnd {
+    /// The answer broke off.
+    Broken,
+    /// The caller was gone.
+    CallerGone,
+    /// The whole answer was delivered.
+    Finished,
+    /// It was refused for what the caller sent or may not do.
+    Rejected,
+    /// A stored answer was given.
+    Replayed,
+    /// It was refused for want of capacity or time.
+    Shed,
+}
+
+impl OutcomeEnd {
+    /// The end as it stands in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Broken => "broken",
+            Self::CallerGone => "caller-gone",
+            Self::Finished => "finished",
+            Self::Rejected => "rejected",
+            Self::Replayed => "replayed",
+            Self::Shed => "shed",
+        }
+    }
+}
+
+/// How one request ended, for metrics and the burn report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    /// Attempts made.
+    pub attempts: u32,
+    /// Class, where known.
+    pub class: Option<ClassId>,
+    /// In which way it ended.
+    pub end: OutcomeEnd,
+    /// Time from arrival to the first token, where one came.
+    pub first_token: Option<Duration>,
+    /// Whether it finished within its class's targets.
+    pub met_target: bool,
+    /// Team, where known.
+    pub team: Option<TeamId>,
+    /// Tier, where known.
+    pub tier: Option<Tier>,
+    /// Tokens delivered.
+    pub tokens: Tokens,
+    /// Upstream of the last attempt, where one was made.
+    pub upstream: Option<UpstreamId>,
+    /// The verdict told to the caller.
+    pub verdict: Verdict,
+    /// Tokens computed in vain, and why.
+    pub wasted: Option<(WasteCause, Tokens)>,
+}
--- /dev/null
+++ b/crates/policy/src/rank_queue.rs
@@ -0,0 +1,69 @@
+use super::*;
+
+/// Of so many requests served, one is taken from those that can no longer meet
+/// their target while others still can.
+const LATE_SHARE: u32 = 8;
+
+/// The queue of one rank: requests that can still meet their target, and those
+/// that cannot. The latter are served behind the former, but not starved.
+#[derive(Debug, Default)]
+pub(crate) struct RankQueue {
+    feasible: FairQueue,
+    late: FairQueue,
+    /// Requests served from `feasible` since one was served from `late`.
+    since_late: u32,
+}
+
+impl RankQueue {
+    pub(crate) const fn len(&self) -> usize {
+        self.feasible.len() + self.late.len()
+    }
+
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Estimated cost of all that is queued, in tokens.
+    pub(crate) const fn cost(&self) -> u64 {
+        self.feasible.cost() + self.late.cost()
+    }
+
+    pub(crate) fn push(&mut self, item: QueuedItem) {
+        self.feasible.push(item);
+    }
+
+    /// The request to serve next. `lead` is the time from dispatch to the
+    /// first token on an upstream that is free.
+    pub(crate) fn peek(&mut self, now: Time, lead: Duration) -> Option<QueuedItem> {
+        while let Some(item) = self.feasible.peek().filter(|item| now + lead > item.due) {
+            let item = item.clone();
+            self.feasible.remove(&item);
+            self.late.push(item);
+        }
+        let late_turn = self.since_late >= LATE_SHARE && !self.late.is_empty();
+        if late_turn || self.feasible.is_empty() {
+            return self.late.peek().cloned();
+        }
+        self.feasible.peek().cloned()
+    }
+
+    /// The request to give up first when the queue is full.
+    pub(crate) fn worst(&self) -> Option<QueuedItem> {
+        self.late.last().or_else(|| self.feasible.last()).cloned()
+    }
+
+    pub(crate) fn remove(&mut self, item: &QueuedItem) -> bool {
+        self.feasible.remove(item) || self.late.remove(item)
+    }
+
+    pub(crate) fn serve(&mut self, item: &QueuedItem) {
+        let before = self.feasible.len();
+        self.feasible.serve(item);
+        if self.feasible.len() < before {
+            self.since_late += 1;
+            return;
+        }
+        self.late.serve(item);
+        self.since_late = 0;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/refusal_reason.rs
@@ -0,0 +1,110 @@
+use super::*;
+
+/// Why a request got no answer from an upstream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalReason {
+    /// The stored answer of this key was not kept.
+    AnswerNotKept,
+    /// The team may not use the class.
+    ClassNotAllowed,
+    /// The request waited until its class's deadline.
+    DeadlinePassed,
+    /// The request could not start within its class's deadline.
+    DeadlineUnreachable,
+    /// Another attempt with this key is in progress.
+    InProgress,
+    /// The key was used for another request.
+    KeyReused,
+    /// This host has no configuration yet.
+    NotReady,
+    /// An earlier attempt with this key ended without a known outcome.
+    OutcomeUnknown,
+    /// The queue is full of work that is as urgent or more.
+    QueueFull,
+    /// The platform's table did not answer in time.
+    StoreUnavailable,
+    /// The team has too many requests at one moment.
+    TeamConcurrency,
+    /// The team sends too fast.
+    TeamRate,
+    /// No such class.
+    UnknownClass,
+    /// No team has this bearer key.
+    UnknownKey,
+    /// No upstream serves this model.
+    UnknownModel,
+    /// No such service.
+    UnknownService,
+    /// Every attempt failed.
+    UpstreamFailed,
+}
+
+impl RefusalReason {
+    /// Machine-readable code, as it stands in error answers.
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::AnswerNotKept => "answer_not_kept",
+            Self::ClassNotAllowed => "class_not_allowed",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::DeadlineUnreachable => "deadline_unreachable",
+            Self::InProgress => "request_in_progress",
+            Self::KeyReused => "idempotency_key_reused",
+            Self::NotReady => "not_ready",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::QueueFull => "queue_full",
+            Self::StoreUnavailable => "store_unavailable",
+            Self::TeamConcurrency => "team_concurrency_limit",
+            Self::TeamRate => "team_rate_limit",
+            Self::UnknownClass => "unknown_class",
+            Self::UnknownKey => "unknown_key",
+            Self::UnknownModel => "unknown_model",
+            Self::UnknownService => "unknown_service",
+            Self::UpstreamFailed => "upstream_failed",
+        }
+    }
+
+    /// Whether the caller's request is at fault, not a lack of capacity.
+    pub const fn is_rejection(self) -> bool {
+        matches!(
+            self,
+            Self::AnswerNotKept
+                | Self::ClassNotAllowed
+                | Self::InProgress
+                | Self::KeyReused
+                | Self::OutcomeUnknown
+                | Self::TeamConcurrency
+                | Self::TeamRate
+                | Self::UnknownClass
+                | Self::UnknownKey
+                | Self::UnknownModel
+                | Self::UnknownService
+        )
+    }
+}
+
+impl Display for RefusalReason {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::AnswerNotKept => "the request ran, but its answer was too large to keep",
+            Self::ClassNotAllowed => "the team may not use this class",
+            Self::DeadlinePassed => "the request waited until the deadline of its class",
+            Self::DeadlineUnreachable => {
+                "the request cannot start within the deadline of its class"
+            }
+            Self::InProgress => "a request with this idempotency key is in progress",
+            Self::KeyReused => "the idempotency key was used for another request",
+            Self::NotReady => "the host has no configuration yet",
+            Self::OutcomeUnknown => "an earlier request with this idempotency key may have run",
+            Self::QueueFull => "the queue is full",
+            Self::StoreUnavailable => "the idempotency key could not be claimed in time",
+            Self::TeamConcurrency => "the team has too many requests at this moment",
+            Self::TeamRate => "the team sends requests too fast",
+            Self::UnknownClass => "there is no such class",
+            Self::UnknownKey => "no team has this key",
+            Self::UnknownModel => "no upstream serves this model",
+            Self::UnknownService => "there is no such service",
+            Self::UpstreamFailed => "the upstream failed",
+        })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/request.rs
@@ -0,0 +1,226 @@
+use super::*;
+
+/// What is fixed about a request once it is admitted.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestFacts {
+    pub(crate) arrived: Time,
+    pub(crate) between_token_target_ms: u64,
+    pub(crate) class: ClassId,
+    /// Last moment for an attempt to start.
+    pub(crate) deadline: Time,
+    /// When the first token is due.
+    pub(crate) due: Time,
+    pub(crate) first_token_target_ms: u64,
+    pub(crate) idempotent: bool,
+    /// Idempotency key to be claimed before anything is sent.
+    pub(crate) key: Option<(IdempotencyKey, Fingerprint)>,
+    pub(crate) prefix: Option<PrefixHash>,
+    pub(crate) rank: Rank,
+    pub(crate) target: Target,
+    pub(crate) team: TeamId,
+}
+
+/// A request in one stage of its life. A stage is left by a method that takes
+/// the request and returns the next stage, so no request is in two at once.
+#[derive(Clone, Debug)]
+pub(crate) struct Request<S> {
+    pub(crate) attempts: u32,
+    /// Attempt that holds the claim of the idempotency key.
+    pub(crate) claimed_by: Option<AttemptId>,
+    pub(crate) facts: RequestFacts,
+    /// Time from arrival to the first token.
+    pub(crate) first_token: Option<Duration>,
+    pub(crate) id: RequestId,
+    pub(crate) item: QueuedItem,
+    pub(crate) stage: S,
+    /// Tokens delivered to the caller.
+    pub(crate) tokens: Tokens,
+    pub(crate) tried: Vec<UpstreamId>,
+    /// Join of the verdicts of its attempts so far.
+    pub(crate) verdict: Verdict,
+    pub(crate) wasted: Option<(WasteCause, Tokens)>,
+}
+
+/// Waits for a slot.
+#[derive(Clone, Debug)]
+pub(crate) struct Queued {
+    /// Put aside while the store is down; not in its queue.
+    pub(crate) parked: bool,
+}
+
+/// Has a slot, and waits for the table to grant its idempotency key.
+#[derive(Clone, Debug)]
+pub(crate) struct Claiming {
+    pub(crate) attempt: AttemptId,
+    pub(crate) caller_gone: bool,
+    pub(crate) priority: u8,
+    pub(crate) upstream: UpstreamId,
+}
+
+/// Is on its way to an upstream or runs there.
+#[derive(Clone, Debug)]
+pub(crate) struct Running {
+    pub(crate) attempt: AttemptId,
+    /// When tokens came last, or when it was sent.
+    pub(crate) last_progress: Time,
+    pub(crate) priority: u8,
+    pub(crate) resumes: u32,
+    pub(crate) sent: Time,
+    /// Tokens of this attempt.
+    pub(crate) tokens: Tokens,
+    pub(crate) upstream: UpstreamId,
+}
+
+/// A request in any stage.
+#[derive(Clone, Debug)]
+pub(crate) enum Stage {
+    Claiming(Request<Claiming>),
+    Queued(Request<Queued>),
+    Running(Request<Running>),
+}
+
+impl Request<Queued> {
+    pub(crate) fn new(id: RequestId, facts: RequestFacts, item: QueuedItem) -> Self {
+        Self {
+            attempts: 0,
+            claimed_by: None,
+            facts,
+            first_token: None,
+            id,
+            item,
+            stage: Queued { parked: false },
+            tokens: Tokens::default(),
+            tried: Vec::new(),
+            verdict: Verdict::NotRun,
+            wasted: None,
+        }
+    }
+
+    pub(crate) fn claim(
+        self,
+        upstream: UpstreamId,
+        attempt: AttemptId,
+        priority: u8,
+    ) -> Request<Claiming> {
+        self.with_stage(Claiming {
+            attempt,
+            caller_gone: false,
+            priority,
+            upstream,
+        })
+    }
+
+    pub(crate) fn send(
+        self,
+        upstream: UpstreamId,
+        attempt: AttemptId,
+        priority: u8,
+        now: Time,
+    ) -> Request<Running> {
+        self.with_stage(Running {
+            attempt,
+            last_progress: now,
+            priority,
+            resumes: 0,
+            sent: now,
+            tokens: Tokens::default(),
+            upstream,
+        })
+    }
+}
+
+impl Request<Claiming> {
+    /// Aside, until the store may answer again.
+    pub(crate) fn park(self) -> Request<Queued> {
+        self.with_stage(Queued { parked: true })
+    }
+
+    pub(crate) fn granted(mut self, now: Time) -> Request<Running> {
+        let Claiming {
+            attempt,
+            priority,
+            upstream,
+            ..
+        } = self.stage.clone();
+        self.claimed_by = Some(attempt);
+        self.with_stage(Running {
+            attempt,
+            last_progress: now,
+            priority,
+            resumes: 0,
+            sent: now,
+            tokens: Tokens::default(),
+            upstream,
+        })
+    }
+}
+
+impl Request<Running> {
+    /// Back to the queue, for another attempt.
+    pub(crate) fn requeue(mut self) -> Request<Queued> {
+        self.tried.push(self.stage.upstream.clone());
+        self.with_stage(Queued { parked: false })
+    }
+}
+
+impl<S> Request<S> {
+    fn with_stage<T>(self, stage: T) -> Request<T> {
+        Request {
+            attempts: self.attempts,
+            claimed_by: self.claimed_by,
+            facts: self.facts,
+            first_token: self.first_token,
+            id: self.id,
+            item: self.item,
+            stage,
+            tokens: self.tokens,
+            tried: self.tried,
+            verdict: self.verdict,
+            wasted: self.wasted,
+        }
+    }
+
+    /// Counts tokens that were computed in vain.
+    pub(crate) fn waste(&mut self, cause: WasteCause, tokens: Tokens) {
+        if tokens.get() == 0 {
+            return;
+        }
+        let before = self.wasted.map_or(0, |(_, tokens)| tokens.get());
+        self.wasted = Some((cause, Tokens::new(before + tokens.get())));
+    }
+
+    /// Whether the first token and the pace met the class's targets. An answer
+    /// that came as a whole has the time of both together.
+    pub(crate) fn met_target(&self, now: Time) -> bool {
+        let first = Duration::from_millis(self.facts.first_token_target_ms);
+        let gaps = self.tokens.get().saturating_sub(1);
+        let rest = Duration::from_millis(self.facts.between_token_target_ms) * gaps;
+        let total = now.since(self.facts.arrived);
+        match self.first_token {
+            Some(first_token) => first_token <= first && (gaps == 0 || total - first_token <= rest),
+            None => total <= first + rest,
+        }
+    }
+
+    pub(crate) fn outcome(
+        &self,
+        end: OutcomeEnd,
+        verdict: Verdict,
+        upstream: Option<UpstreamId>,
+        now: Time,
+    ) -> Outcome {
+        Outcome {
+            attempts: self.attempts,
+            class: Some(self.facts.class.clone()),
+            end,
+            first_token: self.first_token,
+            met_target: end == OutcomeEnd::Finished && self.met_target(now),
+            team: Some(self.facts.team.clone()),
+            tier: Some(self.facts.rank.tier),
+            tokens: self.tokens,
+            upstream,
+            verdict,
+            wasted: self.wasted,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/waste.rs
@@ -0,0 +1,33 @@
+use super::*;
+
+/// Why computation was wasted.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WasteCause {
+    /// The answer broke off and could not be resumed.
+    CutOff,
+    /// The caller was gone before the answer ended.
+    Discarded,
+    /// The request was run again from the start.
+    Repeated,
+}
+
+impl WasteCause {
+    /// Every cause.
+    pub const ALL: [Self; 3] = [Self::CutOff, Self::Discarded, Self::Repeated];
+
+    /// The cause as it stands in reports.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::CutOff => "cut-off",
+            Self::Discarded => "discarded",
+            Self::Repeated => "repeated",
+        }
+    }
+}
+
+impl Display for WasteCause {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/router/src/answer_sender.rs
@@ -0,0 +1,73 @@
+use super::*;
+
+/// Frames of a stream that wait for a slow reader.
+const FRAME_RING: usize = 16;
+
+enum Way {
+    /// The head has not been sent.
+    Head(oneshot::Sender<Response<AnswerBody>>),
+    /// The body is being streamed.
+    Stream(mpsc::Sender<Bytes>),
+    /// All has been sent, or the caller is gone.
+    Closed,
+}
+
+/// The way back to the caller of one request.
+pub(crate) struct AnswerSender {
+    way: Way,
+}
+
+impl AnswerSender {
+    pub(crate) const fn new(head: oneshot::Sender<Response<AnswerBody>>) -> Self {
+        Self {
+            way: Way::Head(head),
+        }
+    }
+
+    /// Returns once the caller is gone.
+    pub(crate) async fn gone(&mut self) {
+        match &mut self.way {
+            Way::Head(head) => head.closed().await,
+            Way::Stream(frames) => frames.closed().await,
+            Way::Closed => std::future::pending().await,
+        }
+    }
+
+    /// Sends a whole answer, if nothing has been sent yet.
+    pub(crate) fn send_whole(&mut self, response: Response<AnswerBody>) {
+        if let Way::Head(head) = std::mem::replace(&mut self.way, Way::Closed) {
+            let _ = head.send(response);
+        }
+    }
+
+    /// Starts a stream of events, if it has not been started.
+    pub(crate) fn start_stream(&mut self, content_type: &str) {
+        if !matches!(self.way, Way::Head(_)) {
+            return;
+        }
+        let (frames, mut receiver) = mpsc::channel::<Bytes>(FRAME_RING);
+        let body = StreamBody::new(futures::stream::poll_fn(move |context| {
+            receiver
+                .poll_recv(context)
+                .map(|frame| frame.map(|bytes| Ok::<_, Infallible>(Frame::data(bytes))))
+        }));
+        let mut response = Response::new(body.boxed_unsync());
+        if let Ok(value) = HeaderValue::from_str(content_type) {
+            response.headers_mut().insert(CONTENT_TYPE, value);
+        }
+        if let Way::Head(head) = std::mem::replace(&mut self.way, Way::Stream(frames)) {
+            let _ = head.send(response);
+        }
+    }
+
+    /// Sends part of a stream; false if the caller is gone or reads too
+    /// slowly.
+    pub(crate) async fn send_part(&mut self, part: Bytes, slow_reader: Duration) -> bool {
+        match &self.way {
+            Way::Stream(frames) => {
+                matches!(timeout(slow_reader, frames.send(part)).await, Ok(Ok(())))
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/answers.rs
@@ -0,0 +1,92 @@
+//! Answers that a host gives by itself.
+
+use super::*;
+
+/// Body of an answer to a caller.
+pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, Infallible>;
+
+/// Most spread that is written into `Retry-After`, in seconds.
+const MAX_RETRY_AFTER_S: u64 = 3_600;
+
+/// A whole answer.
+pub(crate) fn text_answer(
+    status: StatusCode,
+    content_type: &str,
+    body: impl Into<Bytes>,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(Full::new(body.into()).boxed_unsync());
+    *response.status_mut() = status;
+    if let Ok(value) = HeaderValue::from_str(content_type) {
+        response.headers_mut().insert(CONTENT_TYPE, value);
+    }
+    response
+}
+
+/// An error answer in the shape that OpenAI-style clients expect.
+pub(crate) fn error_answer(
+    status: StatusCode,
+    code: &str,
+    message: &str,
+    verdict: Verdict,
+) -> Response<AnswerBody> {
+    let body = error_json(code, message, verdict);
+    let mut response = text_answer(status, "application/json", body);
+    set_verdict(&mut response, verdict);
+    response
+}
+
+/// The JSON of an error.
+pub(crate) fn error_json(code: &str, message: &str, verdict: Verdict) -> String {
+    let error = json!({
+        "code": code,
+        "message": message,
+        "type": "rhubarbcove_error",
+        "verdict": verdict,
+    });
+    json!({ "error": error }).to_string()
+}
+
+/// The answer to a refused request.
+pub(crate) fn refusal_answer(refusal: &Refusal) -> Response<AnswerBody> {
+    let reason = refusal.reason;
+    let mut response = error_answer(
+        refusal_status(reason),
+        reason.code(),
+        &reason.to_string(),
+        refusal.verdict,
+    );
+    if let Some(retry_after) = refusal.retry_after {
+        let seconds = retry_after.as_secs_f64().ceil() as u64;
+        let seconds = seconds.clamp(1, MAX_RETRY_AFTER_S);
+        response.headers_mut().insert(RETRY_AFTER, seconds.into());
+    }
+    response
+}
+
+/// Marks an answer with its verdict.
+pub(crate) fn set_verdict<B>(response: &mut Response<B>, verdict: Verdict) {
+    response.headers_mut().insert(
+        HeaderName::from_static(VERDICT_HEADER),
+        HeaderValue::from_static(verdict.as_str()),
+    );
+}
+
+fn refusal_status(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::AnswerNotKept
+        | RefusalReason::InProgress
+        | RefusalReason::OutcomeUnknown => StatusCode::CONFLICT,
+        RefusalReason::ClassNotAllowed => StatusCode::FORBIDDEN,
+        RefusalReason::DeadlinePassed
+        | RefusalReason::DeadlineUnreachable
+        | RefusalReason::NotReady
+        | RefusalReason::QueueFull
+        | RefusalReason::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
+        RefusalReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        RefusalReason::TeamConcurrency | RefusalReason::TeamRate => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::UnknownClass => StatusCode::BAD_REQUEST,
+        RefusalReason::UnknownKey => StatusCode::UNAUTHORIZED,
+        RefusalReason::UnknownModel | RefusalReason::UnknownService => StatusCode::NOT_FOUND,
+        RefusalReason::UpstreamFailed => StatusCode::BAD_GATEWAY,
+    }
+}
--- /dev/null
+++ b/crates/router/src/caller_service.rs
@@ -0,0 +1,262 @@
+use super::*;
+
+/// Requests of one caller thread, from HTTP to the controller and back.
+#[derive(Clone)]
+pub(crate) struct CallerService {
+    pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
+    pub(crate) connections: Connections,
+    pub(crate) events: flume::Sender<RingEvent>,
+    pub(crate) limits: Arc<Limits>,
+    pub(crate) next_request: Arc<AtomicU64>,
+    pub(crate) pumps: Arc<Mutex<JoinSet<()>>>,
+}
+
+type Answered = Response<AnswerBody>;
+
+impl CallerService {
+    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Answered {
+        match self.read(request).await {
+            Ok(Some(request)) => self.serve(request).await,
+            Ok(None) => self.models(),
+            Err(answer) => *answer,
+        }
+    }
+
+    /// Reads a request whole and checks its form; `None` asks for the models.
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Option<CallerRequest>, Box<Answered>> {
+        let key_hash = bearer_key(&request)?;
+        let class = parsed_header::<ClassId>(&request, CLASS_HEADER)?;
+        let key = parsed_header::<IdempotencyKey>(&request, KEY_HEADER)?;
+        let forbidden = parsed_header::<bool>(&request, IDEMPOTENT_HEADER)? == Some(false);
+        let method = request.method().clone();
+        let path = request.uri().path().to_string();
+        let path_and_query = request
+            .uri()
+            .path_and_query()
+            .map_or(path.clone(), ToString::to_string);
+        let content_type = header_text(&request, CONTENT_TYPE.as_str())
+            .unwrap_or("application/json")
+            .to_string();
+        let engine = match (&method, path.as_str()) {
+            (&Method::GET, "/v1/models") => {
+                self.check_key(key_hash)?;
+                return Ok(None);
+            }
+            (&Method::POST, "/v1/chat/completions" | "/v1/completions") => true,
+            (_, path) if path.starts_with("/services/") => false,
+            (_, "/v1/models" | "/v1/chat/completions" | "/v1/completions") => {
+                return Err(bad(
+                    StatusCode::METHOD_NOT_ALLOWED,
+                    "method_not_allowed",
+                    "wrong method",
+                ));
+            }
+            _ => return Err(bad(StatusCode::NOT_FOUND, "not_found", "no such path")),
+        };
+        let body = self.read_body(request).await?;
+        let repeatability = match key {
+            Some(key) => Repeatability::AtMostOncePerKey {
+                fingerprint: Fingerprint::of_request(method.as_str(), &path_and_query, &body),
+                key,
+            },
+            None if forbidden => Repeatability::AtMostOnce,
+            None => Repeatability::AsConfigured,
+        };
+        let request = CallerRequest {
+            body,
+            class,
+            content_type,
+            key_hash,
+            kind: RequestKind::Service,
+            max_output: None,
+            method,
+            path: path_and_query,
+            prefix: None,
+            prompt: Tokens::default(),
+            repeatability,
+            // Replaced below; a service's id is checked there.
+            target: Target::Service("unknown".parse().expect("a valid id")),
+        };
+        if engine {
+            engine_request(request)
+        } else {
+            service_request(request)
+        }
+        .map(Some)
+    }
+
+    async fn read_body(&self, request: Request<Incoming>) -> Result<Bytes, Box<Answered>> {
+        let max = self.limits.max_body_bytes;
+        let timeout_ms = self.limits.body_timeout_ms;
+        let limited = Limited::new(request.into_body(), max.get() as usize);
+        let error = match timeout(Duration::from_millis(timeout_ms), limited.collect()).await {
+            Ok(Ok(body)) => return Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => (
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                BodyError::TooLarge { max },
+            ),
+            Ok(Err(_)) => (StatusCode::BAD_REQUEST, "body_broken", BodyError::Broken),
+            Err(_) => {
+                let error = BodyError::TooSlow { timeout_ms };
+                (StatusCode::REQUEST_TIMEOUT, "body_timeout", error)
+            }
+        };
+        let (status, code, error) = error;
+        Err(bad(status, code, &error.to_string()))
+    }
+
+    /// Hands the request to the controller and waits for the head of the
+    /// answer. The rest is done by a task of its own, which outlives the
+    /// caller where a claimed key must be carried to its end.
+    async fn serve(&self, request: CallerRequest) -> Answered {
+        let id = RequestId::new(self.next_request.fetch_add(1, Ordering::Relaxed));
+        let (instructor, instructions) = mpsc::channel(Instruction::RING);
+        let arrival = request.arrival(id);
+        // A full ring is told to the caller at once and truthfully; waiting
+        // here would hide an overload from every limit that is meant for it.
+        if self
+            .events
+            .try_send(RingEvent::Arrived(arrival, instructor))
+            .is_err()
+        {
+            return host_busy();
+        }
+        let (head, answer) = oneshot::channel();
+        let pump = Pump::new(self, id, request, instructions, AnswerSender::new(head));
+        {
+            let mut pumps = self.pumps.lock().unwrap_or_else(PoisonError::into_inner);
+            while pumps.try_join_next().is_some() {}
+            pumps.spawn(pump.run());
+        }
+        answer.await.unwrap_or_else(|_| host_busy())
+    }
+
+    fn check_key(&self, key_hash: KeyHash) -> Result<(), Box<Answered>> {
+        let configuration = self.configuration.load();
+        let known = configuration.as_ref().is_some_and(|numbered| {
+            let mut teams = numbered.document.teams.values();
+            teams.any(|team| team.key_sha256 == key_hash)
+        });
+        if known {
+            return Ok(());
+        }
+        let reason = RefusalReason::UnknownKey;
+        Err(bad(
+            StatusCode::UNAUTHORIZED,
+            reason.code(),
+            &reason.to_string(),
+        ))
+    }
+
+    fn models(&self) -> Answered {
+        let configuration = self.configuration.load();
+        let mut models = Vec::new();
+        if let Some(numbered) = configuration.as_ref() {
+            for upstream in numbered.document.upstreams.values() {
+                if let config::Upstream::Engine(engine) = upstream {
+                    models.extend(engine.models.iter().cloned());
+                }
+            }
+        }
+        models.sort();
+        models.dedup();
+        let data: Vec<_> = models
+            .iter()
+            .map(|model| json!({"id": model, "object": "model"}))
+            .collect();
+        let body = json!({"object": "list", "data": data}).to_string();
+        text_answer(StatusCode::OK, "application/json", body)
+    }
+}
+
+fn bad(status: StatusCode, code: &str, message: &str) -> Box<Answered> {
+    Box::new(error_answer(status, code, message, Verdict::NotRun))
+}
+
+fn host_busy() -> Answered {
+    let message = "the host has more requests than it can take in";
+    let mut answer = error_answer(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "host_busy",
+        message,
+        Verdict::NotRun,
+    );
+    answer
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    answer
+}
+
+fn header_text<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
+
+fn bearer_key(request: &Request<Incoming>) -> Result<KeyHash, Box<Answered>> {
+    let key = header_text(request, AUTHORIZATION.as_str())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    match key {
+        Some(key) => Ok(KeyHash::of_key(key)),
+        None => Err(bad(
+            StatusCode::UNAUTHORIZED,
+            "missing_key",
+            "expected the header `Authorization: Bearer KEY`",
+        )),
+    }
+}
+
+fn parsed_header<T>(request: &Request<Incoming>, name: &str) -> Result<Option<T>, Box<Answered>>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    let Some(value) = request.headers().get(name) else {
+        return Ok(None);
+    };
+    let parsed = value
+        .to_str()
+        .map_err(|error| error.to_string())
+        .and_then(|text| text.parse().map_err(|error: T::Err| error.to_string()));
+    match parsed {
+        Ok(value) => Ok(Some(value)),
+        Err(error) => {
+            let message = format!("header {name}: {error}");
+            Err(bad(StatusCode::BAD_REQUEST, "bad_header", &message))
+        }
+    }
+}
+
+fn engine_request(mut request: CallerRequest) -> Result<CallerRequest, Box<Answered>> {
+    let body = request.body.clone();
+    let parsed: caller_request::EngineBody<'_> =
+        serde_json::from_slice(&body).map_err(|error| {
+            let message = format!("the body is not a completion request: {error}");
+            bad(StatusCode::BAD_REQUEST, "bad_body", &message)
+        })?;
+    request.kind = RequestKind::Engine;
+    request.max_output = parsed.max_output();
+    request.prefix = parsed.prefix();
+    request.prompt = parsed.prompt_tokens();
+    request.target = Target::Model(parsed.model.clone());
+    Ok(request)
+}
+
+fn service_request(mut request: CallerRequest) -> Result<CallerRequest, Box<Answered>> {
+    let rest = request.path.trim_start_matches("/services/").to_string();
+    let (service, path) = rest.split_once('/').unwrap_or((&rest, ""));
+    let service = service.parse().map_err(|error: types::ParseIdError| {
+        bad(StatusCode::BAD_REQUEST, "bad_path", &error.to_string())
+    })?;
+    request.target = Target::Service(service);
+    request.path = format!("/{path}");
+    Ok(request)
+}
+
+impl Instruction {
+    /// The controller has at most this many instructions under way for one
+    /// request: a send, a break and a refusal.
+    pub(crate) const RING: usize = 4;
+}
--- /dev/null
+++ b/crates/router/src/caller_thread.rs
@@ -0,0 +1,109 @@
+//! The thread that serves callers: it accepts connections, passes requests to
+//! the controller and streams answers back.
+
+use super::*;
+
+/// Pause after an accept failed, for want of file descriptors say.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a caller thread is given.
+pub(crate) struct CallerThread {
+    pub(crate) connections: Arc<AtomicUsize>,
+    pub(crate) listener: std::net::TcpListener,
+    pub(crate) logger: Logger,
+    pub(crate) service: CallerService,
+    pub(crate) shutdown: Shutdown,
+}
+
+impl CallerThread {
+    pub(crate) fn spawn(self, number: usize) -> eyre::Result<JoinHandle<eyre::Result<()>>> {
+        std::thread::Builder::new()
+            .name(format!("callers-{number}"))
+            .spawn(move || {
+                let runtime = single_thread_runtime()?;
+                runtime.block_on(self.run())
+            })
+            .wrap_err("cannot start a caller thread")
+    }
+
+    async fn run(self) -> eyre::Result<()> {
+        let listener = TcpListener::from_std(self.listener.try_clone()?)?;
+        let graceful = GracefulShutdown::new();
+        let mut connections = JoinSet::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                Some(_) = connections.join_next() => continue,
+                () = self.shutdown.started() => break,
+            };
+            match accepted {
+                Ok((stream, _)) => self.take(stream, &graceful, &mut connections),
+                Err(error) => {
+                    warn!(self.logger, "callers: accept failed"; "error" => %error);
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        drop(listener);
+        self.finish(graceful, connections).await;
+        Ok(())
+    }
+
+    fn take(
+        &self,
+        stream: tokio::net::TcpStream,
+        graceful: &GracefulShutdown,
+        connections: &mut JoinSet<()>,
+    ) {
+        let open = self.connections.fetch_add(1, Ordering::Relaxed);
+        let guard = ConnectionGuard(Arc::clone(&self.connections));
+        if open >= self.service.limits.max_connections {
+            // Closing is the only answer that costs nothing.
+            return;
+        }
+        let _ = stream.set_nodelay(true);
+        let service = self.service.clone();
+        let head_timeout = Duration::from_millis(service.limits.head_timeout_ms);
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(head_timeout)
+            .serve_connection(
+                TokioIo::new(stream),
+                service_fn(move |request| {
+                    let service = service.clone();
+                    async move { Ok::<_, Infallible>(service.answer(request).await) }
+                }),
+            );
+        let connection = graceful.watch(connection);
+        connections.spawn(async move {
+            let _guard = guard;
+            let _ = connection.await;
+        });
+    }
+
+    /// Lets every request in flight end, then joins the tasks.
+    async fn finish(&self, graceful: GracefulShutdown, mut connections: JoinSet<()>) {
+        info!(self.logger, "callers: no new connections"; "open" => connections.len());
+        graceful.shutdown().await;
+        while connections.join_next().await.is_some() {}
+        let mut pumps = {
+            let mut pumps = self
+                .service
+                .pumps
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            std::mem::take(&mut *pumps)
+        };
+        while pumps.join_next().await.is_some() {}
+        info!(self.logger, "callers: all requests ended");
+    }
+}
+
+/// Counts a connection while it lives.
+struct ConnectionGuard(Arc<AtomicUsize>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/router/src/controller_thread.rs
@@ -0,0 +1,247 @@
+//! The thread that decides: it feeds the controller from its ring and carries
+//! its actions out.
+
+use super::*;
+
+/// Longest time without a tick.
+const TICK: Duration = Duration::from_millis(10);
+
+/// What the controller's thread is given.
+pub(crate) struct ControllerThread {
+    pub(crate) clock: Clock,
+    pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
+    pub(crate) controller: Controller,
+    pub(crate) events: flume::Receiver<RingEvent>,
+    pub(crate) ledger: Arc<Mutex<Ledger>>,
+    pub(crate) logger: Logger,
+    pub(crate) platform: flume::Sender<PlatformJob>,
+    pub(crate) probes: flume::Sender<ProbeJob>,
+    pub(crate) recorder: Arc<metrics_exporter_prometheus::PrometheusRecorder>,
+    pub(crate) status: Arc<ArcSwap<HostStatus>>,
+}
+
+/// The thread's own state.
+struct Carrier {
+    actions: Vec<Action>,
+    callers: HashMap<RequestId, mpsc::Sender<Instruction>>,
+    /// Settlements that the platform's ring had no room for. They are never
+    /// dropped: a lost one would leave a key unresolved for good.
+    settlements: VecDeque<Settlement>,
+    stopping: bool,
+    thread: ControllerThread,
+}
+
+impl ControllerThread {
+    pub(crate) fn spawn(self) -> eyre::Result<JoinHandle<eyre::Result<()>>> {
+        std::thread::Builder::new()
+            .name("controller".to_string())
+            .spawn(move || {
+                let recorder = Arc::clone(&self.recorder);
+                let carrier = Carrier {
+                    actions: Vec::new(),
+                    callers: HashMap::default(),
+                    settlements: VecDeque::new(),
+                    stopping: false,
+                    thread: self,
+                };
+                metrics::with_local_recorder(&*recorder, || carrier.run());
+                Ok(())
+            })
+            .wrap_err("cannot start the controller's thread")
+    }
+}
+
+impl Carrier {
+    fn run(mut self) {
+        let mut next_tick = Instant::now();
+        loop {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            match self.thread.events.recv_timeout(wait) {
+                Ok(event) => self.take(event),
+                Err(flume::RecvTimeoutError::Timeout) => {}
+                Err(flume::RecvTimeoutError::Disconnected) => return,
+            }
+            if Instant::now() >= next_tick {
+                self.handle(Event::Ticked);
+                self.retry_settlements();
+                self.publish();
+                next_tick = Instant::now() + TICK;
+            }
+            let settled = self.settlements.is_empty();
+            if self.stopping && self.thread.controller.is_idle() && settled {
+                info!(self.thread.logger, "controller: stopped");
+                return;
+            }
+        }
+    }
+
+    fn take(&mut self, event: RingEvent) {
+        match event {
+            RingEvent::Arrived(arrival, caller) => {
+                self.callers.insert(arrival.request, caller);
+                self.handle(Event::Arrived(arrival));
+            }
+            RingEvent::Happened(event) => {
+                if let Event::CallerGone { request } = &event {
+                    self.callers.remove(request);
+                }
+                self.handle(event);
+            }
+            RingEvent::Stop => self.stopping = true,
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let before = self.thread.controller.version();
+        let read = match &event {
+            Event::ConfigurationRead(numbered) => Some(Arc::clone(numbered)),
+            _ => None,
+        };
+        let now = self.thread.clock.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.thread.controller.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+        let version = self.thread.controller.version();
+        if version != before {
+            self.thread.configuration.store(read);
+            let version = version.unwrap_or_default();
+            info!(self.thread.logger, "controller: configuration in force"; "version" => %version);
+            gauge!("rhubarbcove_configuration_version").set(version.get() as f64);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Break { refusal, request } => {
+                self.instruct_last(request, Instruction::Break(refusal));
+            }
+            // The task that found its caller gone has cut the stream itself.
+            Action::Cancel { .. } => {}
+            Action::Claim(claim) => self.claim(claim),
+            Action::Probe { address, upstream } => self.probe(address, upstream),
+            Action::Record(outcome) => self.record(&outcome),
+            Action::Refuse { refusal, request } => {
+                self.instruct_last(request, Instruction::Refuse(refusal));
+            }
+            Action::Replay { answer, request } => {
+                self.instruct_last(request, Instruction::Replay(answer));
+            }
+            Action::Send { order, request } => {
+                if let Some(caller) = self.callers.get(&request) {
+                    let _ = caller.try_send(Instruction::Send(order));
+                }
+            }
+            Action::Settle(settlement) => self.settle(settlement),
+        }
+    }
+
+    fn instruct_last(&mut self, request: RequestId, instruction: Instruction) {
+        if let Some(caller) = self.callers.remove(&request) {
+            let _ = caller.try_send(instruction);
+        }
+    }
+
+    fn claim(&mut self, claim: ClaimRequest) {
+        let request = claim.request;
+        if self
+            .thread
+            .platform
+            .try_send(PlatformJob::Claim(claim))
+            .is_err()
+        {
+            // Nothing was written, and nothing is sent.
+            let answer = ClaimAnswer::Unknown;
+            let event = Event::ClaimAnswered { answer, request };
+            let now = self.thread.clock.now();
+            let mut actions = Vec::new();
+            self.thread.controller.handle(now, event, &mut actions);
+            for action in actions {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn settle(&mut self, settlement: Settlement) {
+        self.settlements.push_back(settlement);
+        self.retry_settlements();
+    }
+
+    fn retry_settlements(&mut self) {
+        while let Some(settlement) = self.settlements.pop_front() {
+            let job = PlatformJob::Settle(settlement);
+            match self.thread.platform.try_send(job) {
+                Ok(()) => {}
+                Err(flume::TrySendError::Full(PlatformJob::Settle(settlement))) => {
+                    self.settlements.push_front(settlement);
+                    return;
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn probe(&mut self, address: SocketAddr, upstream: UpstreamId) {
+        debug!(self.thread.logger, "controller: probe"; "upstream" => %upstream);
+        let job = ProbeJob { address, upstream };
+        let _ = self.thread.probes.try_send(job);
+    }
+
+    fn record(&mut self, outcome: &Outcome) {
+        let class = outcome
+            .class
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default();
+        let team = outcome
+            .team
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default();
+        let tier = outcome
+            .tier
+            .map(|tier| tier.to_string())
+            .unwrap_or_default();
+        counter!(
+            "rhubarbcove_requests_total",
+            "class" => class.clone(), "tier" => tier, "team" => team,
+            "end" => outcome.end.as_str(), "verdict" => outcome.verdict.as_str(),
+        )
+        .increment(1);
+        if let Some(upstream) = &outcome.upstream {
+            counter!("rhubarbcove_upstream_requests_total", "upstream" => upstream.to_string())
+                .increment(1);
+        }
+        if let Some(first_token) = outcome.first_token {
+            histogram!("rhubarbcove_first_token_seconds", "class" => class)
+                .record(first_token.as_secs_f64());
+        }
+        if let Some((cause, tokens)) = outcome.wasted {
+            counter!("rhubarbcove_wasted_tokens_total", "cause" => cause.as_str())
+                .increment(u64::from(tokens.get()));
+        }
+        let mut ledger = self
+            .thread
+            .ledger
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        ledger.record(self.thread.clock.now(), outcome);
+    }
+
+    fn publish(&self) {
+        let controller = &self.thread.controller;
+        gauge!("rhubarbcove_queued").set(controller.queued() as f64);
+        let before = self.thread.status.load();
+        let after = HostStatus {
+            phase: controller.phase(),
+            queued: controller.queued(),
+            version: controller.version(),
+            ..(**before).clone()
+        };
+        if after != **before {
+            self.thread.status.store(Arc::new(after));
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/host.rs
@@ -0,0 +1,335 @@
+use super::*;
+
+/// Events that may wait for the controller.
+const EVENT_RING: usize = 65_536;
+
+/// Jobs that may wait for the platform's thread.
+const PLATFORM_RING: usize = 4_096;
+
+/// Probes that may wait for the upstreams' thread.
+const PROBE_RING: usize = 256;
+
+/// Pause between two looks at whether a host is ready.
+const READY_PAUSE: Duration = Duration::from_millis(5);
+
+type Thread = JoinHandle<eyre::Result<()>>;
+
+/// A host in one phase of its life. A phase is left by a method that takes the
+/// host and returns the next one, so none can be skipped or entered twice.
+pub struct Host<S> {
+    parts: Parts,
+    state: S,
+}
+
+/// Takes requests, or will as soon as it has a configuration.
+pub struct Serving;
+
+/// Fails its readiness check, and still answers what comes.
+pub struct Draining;
+
+struct Parts {
+    caller_address: SocketAddr,
+    callers: Vec<Thread>,
+    callers_stop: Shutdown,
+    clock: Clock,
+    configuration: Arc<ArcSwapOption<Numbered>>,
+    controller: Thread,
+    events: flume::Sender<RingEvent>,
+    ledger: Arc<Mutex<Ledger>>,
+    logger: Logger,
+    operator_address: SocketAddr,
+    others: Vec<Thread>,
+    others_stop: Shutdown,
+    settings: Settings,
+    status: Arc<ArcSwap<HostStatus>>,
+}
+
+impl Host<Serving> {
+    /// Opens the listeners and starts the threads. It returns at once; the
+    /// host is ready when it has read a configuration from the platform.
+    pub fn start(settings: Settings, logger: Logger) -> eyre::Result<Self> {
+        let callers = listen(settings.caller_address)?;
+        let operators = listen(settings.operator_address)?;
+        let caller_address = callers.local_addr()?;
+        let operator_address = operators.local_addr()?;
+        let rings = Rings::new();
+        let shared = Shared::new(&settings);
+        let callers_stop = Shutdown::new();
+        let others_stop = Shutdown::new();
+        let recorder = Arc::new(
+            PrometheusBuilder::new()
+                .set_buckets_for_metric(
+                    Matcher::Suffix("_seconds".to_string()),
+                    &[0.01, 0.03, 0.1, 0.3, 0.66, 1.0, 3.0, 10.0, 30.0],
+                )
+                .wrap_err("cannot set the metrics up")?
+                .build_recorder(),
+        );
+        let metrics = recorder.handle();
+        let controller = ControllerThread {
+            clock: shared.clock,
+            configuration: Arc::clone(&shared.configuration),
+            controller: Controller::new(controller_options(&settings)),
+            events: rings.events.1,
+            ledger: Arc::clone(&shared.ledger),
+            logger: logger.clone(),
+            platform: rings.platform.0,
+            probes: rings.probes.0,
+            recorder,
+            status: Arc::clone(&shared.status),
+        }
+        .spawn()?;
+        let platform = PlatformThread {
+            address: settings.platform_address,
+            events: rings.events.0.clone(),
+            jobs: rings.platform.1,
+            logger: logger.clone(),
+            shutdown: others_stop.clone(),
+        }
+        .spawn()?;
+        let upstreams = UpstreamThread {
+            configuration: Arc::clone(&shared.configuration),
+            events: rings.events.0.clone(),
+            logger: logger.clone(),
+            probes: rings.probes.1,
+            shutdown: others_stop.clone(),
+        }
+        .spawn()?;
+        let client = PlatformClient::new(settings.platform_address, platform_thread::CALL_TIMEOUT);
+        let operators = OperatorThread {
+            listener: operators,
+            service: operator_service::OperatorService {
+                clock: shared.clock,
+                configuration: Arc::clone(&shared.configuration),
+                ledger: Arc::clone(&shared.ledger),
+                metrics,
+                status: Arc::clone(&shared.status),
+                store: ConfigStore::new(Arc::new(client)),
+                token: Arc::new(settings.operator_token.clone()),
+            },
+            shutdown: others_stop.clone(),
+        }
+        .spawn()?;
+        let callers = spawn_callers(
+            &settings,
+            &shared,
+            &rings.events.0,
+            &callers,
+            &callers_stop,
+            &logger,
+        )?;
+        info!(logger, "host: started"; "callers" => %caller_address, "operators" => %operator_address);
+        let parts = Parts {
+            caller_address,
+            callers,
+            callers_stop,
+            clock: shared.clock,
+            configuration: shared.configuration,
+            controller,
+            events: rings.events.0,
+            ledger: shared.ledger,
+            logger,
+            operator_address,
+            others: vec![platform, upstreams, operators],
+            others_stop,
+            settings,
+            status: shared.status,
+        };
+        Ok(Self {
+            parts,
+            state: Serving,
+        })
+    }
+
+    /// Waits until the host takes requests; false if it takes longer.
+    pub fn wait_ready(&self, longest: Duration) -> bool {
+        let deadline = Instant::now() + longest;
+        while self.status().phase != HostPhase::Serving {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            std::thread::sleep(READY_PAUSE);
+        }
+        true
+    }
+
+    /// Begins a planned stop: the readiness check fails from now on, while
+    /// requests are still answered.
+    pub fn drain(self) -> Host<Draining> {
+        info!(self.parts.logger, "host: draining");
+        let event = RingEvent::Happened(Event::DrainStarted);
+        let _ = self.parts.events.send(event);
+        Host {
+            parts: self.parts,
+            state: Draining,
+        }
+    }
+}
+
+impl Host<Draining> {
+    /// Ends the planned stop: waits for the balancer to see the failed
+    /// readiness check, lets every request in flight end, settles the claims
+    /// and joins the threads. Gives back what the host counted.
+    pub fn stop(self) -> eyre::Result<Report> {
+        let Self {
+            parts,
+            state: Draining,
+        } = self;
+        std::thread::sleep(Duration::from_millis(parts.settings.balancer_pause_ms));
+        parts.callers_stop.start();
+        for thread in parts.callers {
+            join(thread)?;
+        }
+        let _ = parts.events.send(RingEvent::Stop);
+        join(parts.controller)?;
+        parts.others_stop.start();
+        for thread in parts.others {
+            join(thread)?;
+        }
+        info!(parts.logger, "host: stopped");
+        let report = report(&parts.ledger, parts.clock, &parts.configuration);
+        Ok(report)
+    }
+}
+
+impl<S> Host<S> {
+    /// Where it listens for callers.
+    pub const fn caller_address(&self) -> SocketAddr {
+        self.parts.caller_address
+    }
+
+    /// Where it listens for operators.
+    pub const fn operator_address(&self) -> SocketAddr {
+        self.parts.operator_address
+    }
+
+    /// What it shows of itself.
+    pub fn status(&self) -> HostStatus {
+        (**self.parts.status.load()).clone()
+    }
+
+    /// Its report on service-level burn.
+    pub fn report(&self) -> Report {
+        report(
+            &self.parts.ledger,
+            self.parts.clock,
+            &self.parts.configuration,
+        )
+    }
+
+    /// The phase it is in.
+    pub const fn phase(&self) -> &S {
+        &self.state
+    }
+}
+
+struct Rings {
+    events: (flume::Sender<RingEvent>, flume::Receiver<RingEvent>),
+    platform: (flume::Sender<PlatformJob>, flume::Receiver<PlatformJob>),
+    probes: (flume::Sender<ProbeJob>, flume::Receiver<ProbeJob>),
+}
+
+impl Rings {
+    fn new() -> Self {
+        Self {
+            events: flume::bounded(EVENT_RING),
+            platform: flume::bounded(PLATFORM_RING),
+            probes: flume::bounded(PROBE_RING),
+        }
+    }
+}
+
+/// What several threads read.
+struct Shared {
+    clock: Clock,
+    configuration: Arc<ArcSwapOption<Numbered>>,
+    ledger: Arc<Mutex<Ledger>>,
+    status: Arc<ArcSwap<HostStatus>>,
+}
+
+impl Shared {
+    fn new(settings: &Settings) -> Self {
+        let status = HostStatus {
+            failure_domain: settings.failure_domain.clone(),
+            host: settings.host.clone(),
+            phase: HostPhase::Starting,
+            queued: 0,
+            version: None,
+        };
+        Self {
+            clock: Clock::new(),
+            configuration: Arc::default(),
+            ledger: Arc::default(),
+            status: Arc::new(ArcSwap::from_pointee(status)),
+        }
+    }
+}
+
+fn listen(address: SocketAddr) -> eyre::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)
+        .wrap_err_with(|| format!("cannot listen on {address}"))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+fn controller_options(settings: &Settings) -> ControllerOptions {
+    let mut rng = rand::rng();
+    ControllerOptions {
+        incarnation: Incarnation::new(rng.random()),
+        max_queued: settings.limits.max_queued,
+        room: RoomRules::default(),
+        seed: rng.random(),
+    }
+}
+
+fn spawn_callers(
+    settings: &Settings,
+    shared: &Shared,
+    events: &flume::Sender<RingEvent>,
+    listener: &std::net::TcpListener,
+    shutdown: &Shutdown,
+    logger: &Logger,
+) -> eyre::Result<Vec<Thread>> {
+    let next_request = Arc::new(AtomicU64::new(0));
+    let connections = Arc::new(AtomicUsize::new(0));
+    (0..settings.caller_threads)
+        .map(|number| {
+            caller_thread::CallerThread {
+                connections: Arc::clone(&connections),
+                listener: listener.try_clone()?,
+                logger: logger.clone(),
+                service: CallerService {
+                    configuration: Arc::clone(&shared.configuration),
+                    connections: Connections::default(),
+                    events: events.clone(),
+                    limits: Arc::new(settings.limits.clone()),
+                    next_request: Arc::clone(&next_request),
+                    pumps: Arc::default(),
+                },
+                shutdown: shutdown.clone(),
+            }
+            .spawn(number)
+        })
+        .collect()
+}
+
+fn join(thread: Thread) -> eyre::Result<()> {
+    let name = thread.thread().name().unwrap_or("unnamed").to_string();
+    thread
+        .join()
+        .map_err(|_| eyre!("thread {name} panicked"))?
+        .wrap_err_with(|| format!("thread {name} failed"))
+}
+
+fn report(ledger: &Mutex<Ledger>, clock: Clock, configuration: &ArcSwapOption<Numbered>) -> Report {
+    let Some(numbered) = configuration.load_full() else {
+        return Report::default();
+    };
+    let ledger = ledger.lock().unwrap_or_else(PoisonError::into_inner);
+    ledger.report(clock.now(), &numbered.document)
+}
+
+use {
+    controller_thread::ControllerThread, operator_thread::OperatorThread,
+    platform_thread::PlatformThread, upstream_thread::UpstreamThread,
+};
--- /dev/null
+++ b/crates/router/src/instruction.rs
@@ -0,0 +1,14 @@
+use super::*;
+
+/// What the controller tells the task that serves one request.
+#[derive(Debug)]
+pub(crate) enum Instruction {
+    /// End a stream that was cut.
+    Break(Refusal),
+    /// Give the final answer.
+    Refuse(Refusal),
+    /// Give a stored answer.
+    Replay(StoredAnswer),
+    /// Send the request to an upstream.
+    Send(SendOrder),
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,133 @@
+//! The host of rhubarbcove. A thread for each duty (callers, decisions,
+//! upstreams, platform, operators), joined by bounded rings; the decisions
+//! themselves are in the package `policy`.
+
+use {
+    arc_swap::{ArcSwap, ArcSwapOption},
+    bytes::Bytes,
+    config::{Document, Limits, Numbered, Patch, Settings},
+    eyre::{Context, eyre},
+    futures::future::{Either, select},
+    http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody},
+    hyper::{
+        Method, Request, Response, StatusCode,
+        body::{Frame, Incoming},
+        header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER},
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::{
+        rt::{TokioIo, TokioTimer},
+        server::graceful::GracefulShutdown,
+    },
+    metrics::{counter, gauge, histogram},
+    metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle},
+    platform::{
+        ClaimRow, ClaimState, ConfigStore, ConfigStoreError, HostList, ListedState, PlatformClient,
+        PlatformError, Row, TableBatch, TableOperation, TableResult,
+    },
+    policy::{
+        Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
+        Event, HostPhase, Outcome, OutcomeEnd, PrefixHash, Refusal, RefusalReason, Repeatability,
+        RoomRules, SendOrder, Settlement, StoredAnswer, Target, WasteCause,
+    },
+    rand::Rng,
+    serde::{Deserialize, Serialize},
+    serde_json::{json, value::RawValue},
+    slog::{Drain, Logger, debug, info, o, warn},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        convert::Infallible,
+        net::SocketAddr,
+        pin::pin,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicU64, AtomicUsize, Ordering},
+        },
+        thread::JoinHandle,
+        time::{Duration, Instant},
+    },
+    subtle::ConstantTimeEq,
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, oneshot, watch},
+        task::JoinSet,
+        time::{sleep, timeout},
+    },
+    types::prelude::*,
+    upstream::{Answer, Call, CallFailure, Connections, EngineAdapter, ServiceAdapter, StreamItem},
+};
+
+mod answer_sender;
+mod answers;
+mod body_error;
+mod burn_window;
+mod caller_request;
+mod caller_service;
+mod caller_thread;
+mod class_report;
+mod clock;
+mod controller_thread;
+mod host;
+mod host_status;
+mod instruction;
+mod jitter;
+mod ledger;
+mod logs;
+mod operator_service;
+mod operator_thread;
+mod platform_job;
+mod platform_thread;
+mod probe_job;
+mod promise;
+mod pump;
+mod report;
+mod ring_event;
+mod runtime;
+mod shutdown;
+mod table_claims;
+mod upstream_thread;
+
+pub use {
+    class_report::ClassReport,
+    host::{Draining, Host, Serving},
+    host_status::HostStatus,
+    logs::{discard_logger, json_logger},
+    promise::Promise,
+    report::Report,
+};
+
+use {
+    answer_sender::AnswerSender,
+    answers::{AnswerBody, error_answer, text_answer},
+    body_error::BodyError,
+    burn_window::BurnWindow,
+    caller_request::{CallerRequest, RequestKind},
+    caller_service::CallerService,
+    clock::Clock,
+    instruction::Instruction,
+    jitter::jittered,
+    ledger::Ledger,
+    platform_job::PlatformJob,
+    probe_job::ProbeJob,
+    pump::Pump,
+    ring_event::RingEvent,
+    runtime::single_thread_runtime,
+    shutdown::Shutdown,
+    table_claims::TableClaims,
+};
+
+/// Header by which a caller names its class.
+pub const CLASS_HEADER: &str = "x-request-class";
+
+/// Header by which a caller says `false` to forbid a second run.
+pub const IDEMPOTENT_HEADER: &str = "x-idempotent";
+
+/// Header that carries the verdict of an answer.
+pub const VERDICT_HEADER: &str = "x-request-verdict";
+
+/// Header that marks a stored answer.
+pub const REPLAYED_HEADER: &str = "idempotent-replayed";
+
+/// Header that carries the idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,62 @@
+//! `rhubarbcove`: the program that runs on every entry host.
+
+use {
+    bpaf::Bpaf,
+    config::Settings,
+    eyre::WrapErr,
+    router::{Host, json_logger},
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    },
+    std::path::{Path, PathBuf},
+};
+
+/// Route language-model traffic with service levels and priorities.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+enum Command {
+    /// Check a settings file and say what is wrong with it
+    #[bpaf(command)]
+    Check {
+        /// Settings of this host, as TOML
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Run this host until it gets SIGTERM or SIGINT, then drain and stop
+    #[bpaf(command)]
+    Run {
+        /// Settings of this host, as TOML
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
+fn main() -> eyre::Result<()> {
+    match command().run() {
+        Command::Check { file } => {
+            let settings = read_settings(&file)?;
+            println!("settings of host {} are valid", settings.host);
+            Ok(())
+        }
+        Command::Run { file } => run(&file),
+    }
+}
+
+fn read_settings(file: &Path) -> eyre::Result<Settings> {
+    let text = std::fs::read_to_string(file)
+        .wrap_err_with(|| format!("cannot read {}", file.display()))?;
+    Settings::from_toml(&text).wrap_err_with(|| format!("{} is not valid", file.display()))
+}
+
+/// Registers the signals before the host starts, so that none is lost. A
+/// second signal changes nothing: the stop that is under way ends in order.
+fn run(file: &Path) -> eyre::Result<()> {
+    let settings = read_settings(file)?;
+    let mut signals = Signals::new([SIGINT, SIGTERM]).wrap_err("cannot watch for signals")?;
+    let logger = json_logger(&settings.host);
+    let host = Host::start(settings, logger)?;
+    signals.forever().next();
+    host.drain().stop()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/router/src/operator_service.rs
@@ -0,0 +1,130 @@
+use super::*;
+
+/// Largest body of an operator's request.
+const MAX_BODY: usize = 1024 * 1024;
+
+/// Requests of operators: health checks, metrics, reports, configuration.
+#[derive(Clone)]
+pub(crate) struct OperatorService {
+    pub(crate) clock: Clock,
+    pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
+    pub(crate) ledger: Arc<Mutex<Ledger>>,
+    pub(crate) metrics: PrometheusHandle,
+    pub(crate) status: Arc<ArcSwap<HostStatus>>,
+    pub(crate) store: ConfigStore,
+    pub(crate) token: Arc<String>,
+}
+
+type Answered = Response<AnswerBody>;
+
+impl OperatorService {
+    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Answered {
+        let method = request.method().clone();
+        let path = request.uri().path().to_string();
+        match (&method, path.as_str()) {
+            (&Method::GET, "/livez") => return text_answer(StatusCode::OK, "text/plain", "ok\n"),
+            (&Method::GET, "/readyz") => return self.ready(),
+            _ => {}
+        }
+        if !self.is_operator(&request) {
+            let message =
+                "expected the header `Authorization: Bearer TOKEN` with the operator's token";
+            return plain_error(StatusCode::UNAUTHORIZED, "not_an_operator", message);
+        }
+        match (&method, path.as_str()) {
+            (&Method::GET, "/metrics") => text_answer(
+                StatusCode::OK,
+                "text/plain; version=0.0.4",
+                self.metrics.render(),
+            ),
+            (&Method::GET, "/status") => json_answer(&**self.status.load()),
+            (&Method::GET, "/report") => self.report(),
+            (&Method::GET, "/config") => match self.configuration.load().as_ref() {
+                Some(numbered) => json_answer(&**numbered),
+                None => not_ready(),
+            },
+            (&Method::POST, "/config/patches") => self.submit(request).await,
+            _ => plain_error(StatusCode::NOT_FOUND, "not_found", "no such path"),
+        }
+    }
+
+    fn ready(&self) -> Answered {
+        match self.status.load().phase {
+            HostPhase::Serving => text_answer(StatusCode::OK, "text/plain", "ready\n"),
+            HostPhase::Starting | HostPhase::Draining => {
+                text_answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n")
+            }
+        }
+    }
+
+    /// Compares in a time that does not tell how much of the token is right.
+    fn is_operator(&self, request: &Request<Incoming>) -> bool {
+        let presented = request
+            .headers()
+            .get(AUTHORIZATION)
+            .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "))
+            .unwrap_or_default();
+        presented.ct_eq(self.token.as_bytes()).into()
+    }
+
+    fn report(&self) -> Answered {
+        let Some(numbered) = self.configuration.load_full() else {
+            return not_ready();
+        };
+        let ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        json_answer(&ledger.report(self.clock.now(), &numbered.document))
+    }
+
+    async fn submit(&self, request: Request<Incoming>) -> Answered {
+        let body = match Limited::new(request.into_body(), MAX_BODY).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => {
+                return plain_error(StatusCode::BAD_REQUEST, "bad_body", &error.to_string());
+            }
+        };
+        let patch: Patch = match serde_json::from_slice(&body) {
+            Ok(patch) => patch,
+            Err(error) => {
+                return plain_error(StatusCode::BAD_REQUEST, "bad_patch", &error.to_string());
+            }
+        };
+        match self.store.submit(&patch).await {
+            Ok(version) => json_answer(&json!({ "version": version })),
+            Err(error) => {
+                let (status, code) = submit_error(&error);
+                plain_error(status, code, &error.to_string())
+            }
+        }
+    }
+}
+
+fn submit_error(error: &ConfigStoreError) -> (StatusCode, &'static str) {
+    match error {
+        ConfigStoreError::Invalid { .. } => (StatusCode::UNPROCESSABLE_ENTITY, "invalid"),
+        ConfigStoreError::Missing => (StatusCode::NOT_FOUND, "missing"),
+        ConfigStoreError::Platform { .. } => (StatusCode::SERVICE_UNAVAILABLE, "platform"),
+        ConfigStoreError::Stale { .. } => (StatusCode::CONFLICT, "stale"),
+        ConfigStoreError::Unknown { .. } => (StatusCode::GATEWAY_TIMEOUT, "unknown"),
+    }
+}
+
+fn plain_error(status: StatusCode, code: &str, message: &str) -> Answered {
+    let body = json!({"error": {"code": code, "message": message}}).to_string();
+    text_answer(status, "application/json", body)
+}
+
+fn not_ready() -> Answered {
+    let message = "the host has no configuration yet";
+    plain_error(StatusCode::SERVICE_UNAVAILABLE, "not_ready", message)
+}
+
+fn json_answer<T: Serialize>(value: &T) -> Answered {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => text_answer(StatusCode::OK, "application/json", text),
+        Err(error) => plain_error(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "internal",
+            &error.to_string(),
+        ),
+    }
+}
--- /dev/null
+++ b/crates/router/src/platform_thread.rs
@@ -0,0 +1,173 @@
+//! The thread that talks to the platform: configuration, host list, claims.
+
+use super::*;
+
+/// Longest time of one call to the platform.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks at the newest version.
+const WATCH_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time between two reads of the host list.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Claims written in one call.
+const MAX_BATCH: usize = 64;
+
+/// What the platform's thread is given.
+pub(crate) struct PlatformThread {
+    pub(crate) address: SocketAddr,
+    pub(crate) events: flume::Sender<RingEvent>,
+    pub(crate) jobs: flume::Receiver<PlatformJob>,
+    pub(crate) logger: Logger,
+    pub(crate) shutdown: Shutdown,
+}
+
+impl PlatformThread {
+    pub(crate) fn spawn(self) -> eyre::Result<JoinHandle<eyre::Result<()>>> {
+        std::thread::Builder::new()
+            .name("platform".to_string())
+            .spawn(move || {
+                single_thread_runtime()?.block_on(self.run());
+                Ok(())
+            })
+            .wrap_err("cannot start the platform's thread")
+    }
+
+    async fn run(self) {
+        let client = Arc::new(PlatformClient::new(self.address, CALL_TIMEOUT));
+        let claims = TableClaims::new(Arc::clone(&client));
+        let store = ConfigStore::new(Arc::clone(&client));
+        let watching = async {
+            futures::join!(
+                watch_configuration(&store, &self.events, &self.logger),
+                watch_hosts(&client, &self.events, &self.logger),
+            );
+        };
+        tokio::select! {
+            () = watching => {}
+            // Settlements are finished first: the ring closes only after the
+            // controller's thread has ended.
+            () = serve_jobs(&self.jobs, &claims, &self.events) => {}
+        }
+        self.shutdown.started().await;
+        info!(self.logger, "platform: all claims settled");
+    }
+}
+
+async fn watch_configuration(
+    store: &ConfigStore,
+    events: &flume::Sender<RingEvent>,
+    logger: &Logger,
+) {
+    let mut known: Option<Arc<Numbered>> = None;
+    let mut last_error = String::new();
+    loop {
+        match store.read(known.as_deref()).await {
+            Ok(newest) => {
+                last_error.clear();
+                let is_new = known
+                    .as_ref()
+                    .is_none_or(|known| newest.version > known.version);
+                if is_new {
+                    let newest = Arc::new(newest);
+                    known = Some(Arc::clone(&newest));
+                    let event = RingEvent::Happened(Event::ConfigurationRead(newest));
+                    let _ = events.send_async(event).await;
+                }
+            }
+            Err(error) => {
+                // Once for each new trouble, not once a second.
+                let error = error.to_string();
+                if error != last_error {
+                    warn!(logger, "platform: configuration not read"; "error" => &error);
+                    last_error = error;
+                }
+            }
+        }
+        sleep(jittered(WATCH_INTERVAL)).await;
+    }
+}
+
+async fn watch_hosts(client: &PlatformClient, events: &flume::Sender<RingEvent>, logger: &Logger) {
+    let mut known = HostList::default();
+    loop {
+        match client.hosts().await {
+            Ok(list) if list != known => {
+                debug!(logger, "platform: host list"; "hosts" => list.hosts.len());
+                for listed in &list.upstreams {
+                    let event = Event::UpstreamLeaving {
+                        leaving: listed.state == ListedState::Leaving,
+                        upstream: listed.upstream.clone(),
+                    };
+                    let _ = events.send_async(RingEvent::Happened(event)).await;
+                }
+                known = list;
+            }
+            Ok(_) => {}
+            Err(error) => debug!(logger, "platform: host list not read"; "error" => %error),
+        }
+        sleep(jittered(LIST_INTERVAL)).await;
+    }
+}
+
+/// Carries jobs out until the ring is closed and empty, and joins them.
+async fn serve_jobs(
+    jobs: &flume::Receiver<PlatformJob>,
+    claims: &TableClaims,
+    events: &flume::Sender<RingEvent>,
+) {
+    let mut tasks = JoinSet::new();
+    loop {
+        let job = tokio::select! {
+            job = jobs.recv_async() => job,
+            Some(_) = tasks.join_next() => continue,
+        };
+        let Ok(job) = job else { break };
+        let mut batch = Vec::new();
+        let mut next = Some(job);
+        while let Some(job) = next {
+            match job {
+                PlatformJob::Claim(claim) => batch.push(claim),
+                PlatformJob::Settle(settlement) => {
+                    let claims = claims.clone();
+                    tasks.spawn(async move { claims.settle(&settlement).await });
+                }
+            }
+            next = (batch.len() < MAX_BATCH)
+                .then(|| jobs.try_recv().ok())
+                .flatten();
+        }
+        if !batch.is_empty() {
+            let claims = claims.clone();
+            let events = events.clone();
+            tasks.spawn(async move { claim_batch(&claims, batch, &events).await });
+        }
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+/// Claims a batch and tells the controller. A claim of which nothing is known
+/// is released afterwards, since nothing was sent for it.
+async fn claim_batch(
+    claims: &TableClaims,
+    mut batch: Vec<ClaimRequest>,
+    events: &flume::Sender<RingEvent>,
+) {
+    // The most urgent first, should the platform cut the batch short.
+    batch.sort_by_key(|claim| claim.tier);
+    let answers = claims.claim(&batch).await;
+    let mut unknown = Vec::new();
+    for (claim, answer) in batch.into_iter().zip(answers) {
+        let event = Event::ClaimAnswered {
+            answer: answer.clone(),
+            request: claim.request,
+        };
+        let _ = events.send_async(RingEvent::Happened(event)).await;
+        if answer == ClaimAnswer::Unknown {
+            unknown.push(claim);
+        }
+    }
+    let releases = unknown.iter().map(|claim| claims.release(claim));
+    futures::future::join_all(releases).await;
+}
--- /dev/null
+++ b/crates/router/src/promise.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+/// How a promise was checked against a history.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Promise {
+    /// Cases that broke it.
+    pub broken: u64,
+    /// Cases that could show whether it holds.
+    pub checked: u64,
+    /// Its name.
+    pub name: String,
+}
--- /dev/null
+++ b/crates/router/src/pump.rs
@@ -0,0 +1,368 @@
+use super::*;
+
+/// Time to wait for the head of an answer. A queued request waits at the
+/// engine too, so this is generous; the idle limit holds from then on.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// A progress event is sent at least after so many tokens …
+const PROGRESS_TOKENS: u32 = 32;
+
+/// … or after this time.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Events of a stream that are passed on together when they came together.
+const MAX_TOGETHER: usize = 64;
+
+/// What to do after an instruction.
+enum Next {
+    End,
+    Wait,
+}
+
+/// How the stream of one attempt went.
+enum Streamed {
+    CallerGone,
+    Failed(CallFailure),
+    Whole,
+}
+
+/// The task that serves one request: it does what the controller says, and
+/// passes the answer from the upstream to the caller on one thread.
+pub(crate) struct Pump {
+    answer: AnswerSender,
+    connections: Connections,
+    delivered: bool,
+    events: flume::Sender<RingEvent>,
+    id: RequestId,
+    instructions: mpsc::Receiver<Instruction>,
+    /// Stream so far, where it is to be kept for a repeated key.
+    kept: Option<String>,
+    last_event: String,
+    last_progress: Instant,
+    limits: Arc<Limits>,
+    request: CallerRequest,
+    /// Tokens since the last progress event.
+    unreported: u32,
+}
+
+impl Pump {
+    pub(crate) fn new(
+        service: &CallerService,
+        id: RequestId,
+        request: CallerRequest,
+        instructions: mpsc::Receiver<Instruction>,
+        answer: AnswerSender,
+    ) -> Self {
+        Self {
+            answer,
+            connections: service.connections.clone(),
+            delivered: false,
+            events: service.events.clone(),
+            id,
+            instructions,
+            kept: request.is_keyed().then(String::new),
+            last_event: String::new(),
+            last_progress: Instant::now(),
+            limits: Arc::clone(&service.limits),
+            request,
+            unreported: 0,
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        loop {
+            let instruction = {
+                let next = pin!(self.instructions.recv());
+                let gone = pin!(self.answer.gone());
+                match select(next, gone).await {
+                    Either::Left((instruction, _)) => Some(instruction),
+                    Either::Right(_) => None,
+                }
+            };
+            let Some(instruction) = instruction else {
+                return self.tell(Event::CallerGone { request: self.id }).await;
+            };
+            let next = match instruction {
+                Some(Instruction::Send(order)) => self.attempt(order).await,
+                Some(Instruction::Refuse(refusal)) => self.refuse(&refusal),
+                Some(Instruction::Replay(answer)) => self.replay(answer),
+                Some(Instruction::Break(refusal)) => self.break_off(&refusal).await,
+                None => Next::End,
+            };
+            if matches!(next, Next::End) {
+                return;
+            }
+        }
+    }
+
+    async fn tell(&self, event: Event) {
+        // Waits while the ring is full: an end of an attempt is never lost.
+        // The controller outlives every pump.
+        let _ = self.events.send_async(RingEvent::Happened(event)).await;
+    }
+
+    fn refuse(&mut self, refusal: &Refusal) -> Next {
+        self.answer.send_whole(answers::refusal_answer(refusal));
+        Next::End
+    }
+
+    fn replay(&mut self, stored: StoredAnswer) -> Next {
+        let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+        let mut response = text_answer(status, &stored.content_type, stored.body);
+        answers::set_verdict(&mut response, Verdict::Ran);
+        response.headers_mut().insert(
+            HeaderName::from_static(REPLAYED_HEADER),
+            HeaderValue::from_static("true"),
+        );
+        self.answer.send_whole(response);
+        Next::End
+    }
+
+    /// Ends a cut stream with an error event and without an end mark.
+    async fn break_off(&mut self, refusal: &Refusal) -> Next {
+        let reason = refusal.reason;
+        let error = answers::error_json(reason.code(), &reason.to_string(), refusal.verdict);
+        let event = format!("event: error\ndata: {error}\n\n");
+        self.send_part(event).await;
+        Next::End
+    }
+
+    async fn send_part(&mut self, part: String) -> bool {
+        let slow_reader = Duration::from_millis(self.limits.slow_reader_timeout_ms);
+        self.answer.send_part(part.into(), slow_reader).await
+    }
+
+    async fn attempt(&mut self, order: SendOrder) -> Next {
+        let started = {
+            let start = start(&self.connections, &self.request, &self.last_event, &order);
+            if self.request.is_keyed() {
+                Some(start.await)
+            } else {
+                let start = pin!(start);
+                let gone = pin!(self.answer.gone());
+                match select(start, gone).await {
+                    Either::Left((started, _)) => Some(started),
+                    Either::Right(_) => None,
+                }
+            }
+        };
+        match started {
+            None => self.on_caller_gone(&order).await,
+            Some(Err(failure)) => self.on_failure(&order, failure).await,
+            Some(Ok(answer)) if self.delivered && !answer.is_token_stream() => {
+                // The engine does not know the stream that was to be resumed.
+                let failure = CallFailure::may_have_run(FailureCause::ErrorStatus);
+                self.on_failure(&order, failure).await
+            }
+            Some(Ok(answer)) if answer.is_token_stream() => self.stream(&order, answer).await,
+            Some(Ok(answer)) => self.pass_whole(&order, answer).await,
+        }
+    }
+
+    async fn on_caller_gone(&mut self, order: &SendOrder) -> Next {
+        self.tell(Event::CallerGone { request: self.id }).await;
+        if self.request.kind == RequestKind::Engine {
+            let engine = EngineAdapter::new(self.connections.clone());
+            engine.cancel(order.address, order.attempt).await;
+        }
+        Next::End
+    }
+
+    async fn on_failure(&mut self, order: &SendOrder, failure: CallFailure) -> Next {
+        let end = AttemptEnd::Failed {
+            cause: failure.cause,
+            delivered: self.delivered,
+            tokens: self.take_unreported(),
+            verdict: failure.verdict,
+        };
+        self.end(order, end).await;
+        Next::Wait
+    }
+
+    async fn end(&self, order: &SendOrder, end: AttemptEnd) {
+        self.tell(Event::AttemptEnded {
+            attempt: order.attempt,
+            end,
+            request: self.id,
+        })
+        .await;
+    }
+
+    fn take_unreported(&mut self) -> Tokens {
+        Tokens::new(std::mem::take(&mut self.unreported))
+    }
+
+    /// Passes an answer on that comes as a whole. The caller gets it only when
+    /// all of it is here, so that half an answer is never taken for a whole.
+    async fn pass_whole(&mut self, order: &SendOrder, answer: Answer) -> Next {
+        let status = answer.status();
+        let content_type = answer.content_type().to_string();
+        let idle = Duration::from_millis(self.limits.upstream_idle_timeout_ms);
+        let collected = answer.collect(self.limits.max_body_bytes, idle).await;
+        let body = match collected {
+            Ok(body) => body,
+            Err(failure) => return self.on_failure(order, failure).await,
+        };
+        let end = AttemptEnd::Completed {
+            answer: self.answer_to_keep(status, &content_type, &body),
+            tokens: completion_tokens(&body),
+        };
+        self.end(order, end).await;
+        let mut response = text_answer(status, &content_type, body);
+        answers::set_verdict(&mut response, Verdict::Ran);
+        self.answer.send_whole(response);
+        Next::End
+    }
+
+    fn answer_to_keep(
+        &self,
+        status: StatusCode,
+        content_type: &str,
+        body: &[u8],
+    ) -> Option<StoredAnswer> {
+        let fits = body.len() as u64 <= self.limits.max_answer_bytes.get();
+        if !self.request.is_keyed() || !fits {
+            return None;
+        }
+        Some(StoredAnswer {
+            body: String::from_utf8(body.to_vec()).ok()?,
+            content_type: content_type.to_string(),
+            status: status.as_u16(),
+        })
+    }
+
+    async fn stream(&mut self, order: &SendOrder, answer: Answer) -> Next {
+        let content_type = answer.content_type().to_string();
+        match self.pass_events(order, answer).await {
+            Streamed::CallerGone => self.on_caller_gone(order).await,
+            Streamed::Failed(failure) => self.on_failure(order, failure).await,
+            Streamed::Whole => {
+                let kept = self.kept.take().unwrap_or_default();
+                let end = AttemptEnd::Completed {
+                    answer: self.answer_to_keep(StatusCode::OK, &content_type, kept.as_bytes()),
+                    tokens: self.take_unreported(),
+                };
+                self.end(order, end).await;
+                self.send_part("data: [DONE]\n\n".to_string()).await;
+                Next::End
+            }
+        }
+    }
+
+    async fn pass_events(&mut self, order: &SendOrder, answer: Answer) -> Streamed {
+        let content_type = answer.content_type().to_string();
+        let idle = Duration::from_millis(self.limits.upstream_idle_timeout_ms);
+        let mut tokens = answer.into_tokens();
+        loop {
+            let item = if self.request.is_keyed() {
+                tokens.next(idle).await
+            } else {
+                let next = pin!(tokens.next(idle));
+                let gone = pin!(self.answer.gone());
+                match select(next, gone).await {
+                    Either::Left((item, _)) => item,
+                    Either::Right(_) => return Streamed::CallerGone,
+                }
+            };
+            let mut part = String::new();
+            let mut item = Some(item);
+            let mut taken = 0;
+            let ended = loop {
+                match item {
+                    Some(Ok(StreamItem::Event { data, id })) => {
+                        self.take_event(&mut part, &data, id);
+                    }
+                    Some(Ok(StreamItem::End)) => break Some(Streamed::Whole),
+                    Some(Err(failure)) => break Some(Streamed::Failed(failure)),
+                    None => break None,
+                }
+                taken += 1;
+                if taken == MAX_TOGETHER {
+                    break None;
+                }
+                item = tokens.try_next();
+            };
+            if !part.is_empty() && !self.pass_part(order, &content_type, part).await {
+                return Streamed::CallerGone;
+            }
+            if let Some(ended) = ended {
+                return ended;
+            }
+        }
+    }
+
+    fn take_event(&mut self, part: &mut String, data: &str, id: String) {
+        use std::fmt::Write;
+        let _ = write!(part, "data: {data}\n\n");
+        if !id.is_empty() {
+            self.last_event = id;
+        }
+        self.unreported += 1;
+    }
+
+    /// Sends events to the caller; false if it is gone and nothing obliges the
+    /// host to go on.
+    async fn pass_part(&mut self, order: &SendOrder, content_type: &str, part: String) -> bool {
+        self.answer.start_stream(content_type);
+        if let Some(kept) = &mut self.kept
+            && kept.len() as u64 <= self.limits.max_answer_bytes.get()
+        {
+            kept.push_str(&part);
+        }
+        let sent = self.send_part(part).await;
+        let first = !self.delivered;
+        self.delivered = true;
+        let due =
+            self.unreported >= PROGRESS_TOKENS || self.last_progress.elapsed() >= PROGRESS_INTERVAL;
+        if first || due {
+            self.last_progress = Instant::now();
+            let tokens = self.take_unreported();
+            self.tell(Event::Progressed {
+                attempt: order.attempt,
+                request: self.id,
+                tokens,
+            })
+            .await;
+        }
+        sent || self.request.is_keyed()
+    }
+}
+
+async fn start(
+    connections: &Connections,
+    request: &CallerRequest,
+    last_event: &str,
+    order: &SendOrder,
+) -> Result<Answer, CallFailure> {
+    let call = request.call(order);
+    match (request.kind, order.resume) {
+        (RequestKind::Service, _) => {
+            let service = ServiceAdapter::new(connections.clone());
+            service.start(order.address, &call, HEAD_TIMEOUT).await
+        }
+        (RequestKind::Engine, None) => {
+            let engine = EngineAdapter::new(connections.clone());
+            engine.start(order.address, &call, HEAD_TIMEOUT).await
+        }
+        (RequestKind::Engine, Some(attempt)) => {
+            let engine = EngineAdapter::new(connections.clone());
+            let resumed = engine.resume(order.address, attempt, last_event, HEAD_TIMEOUT);
+            resumed.await
+        }
+    }
+}
+
+/// Output tokens of a whole answer, by the engine's own count.
+fn completion_tokens(body: &[u8]) -> Tokens {
+    #[derive(Deserialize)]
+    struct Usage {
+        completion_tokens: u32,
+    }
+    #[derive(Deserialize)]
+    struct Counted {
+        usage: Usage,
+    }
+    serde_json::from_slice(body)
+        .map(|counted: Counted| Tokens::new(counted.usage.completion_tokens))
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/router/src/ring_event.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+/// What the controller's ring carries.
+#[derive(Debug)]
+pub(crate) enum RingEvent {
+    /// A request, with the way back to the task that serves it.
+    Arrived(Arrival, mpsc::Sender<Instruction>),
+    /// Something else that happened.
+    Happened(Event),
+    /// Stop once no request is left.
+    Stop,
+}
--- /dev/null
+++ b/crates/router/src/shutdown.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+/// Tells the threads of a host to stop.
+#[derive(Clone, Debug)]
+pub(crate) struct Shutdown {
+    sender: watch::Sender<bool>,
+}
+
+impl Shutdown {
+    pub(crate) fn new() -> Self {
+        Self {
+            sender: watch::Sender::new(false),
+        }
+    }
+
+    pub(crate) fn start(&self) {
+        self.sender.send_replace(true);
+    }
+
+    /// Returns once the host is to stop.
+    pub(crate) async fn started(&self) {
+        let mut receiver = self.sender.subscribe();
+        // The sender lives as long as `self`.
+        let _ = receiver.wait_for(|started| *started).await;
+    }
+}
--- /dev/null
+++ b/crates/router/src/table_claims.rs
@@ -0,0 +1,223 @@
+use super::*;
+
+/// Times that an unanswered claim is read back.
+const READ_BACKS: u32 = 3;
+
+/// Pause before a read-back or another try of a settlement, doubled each time.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// Claims and settlements in the platform's table.
+#[derive(Clone, Debug)]
+pub(crate) struct TableClaims {
+    client: Arc<PlatformClient>,
+}
+
+impl TableClaims {
+    pub(crate) const fn new(client: Arc<PlatformClient>) -> Self {
+        Self { client }
+    }
+
+    /// Claims several keys in one call and says what became of each.
+    pub(crate) async fn claim(&self, claims: &[ClaimRequest]) -> Vec<ClaimAnswer> {
+        let operations = claims.iter().map(insert_claim).collect();
+        let rows = match self.write(operations).await {
+            Ok(results) => results.into_iter().map(|result| result.row).collect(),
+            Err(error) if error.may_have_taken_effect() => match self.read_back(claims).await {
+                Some(rows) => rows,
+                None => return vec![ClaimAnswer::Unknown; claims.len()],
+            },
+            Err(_) => return vec![ClaimAnswer::NotTried; claims.len()],
+        };
+        let mut answers = Vec::with_capacity(claims.len());
+        for (claim, row) in claims.iter().zip(rows) {
+            let answer = match row {
+                Some(row) => self.answer_or_take(claim, &row).await,
+                None => ClaimAnswer::Unknown,
+            };
+            answers.push(answer);
+        }
+        answers
+    }
+
+    /// What a row says of a claim; a released key is taken.
+    async fn answer_or_take(&self, claim: &ClaimRequest, row: &Row) -> ClaimAnswer {
+        match serde_json::from_value::<ClaimRow>(row.value.clone()) {
+            Ok(found) if found.state == ClaimState::Released => {}
+            Ok(found) => return answer_of_row(claim, found),
+            Err(_) => return ClaimAnswer::MayHaveRun,
+        }
+        let take = TableOperation::Replace {
+            expected_row_version: row.row_version,
+            key: row.key.clone(),
+            value: claim_value(claim, ClaimState::Claimed),
+        };
+        let row = match self.write(vec![take]).await {
+            Ok(mut results) => results.pop().and_then(|result| result.row),
+            Err(error) if error.may_have_taken_effect() => self
+                .read_back(std::slice::from_ref(claim))
+                .await
+                .and_then(|mut rows| rows.pop().flatten()),
+            Err(_) => return ClaimAnswer::NotTried,
+        };
+        match row.map(|row| serde_json::from_value::<ClaimRow>(row.value)) {
+            Some(Ok(found)) if found.state == ClaimState::Released => ClaimAnswer::Unknown,
+            Some(Ok(found)) => answer_of_row(claim, found),
+            Some(Err(_)) => ClaimAnswer::MayHaveRun,
+            None => ClaimAnswer::Unknown,
+        }
+    }
+
+    async fn write(
+        &self,
+        operations: Vec<TableOperation>,
+    ) -> Result<Vec<TableResult>, PlatformError> {
+        let batch = TableBatch {
+            atomic: false,
+            operations,
+        };
+        Ok(self.client.write(&batch).await?.results)
+    }
+
+    /// Reads claims whose write may have taken effect. What goes wrong
+    /// otherwise: a claim that stands is taken for lost, and its key is refused
+    /// for ever; or one that is lost is taken to stand, and a second host sends
+    /// too. The row's attempt id tells whose it is.
+    async fn read_back(&self, claims: &[ClaimRequest]) -> Option<Vec<Option<Row>>> {
+        let keys: Vec<String> = claims.iter().map(claim_key).collect();
+        let mut pause = FIRST_PAUSE;
+        for _ in 0..READ_BACKS {
+            sleep(pause).await;
+            pause *= 2;
+            if let Ok(rows) = self.client.read(keys.clone()).await {
+                return Some(rows);
+            }
+        }
+        None
+    }
+
+    /// Writes how a claimed request ended, for as long as it takes: nobody
+    /// else can settle it.
+    pub(crate) async fn settle(&self, settlement: &Settlement) {
+        let mut pause = FIRST_PAUSE;
+        while !self.try_settle(settlement).await {
+            sleep(jittered(pause)).await;
+            pause = (pause * 2).min(MAX_PAUSE);
+        }
+    }
+
+    /// Releases a claim that was never sent and may or may not exist.
+    pub(crate) async fn release(&self, claim: &ClaimRequest) {
+        let mut pause = FIRST_PAUSE;
+        while !self.try_release(claim).await {
+            sleep(jittered(pause)).await;
+            pause = (pause * 2).min(MAX_PAUSE);
+        }
+    }
+
+    /// One try; true once the claim can neither stand nor come to stand. Not
+    /// finding a row proves nothing: the write may still be on its way. So a
+    /// released row is put in its place, and the late write finds it there.
+    async fn try_release(&self, claim: &ClaimRequest) -> bool {
+        let insert = TableOperation::Insert {
+            key: claim_key(claim),
+            value: claim_value(claim, ClaimState::Released),
+        };
+        let Ok(mut results) = self.write(vec![insert]).await else {
+            return false;
+        };
+        let Some(result) = results.pop() else {
+            return false;
+        };
+        if result.applied {
+            return true;
+        }
+        self.try_settle(&Settlement {
+            answer: None,
+            attempt: claim.attempt,
+            key: claim.key.clone(),
+            team: claim.team.clone(),
+            verdict: Verdict::NotRun,
+        })
+        .await
+    }
+
+    /// One try; true once there is nothing left to do.
+    async fn try_settle(&self, settlement: &Settlement) -> bool {
+        let key = ClaimRow::key(&settlement.team, &settlement.key);
+        let Ok(rows) = self.client.read(vec![key]).await else {
+            return false;
+        };
+        let Some(row) = rows.into_iter().next().flatten() else {
+            return true;
+        };
+        let Ok(claim) = serde_json::from_value::<ClaimRow>(row.value.clone()) else {
+            return true;
+        };
+        if claim.attempt != settlement.attempt || claim.state != ClaimState::Claimed {
+            return true;
+        }
+        // A conflict means that the write has been carried out by an earlier
+        // try whose answer was lost; the next read shows it.
+        let operation = settle_operation(&row, claim, settlement);
+        matches!(self.write(vec![operation]).await, Ok(results) if results[0].applied)
+    }
+}
+
+fn claim_key(claim: &ClaimRequest) -> String {
+    ClaimRow::key(&claim.team, &claim.key)
+}
+
+fn claim_value(claim: &ClaimRequest, state: ClaimState) -> serde_json::Value {
+    row_value(&ClaimRow {
+        attempt: claim.attempt,
+        fingerprint: claim.fingerprint,
+        state,
+    })
+}
+
+fn row_value(row: &ClaimRow) -> serde_json::Value {
+    serde_json::to_value(row).expect("a row has only text keys")
+}
+
+fn insert_claim(claim: &ClaimRequest) -> TableOperation {
+    TableOperation::Insert {
+        key: claim_key(claim),
+        value: claim_value(claim, ClaimState::Claimed),
+    }
+}
+
+fn settle_operation(row: &Row, claim: ClaimRow, settlement: &Settlement) -> TableOperation {
+    let state = match settlement.verdict {
+        Verdict::NotRun => ClaimState::Released,
+        Verdict::MayHaveRun => ClaimState::MayHaveRun,
+        Verdict::Ran => ClaimState::Ran {
+            answer: settlement
+                .answer
+                .as_ref()
+                .and_then(|answer| serde_json::to_value(answer).ok()),
+        },
+    };
+    TableOperation::Replace {
+        expected_row_version: row.row_version,
+        key: row.key.clone(),
+        value: row_value(&ClaimRow { state, ..claim }),
+    }
+}
+
+fn answer_of_row(claim: &ClaimRequest, found: ClaimRow) -> ClaimAnswer {
+    if found.fingerprint != claim.fingerprint {
+        return ClaimAnswer::Reused;
+    }
+    match found.state {
+        ClaimState::Claimed if found.attempt == claim.attempt => ClaimAnswer::Ours,
+        ClaimState::Claimed => ClaimAnswer::InProgress,
+        ClaimState::MayHaveRun => ClaimAnswer::MayHaveRun,
+        ClaimState::Ran { answer } => {
+            ClaimAnswer::Ran(answer.and_then(|answer| serde_json::from_value(answer).ok()))
+        }
+        ClaimState::Released => ClaimAnswer::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/router/tests/site/mod.rs
@@ -0,0 +1,143 @@
+//! One builder for all integration tests: a site with stand-ins and a host.
+//!
+//! `Site::with_engines(2).and_service("orders").start().await` gives a running
+//! site; `site.ask("question").of(5).send().await` sends a request to it.
+
+#![allow(dead_code, missing_docs, clippy::unwrap_used)]
+
+use {
+    bytes::Bytes,
+    config::{Document, Settings},
+    eventsource_stream::Eventsource,
+    futures::StreamExt,
+    http_body_util::{BodyDataStream, BodyExt, Full},
+    hyper::{Request, Response, StatusCode, body::Incoming, client::conn::http1::handshake},
+    hyper_util::rt::TokioIo,
+    platform::{ConfigStore, PlatformClient},
+    router::{Host, Serving},
+    serde_json::{Value, json},
+    standin::{
+        EngineFaults, EngineOptions, EngineStandin, PlatformStandin, RunLog, ServiceFaults,
+        ServiceStandin,
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::net::TcpStream,
+    types::prelude::*,
+};
+
+mod answer;
+mod ask;
+mod builder;
+
+pub use {answer::Answer, ask::Ask, builder::SiteBuilder};
+
+/// Operator token of every test host.
+pub const OPERATOR_TOKEN: &str = "operator-token-of-tests";
+
+/// Bounds each wait of a test; passing never depends on its length.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// A running site: a host with its upstreams and platform.
+pub struct Site {
+    pub engines: Vec<EngineStandin>,
+    pub host: Option<Host<Serving>>,
+    pub log: RunLog,
+    pub platform: PlatformStandin,
+    pub services: Vec<ServiceStandin>,
+    settings: Settings,
+}
+
+impl Site {
+    pub fn with_engines(engines: usize) -> SiteBuilder {
+        SiteBuilder::new(engines)
+    }
+
+    pub fn ask(&self, class: &str) -> Ask<'_> {
+        Ask::new(self, class)
+    }
+
+    pub fn host(&self) -> &Host<Serving> {
+        self.host.as_ref().unwrap()
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.host().caller_address()
+    }
+
+    pub fn store(&self) -> ConfigStore {
+        let client = PlatformClient::new(self.platform.address(), Duration::from_secs(1));
+        ConfigStore::new(Arc::new(client))
+    }
+
+    pub fn break_engine(&self, number: usize, edit: impl FnOnce(&mut EngineFaults)) {
+        let mut faults = EngineFaults::default();
+        edit(&mut faults);
+        self.engines[number].set_faults(faults);
+    }
+
+    pub fn break_service(&self, edit: impl FnOnce(&mut ServiceFaults)) {
+        let mut faults = ServiceFaults::default();
+        edit(&mut faults);
+        for service in &self.services {
+            service.set_faults(faults.clone());
+        }
+    }
+
+    /// Waits until something holds; panics if it never does.
+    pub async fn until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let deadline = tokio::time::Instant::now() + LONG;
+        while !holds(self) {
+            assert!(tokio::time::Instant::now() < deadline, "never: {what}");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Drains and stops the host.
+    pub async fn stop_host(&mut self) {
+        let host = self.host.take().unwrap();
+        tokio::task::spawn_blocking(move || host.drain().stop())
+            .await
+            .unwrap()
+            .unwrap();
+    }
+
+    /// Starts another host in the place of the one before.
+    pub async fn start_host(&mut self) {
+        let settings = self.settings.clone();
+        let host = tokio::task::spawn_blocking(move || {
+            let host = Host::start(settings, router::discard_logger()).unwrap();
+            assert!(host.wait_ready(LONG));
+            host
+        });
+        self.host = Some(host.await.unwrap());
+    }
+
+    /// Sends raw bytes to the host and reads until it closes.
+    pub async fn send_raw(&self, bytes: &[u8]) -> String {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let mut stream = TcpStream::connect(self.address()).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        stream.shutdown().await.unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    /// A request to the operator's address.
+    pub async fn operator(&self, request: Request<Full<Bytes>>) -> (StatusCode, Bytes) {
+        let response = exchange(self.host().operator_address(), request).await;
+        let status = response.status();
+        (
+            status,
+            response.into_body().collect().await.unwrap().to_bytes(),
+        )
+    }
+}
+
+/// Sends a request over a connection of its own.
+pub async fn exchange(address: SocketAddr, request: Request<Full<Bytes>>) -> Response<Incoming> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(connection);
+    sender.send_request(request).await.unwrap()
+}
