--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,419 @@
+use super::*;
+
+/// How long an answer that nobody reads is kept for resumption.
+const LINGER: Duration = Duration::from_millis(2_000);
+
+struct EngineState {
+    batch: Batch,
+    cache: Mutex<PrefixCache>,
+    crash: watch::Sender<u64>,
+    faults: Mutex<EngineFaults>,
+    generations: Mutex<HashMap<String, Arc<Generation>>>,
+    log: RunLog,
+    name: String,
+    options: EngineOptions,
+    report: Mutex<(Instant, LoadReport)>,
+    tasks: Mutex<JoinSet<()>>,
+}
+
+/// A stand-in for a model engine: continuous batching with priorities, a small
+/// prefix cache, streams that can be resumed and cancelled, and load reports
+/// that lag.
+pub struct EngineStandin {
+    server: Server,
+    state: Arc<EngineState>,
+}
+
+impl EngineStandin {
+    /// Starts an engine; `name` is what the run log calls it.
+    pub async fn start(
+        address: SocketAddr,
+        name: &str,
+        options: EngineOptions,
+        log: RunLog,
+    ) -> io::Result<Self> {
+        let state = Arc::new(EngineState {
+            batch: Batch::new(options.slots, options.queue_bound),
+            cache: Mutex::default(),
+            crash: watch::Sender::new(0),
+            faults: Mutex::default(),
+            generations: Mutex::default(),
+            log,
+            name: name.to_string(),
+            report: Mutex::new((Instant::now(), LoadReport::default())),
+            options,
+            tasks: Mutex::default(),
+        });
+        let served = Arc::clone(&state);
+        let handler = move |request| -> BoxFuture<'static, Answer> {
+            Box::pin(handle(Arc::clone(&served), request))
+        };
+        let mut server = Server::start(address, handler).await?;
+        server.spawn(publish_load(Arc::clone(&state)));
+        Ok(Self { server, state })
+    }
+
+    /// Where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets its faults.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        set_faults(&self.state, faults);
+    }
+
+    /// Requests running in its batch.
+    pub fn running(&self) -> u32 {
+        self.state.batch.running()
+    }
+
+    /// Ends it at once, as a crash would.
+    pub async fn stop(self) {
+        let mut tasks = std::mem::take(&mut *lock(&self.state.tasks));
+        tasks.shutdown().await;
+        self.server.stop().await;
+    }
+}
+
+fn set_faults(state: &EngineState, faults: EngineFaults) {
+    let crashed = faults.crashed;
+    *lock(&state.faults) = faults;
+    if crashed {
+        state.crash.send_modify(|crashes| *crashes += 1);
+        for generation in lock(&state.generations).drain() {
+            generation.1.cancelled.notify_one();
+        }
+    }
+}
+
+async fn publish_load(state: Arc<EngineState>) {
+    loop {
+        let report = LoadReport {
+            age_ms: 0,
+            leaving: lock(&state.faults).leaving,
+            running: state.batch.running(),
+            waiting: state.batch.waiting(),
+        };
+        *lock(&state.report) = (Instant::now(), report);
+        sleep(Duration::from_millis(state.options.report_lag_ms)).await;
+    }
+}
+
+async fn handle(state: Arc<EngineState>, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_string();
+    if path == "/standin/faults" {
+        return Ok(match read_json(request).await {
+            Ok(faults) => {
+                set_faults(&state, faults);
+                empty(StatusCode::OK)
+            }
+            Err(response) => response,
+        });
+    }
+    let faults = lock(&state.faults).clone();
+    if faults.crashed {
+        return Err(Broken);
+    }
+    if faults.silent {
+        std::future::pending::<()>().await;
+    }
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/health") => Ok(empty(StatusCode::OK)),
+        (&Method::GET, "/load") => Ok(load(&state)),
+        (&Method::GET, "/standin/runs") => Ok(answer_json(&state.log.runs())),
+        (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+            start(state, faults, request).await
+        }
+        (&Method::GET, path) if path.starts_with("/v1/streams/") => {
+            Ok(resume(&state, path, &request))
+        }
+        (&Method::POST, path) if path.starts_with("/v1/cancel/") => {
+            let attempt = path.trim_start_matches("/v1/cancel/");
+            if let Some(generation) = lock(&state.generations).remove(attempt) {
+                generation.cancelled.notify_one();
+            }
+            Ok(empty(StatusCode::OK))
+        }
+        _ => Ok(empty(StatusCode::NOT_FOUND)),
+    }
+}
+
+fn load(state: &EngineState) -> Response<Body> {
+    let (at, mut report) = *lock(&state.report);
+    report.age_ms = at.elapsed().as_millis() as u64;
+    answer_json(&report)
+}
+
+async fn start(
+    state: Arc<EngineState>,
+    faults: EngineFaults,
+    request: Request<Incoming>,
+) -> Answer {
+    let header = |name: &str| {
+        let value = request.headers().get(name)?.to_str().ok()?;
+        Some(value.to_string())
+    };
+    let attempt = header(ATTEMPT_HEADER);
+    let priority = header(PRIORITY_HEADER)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(u8::MAX);
+    let body = read_body(request).await?;
+    if faults.reset_before_run {
+        return Err(Broken);
+    }
+    let Some(wanted) = EngineRequest::from_body(&body) else {
+        return Ok(empty(StatusCode::BAD_REQUEST));
+    };
+    let place = match state.batch.join(priority) {
+        Some(place) if !faults.refuse => place,
+        _ => return Ok(refused()),
+    };
+    let generation = Arc::new(Generation {
+        cancelled: Notify::new(),
+        output: wanted.output,
+        progress: watch::Sender::new(0),
+        readers: Mutex::new(0),
+        tag: wanted.tag.clone(),
+        tokens_per_event: state.options.tokens_per_event,
+    });
+    if let Some(attempt) = &attempt {
+        lock(&state.generations).insert(attempt.clone(), Arc::clone(&generation));
+    }
+    let stream = wanted.stream;
+    let reader = Reader::new(&generation);
+    let task = generate(
+        Arc::clone(&state),
+        Arc::clone(&generation),
+        wanted,
+        place,
+        attempt,
+    );
+    {
+        let mut tasks = lock(&state.tasks);
+        tasks.spawn(task);
+        while tasks.try_join_next().is_some() {}
+    }
+    if stream {
+        return Ok(stream_answer(&state, generation, reader, 0, &faults));
+    }
+    whole_answer(&state, &generation).await
+}
+
+fn refused() -> Response<Body> {
+    let mut response = empty(StatusCode::TOO_MANY_REQUESTS);
+    response.headers_mut().insert(
+        NOT_RUN_HEADER,
+        hyper::header::HeaderValue::from_static("true"),
+    );
+    response
+}
+
+/// Computes an answer in the batch, token by token, until it is whole, is
+/// cancelled or nobody has read it for a while.
+async fn generate(
+    state: Arc<EngineState>,
+    generation: Arc<Generation>,
+    wanted: EngineRequest,
+    place: oneshot::Receiver<Place>,
+    attempt: Option<String>,
+) {
+    let work = async {
+        let Ok(_place) = place.await else { return };
+        let run = state.log.start(&state.name, &wanted.tag, attempt.clone());
+        sleep(prefill(&state, &wanted)).await;
+        let mut next = Instant::now();
+        let mut done = 0;
+        while done < wanted.output {
+            let tokens = state.options.tokens_per_event.min(wanted.output - done);
+            next += token_time(&state) * tokens;
+            sleep_until(next).await;
+            done += tokens;
+            state.log.add_tokens(run, tokens);
+            generation.progress.send_replace(done);
+        }
+        state.log.finish(run);
+    };
+    tokio::select! {
+        () = work => {}
+        () = generation.cancelled.notified() => {}
+        () = abandoned(&generation) => {}
+    }
+    sleep(LINGER).await;
+    if let Some(attempt) = attempt {
+        lock(&state.generations).remove(&attempt);
+    }
+}
+
+/// Returns once nobody has read an answer for a while.
+async fn abandoned(generation: &Generation) {
+    let mut unread = 0;
+    while unread < 2 {
+        sleep(LINGER / 2).await;
+        let readers = *lock(&generation.readers);
+        unread = if readers == 0 { unread + 1 } else { 0 };
+    }
+}
+
+fn prefill(state: &EngineState, wanted: &EngineRequest) -> Duration {
+    let cached = lock(&state.cache).touch(&wanted.prefix, state.options.cached_prefixes);
+    let tokens = if cached {
+        wanted.prompt_tokens / 10
+    } else {
+        wanted.prompt_tokens
+    };
+    Duration::from_micros(tokens * state.options.prefill_us_per_token)
+        .mul_f64(lock(&state.faults).slow_factor)
+}
+
+fn token_time(state: &EngineState) -> Duration {
+    let fill = f64::from(state.batch.running()) / f64::from(state.options.slots.max(1));
+    let factor = (1.0 + state.options.load_slope * fill) * lock(&state.faults).slow_factor;
+    Duration::from_micros(state.options.token_time_us).mul_f64(factor)
+}
+
+async fn whole_answer(state: &EngineState, generation: &Arc<Generation>) -> Answer {
+    let mut progress = generation.progress.subscribe();
+    let mut crash = state.crash.subscribe();
+    crash.mark_unchanged();
+    let reader = Reader::new(generation);
+    tokio::select! {
+        done = progress.wait_for(|done| *done >= generation.output) => {
+            if done.is_err() {
+                return Err(Broken);
+            }
+        }
+        _ = crash.changed() => return Err(Broken),
+    }
+    drop(reader);
+    Ok(answer_json(&json!({
+        "object": "chat.completion",
+        "choices": [{
+            "index": 0,
+            "finish_reason": "stop",
+            "message": {"role": "assistant", "content": generation.text()},
+        }],
+        "usage": {"completion_tokens": generation.output},
+    })))
+}
+
+fn resume(state: &EngineState, path: &str, request: &Request<Incoming>) -> Response<Body> {
+    let attempt = path.trim_start_matches("/v1/streams/");
+    let last_event = request
+        .headers()
+        .get("last-event-id")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok());
+    let generation = lock(&state.generations).get(attempt).cloned();
+    let (Some(generation), Some(last_event)) = (generation, last_event) else {
+        return empty(StatusCode::NOT_FOUND);
+    };
+    let reader = Reader::new(&generation);
+    stream_answer(
+        state,
+        generation,
+        reader,
+        last_event,
+        &EngineFaults::default(),
+    )
+}
+
+/// Counts a stream among the readers of an answer while it lives.
+struct Reader {
+    generation: Arc<Generation>,
+}
+
+impl Reader {
+    fn new(generation: &Arc<Generation>) -> Self {
+        *lock(&generation.readers) += 1;
+        Self {
+            generation: Arc::clone(generation),
+        }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        *lock(&self.generation.readers) -= 1;
+    }
+}
+
+/// Where a stream stands.
+struct Cursor {
+    break_at: Option<u32>,
+    crash: watch::Receiver<u64>,
+    ended: bool,
+    events: u32,
+    generation: Arc<Generation>,
+    progress: watch::Receiver<u32>,
+    _reader: Reader,
+    sent: u32,
+    truncate_at: Option<u32>,
+}
+
+fn stream_answer(
+    state: &EngineState,
+    generation: Arc<Generation>,
+    reader: Reader,
+    sent: u32,
+    faults: &EngineFaults,
+) -> Response<Body> {
+    let mut crash = state.crash.subscribe();
+    crash.mark_unchanged();
+    let cursor = Cursor {
+        break_at: faults.break_after_events,
+        crash,
+        ended: false,
+        events: 0,
+        progress: generation.progress.subscribe(),
+        generation,
+        _reader: reader,
+        sent,
+        truncate_at: faults.truncate_after_events,
+    };
+    let frames = stream::unfold(cursor, |mut cursor| async move {
+        let frame = cursor.next().await?;
+        Some((frame.map(Frame::data), cursor))
+    });
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    response.headers_mut().insert(
+        "content-type",
+        hyper::header::HeaderValue::from_static("text/event-stream"),
+    );
+    response
+}
+
+impl Cursor {
+    async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        if self.ended {
+            return None;
+        }
+        if self.truncate_at.is_some_and(|limit| self.events >= limit) {
+            return None;
+        }
+        if self.break_at.is_some_and(|limit| self.events >= limit) {
+            return self.cut();
+        }
+        if self.sent >= self.generation.output {
+            self.ended = true;
+            return Some(Ok(Bytes::from_static(b"data: [DONE]\n\n")));
+        }
+        let sent = self.sent;
+        let done = tokio::select! {
+            done = self.progress.wait_for(|done| *done > sent) => done.ok().map(|done| *done),
+            _ = self.crash.changed() => None,
+        };
+        let Some(done) = done else {
+            return self.cut();
+        };
+        let upto = done.min(sent + self.generation.tokens_per_event);
+        self.sent = upto;
+        self.events += 1;
+        Some(Ok(self.generation.event(sent, upto).into()))
+    }
+
+    fn cut(&mut self) -> Option<Result<Bytes, Broken>> {
+        self.ended = true;
+        Some(Err(Broken))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine_request.rs
@@ -0,0 +1,60 @@
+use super::*;
+
+/// Output tokens of a request that says nothing.
+const DEFAULT_OUTPUT: u32 = 64;
+
+/// Bytes of prompt that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Bytes of prompt that are hashed as its prefix.
+const PREFIX_BYTES: usize = 256;
+
+#[derive(Debug, Default, Deserialize)]
+struct Metadata {
+    output_tokens: Option<String>,
+    tag: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Wire {
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    messages: Value,
+    #[serde(default)]
+    metadata: Metadata,
+    #[serde(default)]
+    prompt: Value,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// What a stand-in takes from an OpenAI-style request. The request's metadata
+/// tells how long the answer is to be, which no router may look at.
+#[derive(Debug)]
+pub(crate) struct EngineRequest {
+    pub(crate) output: u32,
+    pub(crate) prefix: Vec<u8>,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) stream: bool,
+    pub(crate) tag: String,
+}
+
+impl EngineRequest {
+    pub(crate) fn from_body(body: &[u8]) -> Option<Self> {
+        let wire: Wire = serde_json::from_slice(body).ok()?;
+        let prompt = format!("{}{}", wire.messages, wire.prompt).into_bytes();
+        let wanted = wire.metadata.output_tokens.as_deref();
+        let output = wanted
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(DEFAULT_OUTPUT)
+            .min(wire.max_tokens.unwrap_or(u32::MAX))
+            .max(1);
+        Some(Self {
+            output,
+            prefix: prompt[..prompt.len().min(PREFIX_BYTES)].to_vec(),
+            prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u64,
+            stream: wire.stream,
+            tag: wire.metadata.tag.unwrap_or_default(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,70 @@
+//! Small stand-ins for what rhubarbcove meets outside: model engines, plain
+//! services and the platform. Each has faults that a test or an experiment
+//! switches, in process or by `POST /standin/faults`.
+
+use {
+    bytes::Bytes,
+    futures::{future::BoxFuture, stream},
+    http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody},
+    hyper::{
+        Method, Request, Response, StatusCode,
+        body::{Frame, Incoming},
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::rt::{TokioIo, TokioTimer},
+    platform::{
+        HostList, ListedState, ListedUpstream, Row, TableBatch, TableOperation, TableRead,
+        TableResult, TableResults, TableRows,
+    },
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::{Value, json},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        convert::Infallible,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        sync::{Notify, oneshot, watch},
+        task::JoinSet,
+        time::{Instant, sleep, sleep_until},
+    },
+    types::prelude::*,
+    upstream::{ATTEMPT_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER},
+};
+
+mod batch;
+mod engine;
+mod engine_faults;
+mod engine_options;
+mod engine_request;
+mod generation;
+mod http;
+mod platform_faults;
+mod platform_standin;
+mod prefix_cache;
+mod run;
+mod run_log;
+mod server;
+mod service;
+mod service_faults;
+mod table;
+
+pub use {
+    engine::EngineStandin, engine_faults::EngineFaults, engine_options::EngineOptions,
+    platform_faults::PlatformFaults, platform_standin::PlatformStandin, run::Run, run_log::RunLog,
+    server::Server, service::ServiceStandin, service_faults::ServiceFaults,
+};
+
+use {
+    batch::{Batch, Place},
+    engine_request::EngineRequest,
+    generation::Generation,
+    http::{Answer, Body, Broken, answer_json, empty, full, lock, read_body, read_json},
+    prefix_cache::PrefixCache,
+    table::Table,
+};
--- /dev/null
+++ b/crates/standin/src/platform_standin.rs
@@ -0,0 +1,139 @@
+use super::*;
+
+#[derive(Default)]
+struct PlatformState {
+    faults: Mutex<PlatformFaults>,
+    hosts: Mutex<HostList>,
+    objects: Mutex<HashMap<String, Bytes>>,
+    reads: Mutex<u64>,
+    table: Mutex<Table>,
+    writes: Mutex<u64>,
+}
+
+/// A stand-in for the platform: its table, object store and host list.
+pub struct PlatformStandin {
+    server: Server,
+    state: Arc<PlatformState>,
+}
+
+impl PlatformStandin {
+    /// Starts an empty platform.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let state = Arc::new(PlatformState::default());
+        let served = Arc::clone(&state);
+        let handler = move |request| -> BoxFuture<'static, Answer> {
+            Box::pin(handle(Arc::clone(&served), request))
+        };
+        let server = Server::start(address, handler).await?;
+        Ok(Self { server, state })
+    }
+
+    /// Where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets its faults.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        *lock(&self.state.faults) = faults;
+    }
+
+    /// Sets its host list.
+    pub fn set_hosts(&self, hosts: HostList) {
+        *lock(&self.state.hosts) = hosts;
+    }
+
+    /// Lists an upstream as live or leaving.
+    pub fn list_upstream(&self, upstream: UpstreamId, state: ListedState) {
+        let mut hosts = lock(&self.state.hosts);
+        hosts.upstreams.retain(|listed| listed.upstream != upstream);
+        hosts.upstreams.push(ListedUpstream { state, upstream });
+    }
+
+    /// Write calls that were carried out.
+    pub fn writes(&self) -> u64 {
+        *lock(&self.state.writes)
+    }
+
+    /// Read calls that were carried out.
+    pub fn reads(&self) -> u64 {
+        *lock(&self.state.reads)
+    }
+
+    /// Ends it at once.
+    pub async fn stop(self) {
+        self.server.stop().await;
+    }
+}
+
+async fn handle(state: Arc<PlatformState>, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_string();
+    if path == "/standin/faults" {
+        return Ok(match read_json(request).await {
+            Ok(faults) => {
+                *lock(&state.faults) = faults;
+                empty(StatusCode::OK)
+            }
+            Err(response) => response,
+        });
+    }
+    let faults = lock(&state.faults).clone();
+    sleep(Duration::from_millis(faults.delay_ms)).await;
+    if faults.down {
+        return Ok(empty(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/hosts") => Ok(answer_json(&*lock(&state.hosts))),
+        (&Method::POST, "/standin/hosts") => Ok(match read_json(request).await {
+            Ok(hosts) => {
+                *lock(&state.hosts) = hosts;
+                empty(StatusCode::OK)
+            }
+            Err(response) => response,
+        }),
+        (&Method::POST, "/table/read") => Ok(match read_json::<TableRead>(request).await {
+            Ok(read) => {
+                *lock(&state.reads) += 1;
+                answer_json(&lock(&state.table).read(&read))
+            }
+            Err(response) => response,
+        }),
+        (&Method::POST, "/table/write") => write(&state, request).await,
+        (&Method::PUT, path) if path.starts_with("/objects/") => {
+            let body = read_body(request).await?;
+            lock(&state.objects).insert(path.to_string(), body);
+            Ok(empty(StatusCode::OK))
+        }
+        (&Method::GET, path) if path.starts_with("/objects/") => {
+            Ok(match lock(&state.objects).get(path) {
+                Some(body) => Response::new(full(body.clone())),
+                None => empty(StatusCode::NOT_FOUND),
+            })
+        }
+        _ => Ok(empty(StatusCode::NOT_FOUND)),
+    }
+}
+
+async fn write(state: &PlatformState, request: Request<Incoming>) -> Answer {
+    let batch: TableBatch = match read_json(request).await {
+        Ok(batch) => batch,
+        Err(response) => return Ok(response),
+    };
+    if take_one(&state.faults, |faults| &mut faults.lose_writes) {
+        return Err(Broken);
+    }
+    let results = lock(&state.table).write(batch);
+    *lock(&state.writes) += 1;
+    if take_one(&state.faults, |faults| &mut faults.lose_answers) {
+        return Err(Broken);
+    }
+    Ok(answer_json(&results))
+}
+
+fn take_one(faults: &Mutex<PlatformFaults>, counter: fn(&mut PlatformFaults) -> &mut u32) -> bool {
+    let mut faults = lock(faults);
+    let counter = counter(&mut faults);
+    let any = *counter > 0;
+    *counter = counter.saturating_sub(1);
+    any
+}
--- /dev/null
+++ b/crates/standin/src/run_log.rs
@@ -0,0 +1,56 @@
+use super::*;
+
+/// Every run of several stand-ins, for history checking.
+#[derive(Clone, Debug)]
+pub struct RunLog {
+    began: Instant,
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+impl Default for RunLog {
+    fn default() -> Self {
+        Self {
+            began: Instant::now(),
+            runs: Arc::default(),
+        }
+    }
+}
+
+impl RunLog {
+    /// Every run so far, in order of start.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.runs).clone()
+    }
+
+    /// How often a tag was run.
+    pub fn count(&self, tag: &str) -> usize {
+        lock(&self.runs).iter().filter(|run| run.tag == tag).count()
+    }
+
+    /// Milliseconds since the log began.
+    pub fn now_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    pub(crate) fn start(&self, upstream: &str, tag: &str, attempt: Option<String>) -> usize {
+        let started_ms = self.now_ms();
+        let mut runs = lock(&self.runs);
+        runs.push(Run {
+            attempt,
+            finished: false,
+            started_ms,
+            tag: tag.to_string(),
+            tokens: 0,
+            upstream: upstream.to_string(),
+        });
+        runs.len() - 1
+    }
+
+    pub(crate) fn add_tokens(&self, run: usize, tokens: u32) {
+        lock(&self.runs)[run].tokens += tokens;
+    }
+
+    pub(crate) fn finish(&self, run: usize) {
+        lock(&self.runs)[run].finished = true;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,64 @@
+use super::*;
+
+/// A listener with the tasks that serve it. Dropping it ends them all and
+/// closes every connection at once, as a crash would.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    tasks: JoinSet<()>,
+}
+
+impl Server {
+    /// Listens on an address and answers every request with `handler`.
+    pub(crate) async fn start<F>(address: SocketAddr, handler: F) -> io::Result<Self>
+    where
+        F: Fn(Request<Incoming>) -> BoxFuture<'static, Answer> + Clone + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let mut tasks = JoinSet::new();
+        tasks.spawn(accept(listener, handler));
+        Ok(Self { address, tasks })
+    }
+
+    /// Where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Runs a task until the server is dropped.
+    pub(crate) fn spawn(&mut self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.spawn(task);
+    }
+
+    /// Ends all tasks and waits for them.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+    }
+}
+
+async fn accept<F>(listener: TcpListener, handler: F)
+where
+    F: Fn(Request<Incoming>) -> BoxFuture<'static, Answer> + Clone + Send + Sync + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else {
+                    sleep(Duration::from_millis(5)).await;
+                    continue;
+                };
+                let _ = stream.set_nodelay(true);
+                let handler = handler.clone();
+                connections.spawn(async move {
+                    let _ = http1::Builder::new()
+                        .timer(TokioTimer::new())
+                        .serve_connection(TokioIo::new(stream), service_fn(handler))
+                        .await;
+                });
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/table.rs
@@ -0,0 +1,75 @@
+use super::*;
+
+/// The rows of the table stand-in.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    rows: BTreeMap<String, Row>,
+}
+
+impl Table {
+    pub(crate) fn read(&self, read: &TableRead) -> TableRows {
+        let rows = read.keys.iter().map(|key| self.rows.get(key).cloned());
+        TableRows {
+            rows: rows.collect(),
+        }
+    }
+
+    pub(crate) fn write(&mut self, batch: TableBatch) -> TableResults {
+        let fits: Vec<bool> = batch.operations.iter().map(|op| self.fits(op)).collect();
+        let all = fits.iter().all(|fits| *fits);
+        let results = batch
+            .operations
+            .into_iter()
+            .zip(fits)
+            .map(|(operation, fits)| {
+                let key = operation.key().to_string();
+                let applied = fits && (all || !batch.atomic);
+                if applied {
+                    self.apply(operation);
+                }
+                TableResult {
+                    applied,
+                    row: self.rows.get(&key).cloned(),
+                }
+            })
+            .collect();
+        TableResults { results }
+    }
+
+    fn fits(&self, operation: &TableOperation) -> bool {
+        let row = self.rows.get(operation.key());
+        match operation {
+            TableOperation::Insert { .. } => row.is_none(),
+            TableOperation::Remove {
+                expected_row_version,
+                ..
+            }
+            | TableOperation::Replace {
+                expected_row_version,
+                ..
+            } => row.is_some_and(|row| row.row_version == *expected_row_version),
+        }
+    }
+
+    fn apply(&mut self, operation: TableOperation) {
+        match operation {
+            TableOperation::Insert { key, value } => {
+                let row = Row {
+                    key: key.clone(),
+                    row_version: 1,
+                    value,
+                };
+                self.rows.insert(key, row);
+            }
+            TableOperation::Remove { key, .. } => {
+                self.rows.remove(&key);
+            }
+            TableOperation::Replace { key, value, .. } => {
+                if let Some(row) = self.rows.get_mut(&key) {
+                    row.row_version += 1;
+                    row.value = value;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/types/src/attempt_id.rs
@@ -0,0 +1,52 @@
+use super::*;
+
+/// One attempt to run a request: the incarnation of the host that makes it and
+/// a counter of that host. No two attempts of any hosts share an id.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct AttemptId {
+    incarnation: Incarnation,
+    counter: u64,
+}
+
+impl AttemptId {
+    /// The attempt with number `counter` of a host.
+    pub const fn new(incarnation: Incarnation, counter: u64) -> Self {
+        Self {
+            incarnation,
+            counter,
+        }
+    }
+}
+
+impl Display for AttemptId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}-{}", self.incarnation.get(), self.counter)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = ParseQuantityError;
+
+    fn from_str(text: &str) -> Result<Self, ParseQuantityError> {
+        let error = || ParseQuantityError::new("attempt id", text);
+        let (incarnation, counter) = text.split_once('-').ok_or_else(error)?;
+        let incarnation = u64::from_str_radix(incarnation, 16).map_err(|_| error())?;
+        let counter = counter.parse().map_err(|_| error())?;
+        Ok(Self::new(Incarnation::new(incarnation), counter))
+    }
+}
+
+impl From<AttemptId> for String {
+    fn from(id: AttemptId) -> String {
+        id.to_string()
+    }
+}
+
+impl TryFrom<String> for AttemptId {
+    type Error = ParseQuantityError;
+
+    fn try_from(text: String) -> Result<Self, ParseQuantityError> {
+        text.parse()
+    }
+}
--- /dev/null
+++ b/crates/types/src/failure_cause.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+/// What went wrong with an attempt.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum FailureCause {
+    /// The upstream refused it for want of room.
+    Busy,
+    /// No connection could be made.
+    Connect,
+    /// The upstream answered with a server error.
+    ErrorStatus,
+    /// The upstream closed or reset the connection.
+    Reset,
+    /// The upstream was silent for too long.
+    Silent,
+    /// The answer ended before its end mark.
+    Truncated,
+}
+
+impl FailureCause {
+    /// Whether it says something about the upstream's health. A busy upstream
+    /// is well.
+    pub const fn counts_against_health(self) -> bool {
+        !matches!(self, Self::Busy)
+    }
+
+    /// The cause as it stands in logs and reports.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Busy => "busy",
+            Self::Connect => "connect",
+            Self::ErrorStatus => "error-status",
+            Self::Reset => "reset",
+            Self::Silent => "silent",
+            Self::Truncated => "truncated",
+        }
+    }
+}
+
+impl Display for FailureCause {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/types/src/host_id.rs
@@ -0,0 +1,7 @@
+use super::*;
+
+text_id!(
+    /// One entry host.
+    HostId,
+    "host"
+);
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,55 @@
+//! Ids, sizes, rates, tiers and the verdict: the words that every package of
+//! rhubarbcove shares. No I/O and no decisions live here.
+
+use {
+    serde::{Deserialize, Serialize},
+    sha2::{Digest, Sha256},
+    std::{
+        fmt::{self, Display, Formatter},
+        ops::{Add, Sub},
+        str::FromStr,
+        time::Duration,
+    },
+};
+
+#[macro_use]
+mod macros;
+
+mod attempt_id;
+mod bytes_size;
+mod class_id;
+mod collections;
+mod config_version;
+mod failure_cause;
+mod failure_domain_id;
+mod fence;
+mod fingerprint;
+mod host_id;
+mod idempotency_key;
+mod incarnation;
+mod key_hash;
+mod load_report;
+mod model_id;
+mod parse_id_error;
+mod parse_quantity_error;
+pub mod prelude;
+mod rate;
+mod request_id;
+mod service_id;
+mod team_id;
+mod tier;
+mod time;
+mod tokens;
+mod upstream_id;
+mod verdict;
+
+pub use {
+    attempt_id::AttemptId, bytes_size::ByteSize, class_id::ClassId, collections::HashMap,
+    collections::HashSet, config_version::ConfigVersion, failure_cause::FailureCause,
+    failure_domain_id::FailureDomainId, fence::Fence, fingerprint::Fingerprint, host_id::HostId,
+    idempotency_key::IdempotencyKey, incarnation::Incarnation, key_hash::KeyHash,
+    load_report::LoadReport, model_id::ModelId, parse_id_error::ParseIdError,
+    parse_quantity_error::ParseQuantityError, rate::Rate, request_id::RequestId,
+    service_id::ServiceId, team_id::TeamId, tier::Tier, time::Time, tokens::Tokens,
+    upstream_id::UpstreamId, verdict::Verdict,
+};
--- /dev/null
+++ b/crates/types/src/model_id.rs
@@ -0,0 +1,7 @@
+use super::*;
+
+text_id!(
+    /// A model that engines serve.
+    ModelId,
+    "model"
+);
--- /dev/null
+++ b/crates/types/src/parse_quantity_error.rs
@@ -0,0 +1,25 @@
+use super::*;
+
+/// A text that is not the number it should be.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ParseQuantityError {
+    kind: String,
+    text: String,
+}
+
+impl ParseQuantityError {
+    pub(crate) fn new(kind: &str, text: &str) -> Self {
+        Self {
+            kind: kind.to_string(),
+            text: text.to_string(),
+        }
+    }
+}
+
+impl Display for ParseQuantityError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is not a valid {}", self.text, self.kind)
+    }
+}
+
+impl std::error::Error for ParseQuantityError {}
--- /dev/null
+++ b/crates/types/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The common types, for one glob import in each package's crate root.
+
+pub use crate::{
+    AttemptId, ByteSize, ClassId, ConfigVersion, FailureCause, FailureDomainId, Fence, Fingerprint,
+    HashMap, HashSet, HostId, IdempotencyKey, Incarnation, KeyHash, LoadReport, ModelId, Rate,
+    RequestId, ServiceId, TeamId, Tier, Time, Tokens, UpstreamId, Verdict,
+};
--- /dev/null
+++ b/crates/types/src/request_id.rs
@@ -0,0 +1,8 @@
+use super::*;
+
+quantity!(
+    /// A request within one host.
+    RequestId,
+    u64,
+    "request id"
+);
--- /dev/null
+++ b/crates/types/src/tier.rs
@@ -0,0 +1,70 @@
+use super::*;
+
+/// A service tier: 0 is the most urgent, 5 the least.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(into = "u8", try_from = "u8")]
+pub struct Tier(u8);
+
+impl Tier {
+    /// How many tiers there are.
+    pub const COUNT: usize = 6;
+
+    /// The most urgent tier.
+    pub const MOST_URGENT: Tier = Tier(0);
+
+    /// Every tier, most urgent first.
+    pub fn all() -> impl DoubleEndedIterator<Item = Tier> {
+        (0..Self::COUNT as u8).map(Tier)
+    }
+
+    /// A tier from its number, 0 to 5.
+    pub const fn new(number: u8) -> Option<Self> {
+        if (number as usize) < Self::COUNT {
+            Some(Self(number))
+        } else {
+            None
+        }
+    }
+
+    /// The number as an index into an array of [`Tier::COUNT`] places.
+    pub const fn index(self) -> usize {
+        self.0 as usize
+    }
+
+    /// Whether work of this tier goes before work of `other`.
+    pub const fn is_more_urgent_than(self, other: Self) -> bool {
+        self.0 < other.0
+    }
+}
+
+impl Display for Tier {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Tier {
+    type Err = ParseQuantityError;
+
+    fn from_str(text: &str) -> Result<Self, ParseQuantityError> {
+        text.parse()
+            .ok()
+            .and_then(Self::new)
+            .ok_or_else(|| ParseQuantityError::new("tier (0 to 5)", text))
+    }
+}
+
+impl From<Tier> for u8 {
+    fn from(tier: Tier) -> u8 {
+        tier.0
+    }
+}
+
+impl TryFrom<u8> for Tier {
+    type Error = ParseQuantityError;
+
+    fn try_from(number: u8) -> Result<Self, ParseQuantityError> {
+        Self::new(number)
+            .ok_or_else(|| ParseQuantityError::new("tier (0 to 5)", &number.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/answer.rs
@@ -0,0 +1,92 @@
+use super::*;
+
+/// Content type of a token stream.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// The head of an upstream's answer, with its body still to come.
+#[derive(Debug)]
+pub struct Answer {
+    pub(crate) address: SocketAddr,
+    pub(crate) body: Incoming,
+    pub(crate) connections: Connections,
+    pub(crate) content_type: String,
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) status: StatusCode,
+}
+
+impl Answer {
+    pub(crate) fn from_response(
+        connections: Connections,
+        address: SocketAddr,
+        response: Response<Incoming>,
+        sender: SendRequest<Full<Bytes>>,
+    ) -> Result<Self, CallFailure> {
+        let status = response.status();
+        let says_not_run = response.headers().contains_key(NOT_RUN_HEADER);
+        if says_not_run && !status.is_success() {
+            return Err(CallFailure::not_run(FailureCause::Busy));
+        }
+        if status.is_server_error() {
+            return Err(CallFailure::may_have_run(FailureCause::ErrorStatus));
+        }
+        let content_type = response
+            .headers()
+            .get("content-type")
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("application/octet-stream")
+            .to_string();
+        Ok(Self {
+            address,
+            body: response.into_body(),
+            connections,
+            content_type,
+            sender,
+            status,
+        })
+    }
+
+    /// HTTP status.
+    pub const fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// Content type.
+    pub fn content_type(&self) -> &str {
+        &self.content_type
+    }
+
+    /// Whether the body is a stream of tokens.
+    pub fn is_token_stream(&self) -> bool {
+        self.status.is_success() && self.content_type.starts_with(EVENT_STREAM)
+    }
+
+    /// The body as a stream of tokens.
+    pub fn into_tokens(self) -> TokenStream {
+        TokenStream::new(self)
+    }
+
+    /// Reads the whole body, up to a limit. `idle_timeout` bounds the time
+    /// without a byte.
+    pub async fn collect(
+        self,
+        max: ByteSize,
+        idle_timeout: Duration,
+    ) -> Result<Bytes, CallFailure> {
+        let max = usize::try_from(max.get()).unwrap_or(usize::MAX);
+        let body = Limited::new(self.body, max);
+        let mut frames = BodyDataStream::new(body);
+        let mut whole = Vec::new();
+        loop {
+            match timeout(idle_timeout, frames.next()).await {
+                Ok(Some(Ok(bytes))) => whole.extend_from_slice(&bytes),
+                Ok(Some(Err(_))) => {
+                    return Err(CallFailure::may_have_run(FailureCause::Truncated));
+                }
+                Ok(None) => break,
+                Err(_) => return Err(CallFailure::may_have_run(FailureCause::Silent)),
+            }
+        }
+        self.connections.keep(self.address, self.sender);
+        Ok(whole.into())
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,48 @@
+//! Adapters to model engines and plain services. Each failure carries a
+//! verdict: whether the request may have run.
+
+use {
+    bytes::Bytes,
+    eventsource_stream::{Event, EventStream, EventStreamError, Eventsource},
+    futures::StreamExt,
+    http_body_util::{BodyDataStream, Full, Limited},
+    hyper::{
+        Method, Request, Response, StatusCode,
+        body::Incoming,
+        client::conn::http1::{SendRequest, handshake},
+    },
+    hyper_util::rt::TokioIo,
+    std::{
+        fmt::{self, Display, Formatter},
+        net::SocketAddr,
+        pin::Pin,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{net::TcpStream, time::timeout},
+    types::prelude::*,
+};
+
+mod answer;
+mod call;
+mod call_failure;
+mod connections;
+mod engine;
+mod event_stream;
+mod service;
+mod stream_item;
+
+pub use {
+    answer::Answer, call::Call, call_failure::CallFailure, connections::Connections,
+    engine::EngineAdapter, event_stream::TokenStream, service::ServiceAdapter,
+    stream_item::StreamItem,
+};
+
+/// Header by which an upstream tells that it did not run a request.
+pub const NOT_RUN_HEADER: &str = "x-not-run";
+
+/// Header that carries the attempt's id to the upstream.
+pub const ATTEMPT_HEADER: &str = "x-attempt-id";
+
+/// Header that carries the priority to an engine, 0 the most urgent.
+pub const PRIORITY_HEADER: &str = "x-request-priority";
