Drive the decisions by scripts and random events

Cause: the controller's failures had no test without sockets.

Change: a small test language (tests/scripts, by datadriven) in which a script says what happens and what is expected, and a model that drives the controller by random events and checks what it orders (quickcheck, fixed seed, 600 cases). The model found two faults, both mended: - A request whose caller went while its key was being claimed was put aside when the store refused the claim, came back and was sent for nobody. - The retry rule looked at the verdict of the last attempt alone: a stream that may have run and whose resumption failed before any byte left was sent again from the start. It now looks at the join over all attempts.

Conclusion: a retry rests on the request's verdict, never on an attempt's.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -245,19 +245,11 @@
     }
 }
 
-fn refusal_end(refusal: Refusal) -> OutcomeEnd {
-    if refusal.reason.is_rejection() {
-        OutcomeEnd::Rejected
-    } else {
-        OutcomeEnd::Shed
-    }
-}
-
 fn refused_unknown(refusal: Refusal) -> Outcome {
     Outcome {
         attempts: 0,
         class: None,
-        end: refusal_end(refusal),
+        end: refusal.reason.end(),
         first_token: None,
         met_target: false,
         team: None,
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -119,7 +119,7 @@
     ) {
         request.verdict = request.verdict.join(failure.verdict);
         self.note_failure(now, &request, failure.cause);
-        if failure.delivered {
+        if failure.delivered || request.first_token.is_some() {
             self.resume_or_break(now, request, failure, actions);
             return;
         }
@@ -190,10 +190,10 @@
         actions.push(Action::Record(outcome));
     }
 
-    /// A request that may have run is sent again only if running twice does no
-    /// harm.
+    /// A request that may have run, on this attempt or an earlier one, is sent
+    /// again only if running twice does no harm.
     fn may_retry(&mut self, now: Time, request: &Request<Running>, failure: &Failure) -> bool {
-        let harmless = request.facts.idempotent || failure.verdict == Verdict::NotRun;
+        let harmless = request.facts.idempotent || request.verdict == Verdict::NotRun;
         if !harmless || now > request.facts.deadline {
             return false;
         }
@@ -247,12 +247,7 @@
             refusal,
             request: request.id,
         });
-        let end = if refusal.reason.is_rejection() {
-            OutcomeEnd::Rejected
-        } else {
-            OutcomeEnd::Shed
-        };
-        let outcome = request.outcome(end, refusal.verdict, None, now);
+        let outcome = request.outcome(refusal.reason.end(), refusal.verdict, None, now);
         actions.push(Action::Record(outcome));
     }
 
--- a/crates/policy/src/claims.rs
+++ b/crates/policy/src/claims.rs
@@ -27,6 +27,12 @@
             }
             None => return,
         };
+        if request.stage.caller_gone && answer != ClaimAnswer::Ours {
+            self.release_claiming(&request);
+            let outcome = request.outcome(OutcomeEnd::CallerGone, Verdict::NotRun, None, now);
+            actions.push(Action::Record(outcome));
+            return;
+        }
         match answer {
             ClaimAnswer::Ours => self.on_claim_granted(now, request, actions),
             ClaimAnswer::Ran(Some(answer)) => {
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -8,6 +8,8 @@
     Broken,
     /// The caller was gone.
     CallerGone,
+    /// Every attempt failed, before the caller got anything.
+    Failed,
     /// The whole answer was delivered.
     Finished,
     /// It was refused for what the caller sent or may not do.
@@ -24,6 +26,7 @@
         match self {
             Self::Broken => "broken",
             Self::CallerGone => "caller-gone",
+            Self::Failed => "failed",
             Self::Finished => "finished",
             Self::Rejected => "rejected",
             Self::Replayed => "replayed",
--- a/crates/policy/src/refusal_reason.rs
+++ b/crates/policy/src/refusal_reason.rs
@@ -64,8 +64,17 @@
         }
     }
 
+    /// In which way a request ends that is refused for this.
+    pub const fn end(self) -> OutcomeEnd {
+        match self {
+            Self::UpstreamFailed => OutcomeEnd::Failed,
+            reason if reason.is_rejection() => OutcomeEnd::Rejected,
+            _ => OutcomeEnd::Shed,
+        }
+    }
+
     /// Whether the caller's request is at fault, not a lack of capacity.
-    pub const fn is_rejection(self) -> bool {
+    const fn is_rejection(self) -> bool {
         matches!(
             self,
             Self::AnswerNotKept
--- /dev/null
+++ b/crates/policy/tests/script/render.rs
@@ -0,0 +1,59 @@
+use super::*;
+
+/// An action as one line of a script.
+pub fn render(action: &Action) -> String {
+    match action {
+        Action::Break { refusal, request } => format!("break {request}: {}", refused(refusal)),
+        Action::Cancel { request, .. } => format!("cancel {request}"),
+        Action::Claim(claim) => format!("claim {} for {}", claim.key, claim.request),
+        Action::Probe { upstream, .. } => format!("probe {upstream}"),
+        Action::Record(outcome) => record(outcome),
+        Action::Refuse { refusal, request } => format!("refuse {request}: {}", refused(refusal)),
+        Action::Replay { answer, request } => format!("replay {request}: {}", answer.body),
+        Action::Send { order, request } => {
+            let how = if order.resume.is_some() {
+                "resume"
+            } else {
+                "send"
+            };
+            format!(
+                "{how} {request} to {}, priority {}",
+                order.upstream, order.priority
+            )
+        }
+        Action::Settle(settlement) => {
+            let kept = settlement
+                .answer
+                .as_ref()
+                .map_or("no answer", |answer| &answer.body);
+            format!("settle {}: {}, {kept}", settlement.key, settlement.verdict)
+        }
+    }
+}
+
+/// How soon to return is random; a script shows only whether it was said.
+fn refused(refusal: &Refusal) -> String {
+    let retry = if refusal.retry_after.is_some() {
+        ", retry"
+    } else {
+        ""
+    };
+    format!("{}, {}{retry}", refusal.reason.code(), refusal.verdict)
+}
+
+fn record(outcome: &Outcome) -> String {
+    let met = if outcome.met_target {
+        ", in target"
+    } else {
+        ""
+    };
+    let wasted = match outcome.wasted {
+        Some((cause, tokens)) => format!(", wasted {tokens} {cause}"),
+        None => String::new(),
+    };
+    format!(
+        "  ended {}, {}{met}{wasted}",
+        outcome.end.as_str(),
+        outcome.verdict
+    )
+}
--- a/crates/router/src/ledger.rs
+++ b/crates/router/src/ledger.rs
@@ -86,7 +86,7 @@
             OutcomeEnd::Rejected | OutcomeEnd::CallerGone => return,
             OutcomeEnd::Finished => self.finished += 1,
             OutcomeEnd::Shed => self.shed += 1,
-            OutcomeEnd::Broken | OutcomeEnd::Replayed => {}
+            OutcomeEnd::Broken | OutcomeEnd::Failed | OutcomeEnd::Replayed => {}
         }
         self.total += 1;
         let good = outcome.met_target || outcome.end == OutcomeEnd::Replayed;
