--- a/crates/operator/src/experiment.rs
+++ b/crates/operator/src/experiment.rs
@@ -251,6 +251,7 @@
         let old = old.ok_or_else(|| eyre!("no host {number}"))?;
         let new = self.fleet.start_host(scenario, number).await?;
         self.fleet.hosts[number] = Some(new);
+        self.fleet.list_hosts();
         addresses.send_replace(self.fleet.caller_addresses());
         fleet::stop_host(old).await?;
         Ok(())
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -46,6 +46,7 @@
             let host = fleet.start_host(scenario, number).await?;
             fleet.hosts.push(Some(host));
         }
+        fleet.list_hosts();
         Ok(fleet)
     }
 
@@ -79,6 +80,20 @@
         started.await?
     }
 
+    /// Writes the hosts that run now into the platform's list.
+    pub fn list_hosts(&self) {
+        let hosts = self.hosts.iter().flatten().map(|host| {
+            let status = host.status();
+            ListedHost {
+                failure_domain: status.failure_domain,
+                host: status.host,
+                peer_address: host.peer_address(),
+                state: ListedState::Live,
+            }
+        });
+        self.platform.set_hosts(hosts.collect());
+    }
+
     /// The configuration in the platform's table.
     pub fn store(&self) -> ConfigStore {
         store(self.platform.address())
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -18,7 +18,7 @@
     },
     hyper_util::rt::TokioIo,
     indicatif::{ProgressBar, ProgressStyle},
-    platform::{ConfigStore, ConfigStoreError, ListedState, PlatformClient},
+    platform::{ConfigStore, ConfigStoreError, ListedHost, ListedState, PlatformClient},
     plotters::prelude::{
         BLACK, BLUE, ChartBuilder, Color, IntoDrawingArea, RED, Rectangle, SVGBackend, WHITE,
     },
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,45 @@
+//! The protocol between hosts. There is one exchange: a host tells the steward
+//! of its failure domain that it lives and what it could use (heartbeat), and
+//! the steward answers with the host's shares and with what it has heard. The
+//! steward is a hint that each host computes for itself; nothing here is needed
+//! for a promise to hold.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::BTreeMap,
+        fmt::{self, Display, Formatter},
+        net::SocketAddr,
+    },
+    types::prelude::*,
+};
+
+mod demand;
+mod grant;
+mod heartbeat;
+mod heartbeat_answer;
+mod message_error;
+mod peer_host;
+mod peer_phase;
+#[cfg(feature = "rpc")]
+mod rpc;
+
+pub use {
+    demand::Demand, grant::Grant, heartbeat::Heartbeat, heartbeat_answer::HeartbeatAnswer,
+    message_error::MessageError, peer_host::PeerHost, peer_phase::PeerPhase,
+};
+
+#[cfg(feature = "rpc")]
+pub use rpc::{PeerClient, PeerHandler, PeerServer};
+
+/// Version of the protocol. A host answers the version before its own too.
+pub const PROTOCOL: u32 = 1;
+
+/// Oldest version that is answered.
+pub const OLDEST_PROTOCOL: u32 = 1;
+
+/// Most targets in one message; a domain serves far fewer.
+pub const MAX_TARGETS: usize = 256;
+
+/// Most upstreams in one message.
+pub const MAX_UPSTREAMS: usize = 1_024;
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -18,6 +18,13 @@
 /// Something to be done, ordered by the controller.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
+    /// Answer a heartbeat.
+    AnswerHeartbeat {
+        /// What to say.
+        answer: HeartbeatAnswer,
+        /// Number of the call.
+        call: u64,
+    },
     /// End a stream that was cut, with an error event that carries the verdict.
     Break {
         /// Why, and the verdict.
@@ -41,6 +48,8 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// Read the newest configuration now.
+    ReadConfiguration,
     /// Count how a request ended.
     Record(Outcome),
     /// Give a request its final answer without an upstream.
@@ -64,6 +73,15 @@
         /// The request.
         request: RequestId,
     },
+    /// Send a heartbeat to another host.
+    SendHeartbeat {
+        /// Where it listens.
+        address: SocketAddr,
+        /// What to say.
+        heartbeat: Heartbeat,
+        /// The host.
+        host: HostId,
+    },
     /// Write in the table how a claimed request ended.
     Settle(Settlement),
 }
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -3,6 +3,10 @@
 /// Limits and choices of a controller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ControllerOptions {
+    /// Failure domain this host stands in.
+    pub failure_domain: FailureDomainId,
+    /// This host.
+    pub host: HostId,
     /// This host's incarnation; attempt ids start with it.
     pub incarnation: Incarnation,
     /// Requests queued at one moment.
@@ -30,6 +34,7 @@
     /// Requests put aside while the store is down, by when they come back.
     pub(crate) parked: BTreeSet<(Time, RequestId)>,
     phase: HostPhase,
+    pub(crate) peering: Peering,
     pub(crate) pool: Pool,
     pub(crate) queued: usize,
     pub(crate) requests: HashMap<RequestId, Stage>,
@@ -43,6 +48,7 @@
     /// one.
     pub fn new(options: ControllerOptions) -> Self {
         let pool = Pool::new(options.room.clone());
+        let peering = Peering::new(options.host.clone(), options.failure_domain.clone());
         Self {
             configuration: None,
             deadlines: BTreeSet::new(),
@@ -52,6 +58,7 @@
             next_attempt: 0,
             next_seq: 0,
             parked: BTreeSet::new(),
+            peering,
             phase: HostPhase::Starting,
             pool,
             queued: 0,
@@ -76,8 +83,17 @@
             Event::ClaimAnswered { answer, request } => {
                 self.on_claim_answered(now, request, answer, actions);
             }
-            Event::ConfigurationRead(numbered) => self.on_configuration(numbered),
+            Event::ConfigurationRead(numbered) => self.on_configuration(now, numbered),
             Event::DrainStarted => self.phase = HostPhase::Draining,
+            Event::HeartbeatAnswered {
+                answer,
+                asked,
+                host,
+            } => self.on_heartbeat_answered(now, &host, asked, answer, actions),
+            Event::HeartbeatAsked { call, heartbeat } => {
+                self.on_heartbeat(now, call, &heartbeat, actions);
+            }
+            Event::HostsListed { hosts } => self.on_hosts_listed(now, hosts),
             Event::LoadReported { report, upstream } => self.on_load_report(&upstream, report),
             Event::ProbeAnswered { healthy, upstream } => {
                 if let Some(state) = self.pool.get_mut(&upstream) {
@@ -115,6 +131,24 @@
         self.queued
     }
 
+    /// Slots of an upstream that this host may fill now.
+    pub fn share(&self, upstream: &UpstreamId) -> Option<u32> {
+        self.pool.get(upstream).map(|state| state.share)
+    }
+
+    /// The host that this controller decides for.
+    pub const fn host(&self) -> &HostId {
+        &self.options.host
+    }
+
+    /// The host that this one asks for shares; itself, if it is the steward.
+    pub fn steward(&self, now: Time) -> &HostId {
+        match self.peering.members.steward(now) {
+            Some(member) => &member.listed.host,
+            None => &self.options.host,
+        }
+    }
+
     /// Requests that this host has on an upstream now.
     pub fn in_flight(&self, upstream: &UpstreamId) -> Option<u32> {
         self.pool.get(upstream).map(|state| state.in_flight)
@@ -122,7 +156,7 @@
 
     /// A version that is not newer than the one in force is dropped: answers
     /// of the platform may overtake each other, and a host never goes back.
-    fn on_configuration(&mut self, numbered: Arc<Numbered>) {
+    fn on_configuration(&mut self, now: Time, numbered: Arc<Numbered>) {
         if self
             .version()
             .is_some_and(|version| version >= numbered.version)
@@ -135,9 +169,11 @@
             .iter()
             .map(|(id, team)| (team.key_sha256, id.clone()))
             .collect();
-        self.pool.apply(&numbered.document);
+        self.pool
+            .apply(&numbered.document, &self.options.failure_domain);
         self.limits.retain(&numbered.document);
         self.configuration = Some(numbered);
+        self.apply_shares(now);
         if self.phase == HostPhase::Starting {
             self.phase = HostPhase::Serving;
         }
@@ -145,8 +181,8 @@
 
     /// Upstreams that get no new work, because some source says that they are
     /// leaving.
-    pub fn leaving(&self) -> Vec<UpstreamId> {
-        self.pool.select(UpstreamState::is_leaving)
+    pub fn leaving(&self, now: Time) -> Vec<UpstreamId> {
+        self.pool.select(|state| state.is_leaving(now))
     }
 
     /// Upstreams that get no new work until a probe succeeds.
@@ -173,6 +209,7 @@
             self.refuse_overdue(now, request, actions);
         }
         self.return_parked(now);
+        self.tick_peering(now, actions);
     }
 
     fn refuse_overdue(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -30,6 +30,27 @@
     ConfigurationRead(Arc<Numbered>),
     /// The host was asked to stop.
     DrainStarted,
+    /// A host answered a heartbeat, or did not.
+    HeartbeatAnswered {
+        /// The answer; `None` if none came that can be used.
+        answer: Option<HeartbeatAnswer>,
+        /// When the heartbeat was sent.
+        asked: Time,
+        /// The host that was asked.
+        host: HostId,
+    },
+    /// A host sent a heartbeat.
+    HeartbeatAsked {
+        /// Number of the call, to be named with the answer.
+        call: u64,
+        /// What it said.
+        heartbeat: Heartbeat,
+    },
+    /// The platform's list of hosts was read.
+    HostsListed {
+        /// All hosts of the list.
+        hosts: Vec<PeerHost>,
+    },
     /// An upstream reported its load.
     LoadReported {
         /// The report.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,11 +4,13 @@
 
 use {
     config::{Class, Document, Numbered, Plan, Team, Upstream},
+    peer::{Demand, Grant, Heartbeat, HeartbeatAnswer, PeerHost, PeerPhase},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
         fmt::{self, Display, Formatter},
+        hash::{DefaultHasher, Hash, Hasher},
         net::SocketAddr,
         sync::Arc,
         time::Duration,
@@ -34,7 +36,11 @@
 mod host_phase;
 mod lane;
 mod length_estimate;
+mod member;
+mod membership;
 mod outcome;
+mod overdraft;
+mod peering;
 mod pool;
 mod queued_item;
 mod rank;
@@ -46,6 +52,8 @@
 mod room_rules;
 mod service_rate;
 mod settlement;
+mod shares;
+mod steward;
 mod stored_answer;
 mod target;
 mod team_limits;
@@ -62,6 +70,7 @@
     event::Event,
     host_phase::HostPhase,
     outcome::{Outcome, OutcomeEnd},
+    overdraft::Overdraft,
     refusal::Refusal,
     refusal_reason::RefusalReason,
     room_rules::RoomRules,
@@ -79,6 +88,9 @@
     health::Health,
     lane::Lane,
     length_estimate::LengthEstimate,
+    member::Member,
+    membership::Membership,
+    peering::Peering,
     pool::{Pool, Wish},
     queued_item::QueuedItem,
     rank::Rank,
@@ -86,6 +98,8 @@
     request::{Claiming, Queued, Request, RequestFacts, Running, Stage},
     retry_budget::RetryBudget,
     service_rate::ServiceRate,
+    shares::Shares,
+    steward::{Divided, Steward},
     team_limits::TeamLimits,
     upstream_state::UpstreamState,
 };
--- /dev/null
+++ b/crates/policy/src/membership.rs
@@ -0,0 +1,98 @@
+use super::*;
+
+/// First time for which a host that gave no answer is taken for gone; doubled
+/// with each further call that gets none.
+const FIRST_SUSPICION: Duration = Duration::from_secs(1);
+
+/// Longest such time.
+const MAX_SUSPICION: Duration = Duration::from_secs(16);
+
+/// The other hosts, from the platform's lagging list and from direct signs. A
+/// wrong view costs shares that do not fit, and never a promise.
+#[derive(Debug)]
+pub(crate) struct Membership {
+    failure_domain: FailureDomainId,
+    host: HostId,
+    members: BTreeMap<HostId, Member>,
+}
+
+impl Membership {
+    pub(crate) const fn new(host: HostId, failure_domain: FailureDomainId) -> Self {
+        Self {
+            failure_domain,
+            host,
+            members: BTreeMap::new(),
+        }
+    }
+
+    /// Follows a new reading of the list; what was heard of a host is kept.
+    pub(crate) fn note_listed(&mut self, hosts: Vec<PeerHost>) {
+        let mut old = std::mem::take(&mut self.members);
+        for listed in hosts {
+            if listed.host == self.host {
+                continue;
+            }
+            let known = old.remove(&listed.host);
+            let member = match known {
+                Some(member) if member.listed.address == listed.address => {
+                    Member { listed, ..member }
+                }
+                _ => Member::new(listed),
+            };
+            self.members.insert(member.listed.host.clone(), member);
+        }
+    }
+
+    /// Notes a direct sign of life. Another incarnation is another host on the
+    /// old one's address: nothing that was heard before holds for it.
+    pub(crate) fn note_heard(&mut self, host: &HostId, incarnation: Incarnation, phase: PeerPhase) {
+        if let Some(member) = self.members.get_mut(host) {
+            member.failures = 0;
+            member.incarnation = Some(incarnation);
+            member.phase = phase;
+            member.suspect_until = None;
+        }
+    }
+
+    /// Notes that a call to a host got no answer.
+    pub(crate) fn note_silent(&mut self, host: &HostId, now: Time) {
+        if let Some(member) = self.members.get_mut(host) {
+            let factor = 1 << member.failures.min(8);
+            member.failures += 1;
+            let pause = (FIRST_SUSPICION * factor).min(MAX_SUSPICION);
+            member.suspect_until = Some(now + pause);
+        }
+    }
+
+    /// The host of this domain to ask for shares: `None` is this host itself.
+    pub(crate) fn steward(&self, now: Time) -> Option<&Member> {
+        let key = self.failure_domain.as_str();
+        let best = self
+            .in_domain()
+            .filter(|member| member.is_askable(now))
+            .max_by_key(|member| rendezvous_weight(key, &member.listed.host))?;
+        let own = rendezvous_weight(key, &self.host);
+        (rendezvous_weight(key, &best.listed.host) > own).then_some(best)
+    }
+
+    fn in_domain(&self) -> impl Iterator<Item = &Member> {
+        let members = self.members.values();
+        members.filter(|member| member.listed.failure_domain == self.failure_domain)
+    }
+
+    /// Other hosts that share this domain's upstreams.
+    pub(crate) fn sharing(&self) -> impl Iterator<Item = &HostId> {
+        let sharing = self.in_domain().filter(|member| member.is_sharing());
+        sharing.map(|member| &member.listed.host)
+    }
+
+    /// Hosts that share this domain's upstreams, this one included.
+    pub(crate) fn domain_size(&self) -> u32 {
+        self.sharing().count() as u32 + 1
+    }
+
+    /// All hosts of the list, this one included.
+    pub(crate) fn total_size(&self) -> u32 {
+        self.members.len() as u32 + 1
+    }
+}
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -30,7 +30,14 @@
     listed_leaving: BTreeSet<UpstreamId>,
     room: RoomRules,
     states: Vec<UpstreamState>,
-    targets: HashMap<Target, Vec<usize>>,
+    targets: HashMap<Target, Places>,
+}
+
+/// Where the upstreams of one target are, by their failure domain.
+#[derive(Debug, Default)]
+struct Places {
+    foreign: Vec<usize>,
+    own: Vec<usize>,
 }
 
 impl Pool {
@@ -43,7 +50,7 @@
 
     /// Follows a new configuration. Upstreams that are gone from it get no new
     /// work and are forgotten once their last request has ended.
-    pub(crate) fn apply(&mut self, document: &Document) {
+    pub(crate) fn apply(&mut self, document: &Document, domain: &FailureDomainId) {
         self.room.trial_share = document.trial.max_slot_share;
         let mut old: BTreeMap<UpstreamId, UpstreamState> = std::mem::take(&mut self.states)
             .into_iter()
@@ -52,10 +59,6 @@
         for (id, definition) in &document.upstreams {
             let state = match old.remove(id) {
                 Some(mut state) if state.definition.address() == definition.address() => {
-                    state.share = state.share.min(definition.slots());
-                    if state.definition.slots() != definition.slots() {
-                        state.share = definition.slots();
-                    }
                     state.definition = definition.clone();
                     state.removed = false;
                     state
@@ -70,10 +73,33 @@
                 self.states.push(state);
             }
         }
-        self.reindex();
+        self.reindex(domain);
         self.mark_listed();
     }
 
+    /// Sets this host's share of each upstream.
+    pub(crate) fn set_shares(&mut self, share: impl Fn(&UpstreamState) -> u32) {
+        for state in &mut self.states {
+            state.share = share(state);
+        }
+    }
+
+    /// The upstreams of a failure domain, as its steward divides them.
+    pub(crate) fn divided(&self, domain: &FailureDomainId) -> Vec<Divided<'_>> {
+        let states = self.states.iter();
+        states
+            .filter(|state| state.definition.failure_domain() == domain && !state.removed)
+            .map(|state| Divided {
+                id: &state.id,
+                slots: state.definition.slots(),
+                targets: targets_of(&state.definition)
+                    .iter()
+                    .map(Target::to_string)
+                    .collect(),
+            })
+            .collect()
+    }
+
     /// Follows a new reading of the platform's list.
     pub(crate) fn note_listed(&mut self, leaving: BTreeSet<UpstreamId>) {
         self.listed_leaving = leaving;
@@ -92,13 +118,18 @@
         states.map(|state| state.id.clone()).collect()
     }
 
-    fn reindex(&mut self) {
+    fn reindex(&mut self, domain: &FailureDomainId) {
         self.index.clear();
         self.targets.clear();
         for (place, state) in self.states.iter().enumerate() {
             self.index.insert(state.id.clone(), place);
             for target in targets_of(&state.definition) {
-                self.targets.entry(target).or_default().push(place);
+                let places = self.targets.entry(target).or_default();
+                if state.definition.failure_domain() == domain {
+                    places.own.push(place);
+                } else {
+                    places.foreign.push(place);
+                }
             }
         }
     }
@@ -123,7 +154,7 @@
         now: Time,
         rng: &mut SmallRng,
     ) -> Option<UpstreamId> {
-        let places = self.targets.get(wish.target)?;
+        let places = self.usable(wish.target, now)?;
         let pace_ms = wish
             .pace_ms
             .filter(|pace_ms| self.any_keeps_pace(places, *pace_ms, now));
@@ -143,6 +174,17 @@
         Some(cached.unwrap_or(best).id.clone())
     }
 
+    /// The domain's own upstreams of a target; those of other domains only
+    /// while none of its own takes work, for their slots are shared out there.
+    fn usable(&self, target: &Target, now: Time) -> Option<&[usize]> {
+        let places = self.targets.get(target)?;
+        let open = |places: &[usize]| places.iter().any(|place| self.states[*place].is_open(now));
+        if !open(&places.own) && open(&places.foreign) {
+            return Some(&places.foreign);
+        }
+        Some(&places.own)
+    }
+
     fn cached(&self, wish: &Wish<'_>) -> Option<&UpstreamState> {
         let id = self.affinity.lookup(wish.prefix?)?;
         self.get(id).filter(|state| !wish.avoid.contains(&state.id))
@@ -194,18 +236,18 @@
         let Some(places) = self.targets.get(target) else {
             return false;
         };
-        let ejected = places
-            .iter()
+        let all = || places.own.iter().chain(&places.foreign);
+        let ejected = all()
             .filter(|place| !self.states[**place].health.is_well())
             .count();
-        (ejected + 1) * KEEP_ONE_IN <= places.len().max(KEEP_ONE_IN)
+        (ejected + 1) * KEEP_ONE_IN <= all().count().max(KEEP_ONE_IN)
     }
 
     /// Upstreams to be probed now; each is named once for each probe.
     pub(crate) fn take_probes(&mut self, now: Time) -> Vec<(UpstreamId, SocketAddr)> {
         self.states
             .iter_mut()
-            .filter(|state| !state.is_leaving())
+            .filter(|state| !state.is_leaving(now))
             .filter_map(|state| {
                 let due = state.health.take_probe(now);
                 due.then(|| (state.id.clone(), state.definition.address()))
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -79,6 +79,16 @@
     Running(Request<Running>),
 }
 
+impl Stage {
+    pub(crate) const fn facts(&self) -> &RequestFacts {
+        match self {
+            Self::Claiming(request) => &request.facts,
+            Self::Queued(request) => &request.facts,
+            Self::Running(request) => &request.facts,
+        }
+    }
+}
+
 impl Request<Queued> {
     pub(crate) fn new(id: RequestId, facts: RequestFacts, item: QueuedItem) -> Self {
         Self {
--- a/crates/policy/src/room_rules.rs
+++ b/crates/policy/src/room_rules.rs
@@ -1,11 +1,12 @@
+use super::*;
+
 /// Rules by which an upstream's slots are given to ranks.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RoomRules {
     /// Part of the slots that tiers 2 to 5 leave free for tiers 0 and 1.
     pub headroom_share: f64,
-    /// Whether tiers 0 and 1 may go beyond the slots into an engine's own
-    /// queue, which it serves by priority.
-    pub pressing_overdraft: bool,
+    /// Whether tiers 0 and 1 may go beyond their host's share.
+    pub overdraft: Overdraft,
     /// Most of the slots that trial requests may hold.
     pub trial_share: f64,
 }
@@ -14,7 +15,7 @@
     fn default() -> Self {
         Self {
             headroom_share: 0.0,
-            pressing_overdraft: false,
+            overdraft: Overdraft::ReportedFree,
             trial_share: 1.0,
         }
     }
--- a/crates/policy/src/upstream_state.rs
+++ b/crates/policy/src/upstream_state.rs
@@ -20,6 +20,8 @@
     pub(crate) in_flight: u32,
     /// Trial requests among them.
     pub(crate) in_flight_trial: u32,
+    /// Until when a peer's word that it is leaving is believed.
+    pub(crate) told_leaving_until: Time,
     /// Leaving by the platform's list.
     pub(crate) listed_leaving: bool,
     /// Not configured any more.
@@ -43,6 +45,7 @@
             id,
             in_flight: 0,
             in_flight_trial: 0,
+            told_leaving_until: Time::default(),
             listed_leaving: false,
             others: 0,
             removed: false,
@@ -72,38 +75,50 @@
         *average += NEWEST_WEIGHT * (sample - *average);
     }
 
+    /// Whether the list or the upstream itself says that it is leaving: what
+    /// peers are told. Their own word is not passed on, or it would go round
+    /// for ever.
+    pub(crate) const fn is_said_leaving(&self) -> bool {
+        self.listed_leaving || self.reported_leaving
+    }
+
     /// Whether any source says that it is leaving; one is enough.
-    pub(crate) const fn is_leaving(&self) -> bool {
-        self.listed_leaving || self.removed || self.reported_leaving
+    pub(crate) fn is_leaving(&self, now: Time) -> bool {
+        self.is_said_leaving() || self.removed || now < self.told_leaving_until
     }
 
     /// Whether it takes new work at all.
     pub(crate) fn is_open(&self, now: Time) -> bool {
-        !self.is_leaving() && self.health.is_well() && now >= self.busy_until
+        !self.is_leaving(now) && self.health.is_well() && now >= self.busy_until
     }
 
     /// Whether one more request of `rank` fits.
     pub(crate) fn has_room(&self, rank: Rank, room: &RoomRules, now: Time) -> bool {
-        if !self.is_open(now) || self.in_flight >= self.limit(rank.tier, room, now) {
+        if !self.is_open(now) {
             return false;
         }
-        rank.plan == Plan::Paid || self.in_flight_trial < self.trial_limit(room)
-    }
-
-    /// Requests that this host may have there once one of `tier` is added.
-    fn limit(&self, tier: Tier, room: &RoomRules, now: Time) -> u32 {
-        let slots = (f64::from(self.share) * self.health.share(now)).ceil();
-        if tier.index() <= LAST_PRESSING_TIER {
-            return slots as u32 + self.overdraft(room);
+        let slots = (f64::from(self.share) * self.health.share(now)).ceil() as u32;
+        if rank.tier.index() <= LAST_PRESSING_TIER {
+            return self.in_flight < slots || self.has_overdraft(room, now);
         }
-        let headroom = (slots * room.headroom_share).floor();
-        (slots - headroom).max(1.0) as u32
+        let headroom = (f64::from(slots) * room.headroom_share).floor() as u32;
+        let fits = self.in_flight < slots - headroom;
+        fits && (rank.plan == Plan::Paid || self.in_flight_trial < self.trial_limit(room))
     }
 
-    fn overdraft(&self, room: &RoomRules) -> u32 {
-        match &self.definition {
-            Upstream::Engine(engine) if room.pressing_overdraft => engine.queue_bound,
-            _ => 0,
+    /// Whether a pressing request fits beyond the share. While the upstream
+    /// comes back slowly its slots are not to be overdrawn.
+    fn has_overdraft(&self, room: &RoomRules, now: Time) -> bool {
+        let Upstream::Engine(engine) = &self.definition else {
+            return false;
+        };
+        let there = self.in_flight + self.others;
+        let own_alone = self.share >= engine.slots;
+        let slow_start = self.health.share(now) < 1.0;
+        match room.overdraft {
+            Overdraft::EngineQueue => there < engine.slots + engine.queue_bound,
+            Overdraft::None => false,
+            Overdraft::ReportedFree => !own_alone && !slow_start && there < engine.slots,
         }
     }
 
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -110,6 +110,8 @@
     fn new() -> Self {
         let mut model = Self {
             controller: Controller::new(ControllerOptions {
+                failure_domain: "a".parse().unwrap(),
+                host: "host-0".parse().unwrap(),
                 incarnation: Incarnation::new(7),
                 max_queued: 6,
                 room: RoomRules::default(),
@@ -329,7 +331,10 @@
                 known.settled = true;
             }
             Action::Cancel { .. }
+            | Action::AnswerHeartbeat { .. }
             | Action::Probe { .. }
+            | Action::ReadConfiguration
+            | Action::SendHeartbeat { .. }
             | Action::Record(_)
             | Action::Replay { .. } => {}
         }
--- a/crates/policy/tests/script/document.rs
+++ b/crates/policy/tests/script/document.rs
@@ -32,7 +32,7 @@
     for number in 0..engines {
         document["upstreams"][format!("engine-{number}")] = json!({
             "kind": "engine", "address": format!("127.0.0.1:{}", 8000 + number),
-            "failure_domain": "a", "models": ["small"], "queue_bound": 2,
+            "failure_domain": domain(args, number), "models": ["small"], "queue_bound": 2,
             "resumes": true, "slots": slots,
         });
     }
@@ -40,6 +40,15 @@
     document
 }
 
+/// With `domains=(a,b)` the engines stand in these domains in turn.
+fn domain(args: &Args<'_>, number: u32) -> String {
+    let domains = args.list("domains");
+    match domains.len() {
+        0 => "a".to_string(),
+        count => domains[number as usize % count].clone(),
+    }
+}
+
 fn class(tier: u8, first_token_target_ms: u64, idempotent: bool) -> Value {
     json!({
         "between_token_target_ms": 27, "deadline_ms": 60_000,
--- a/crates/policy/tests/script/mod.rs
+++ b/crates/policy/tests/script/mod.rs
@@ -1,5 +1,6 @@
-//! The test language of the controller: a script says what happens and when,
-//! and what the controller is expected to do about it.
+//! The test language of the controllers: a script says what happens and when,
+//! which message arrives, is lost or doubled, whose clock stands still, and what
+//! is expected of it.
 //!
 //! Time stands still unless the script says `advance ms=N`. Each directive
 //! prints the actions that follow from it, one a line. Run with `REWRITE=1` to
@@ -10,6 +11,7 @@
 use {
     config::{Document, Numbered},
     datadriven::TestCase,
+    peer::{Grant, Heartbeat, HeartbeatAnswer, PeerHost},
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, Controller, ControllerOptions, Event, Outcome,
         Refusal, Repeatability, RoomRules, StoredAnswer, Target,
@@ -21,75 +23,82 @@
 
 mod document;
 mod render;
+mod scripted_host;
 
-use {document::document, render::render};
+use {document::document, render::render, scripted_host::ScriptedHost};
 
-/// Length of one tick while time advances.
-const TICK_MS: u64 = 10;
+/// The host of a script that names none.
+const ONLY_HOST: &str = "host-0";
 
-/// A controller under a script.
+/// Controllers under a script.
 pub struct Script {
-    attempts: BTreeMap<RequestId, AttemptId>,
-    controller: Controller,
-    now: Time,
+    hosts: BTreeMap<String, ScriptedHost>,
+    started: u64,
     version: ConfigVersion,
 }
 
 impl Script {
     pub fn new() -> Self {
         Self {
-            attempts: BTreeMap::new(),
-            controller: Controller::new(ControllerOptions {
-                incarnation: Incarnation::new(1),
-                max_queued: 4,
-                room: RoomRules::default(),
-                seed: 1,
-            }),
-            now: Time::default(),
+            hosts: BTreeMap::new(),
+            started: 0,
             version: ConfigVersion::default(),
         }
     }
 
-    /// Carries one directive out and prints what followed.
+    /// Carries one directive out, on the host that it names, and prints what
+    /// followed.
     pub fn run(&mut self, case: &TestCase) -> String {
         let args = Args(case);
         match case.directive.as_str() {
-            "advance" => self.advance(args.get("ms")),
-            "arrive" => self.arrive(&args),
+            "advance" => self.advance(&args),
+            "configure" => self.configure(case),
+            "deliver" => self.deliver(&args),
+            "list" => self.list(&args),
+            "lose" => self.lose(&args),
+            "shares" => self.each(|host| host.shares()),
+            "start" => {
+                self.start(&args.get::<String>("host"), &args.get::<String>("domain"));
+                String::new()
+            }
+            _ => self.run_on_host(case),
+        }
+    }
+
+    fn run_on_host(&mut self, case: &TestCase) -> String {
+        let args = Args(case);
+        let host = self.host(&args);
+        match case.directive.as_str() {
+            "arrive" => arrive(host, &args),
             "claim" => {
                 let answer = claim_answer(&args);
                 let request = args.get("id");
-                self.handle(Event::ClaimAnswered { answer, request })
+                host.handle(Event::ClaimAnswered { answer, request })
             }
             "complete" => {
                 let tokens = args.get_or("tokens", Tokens::new(1));
-                let answer = args.text("body").map(|body| StoredAnswer {
-                    body,
-                    content_type: "text/plain".to_string(),
-                    status: 200,
-                });
-                self.end(&args, AttemptEnd::Completed { answer, tokens })
+                let answer = args.text("body").map(stored);
+                end(host, &args, AttemptEnd::Completed { answer, tokens })
             }
-            "configure" => self.configure(case),
-            "drain" => self.handle(Event::DrainStarted),
+            "drain" => host.handle(Event::DrainStarted),
             "fail" => {
-                let end = AttemptEnd::Failed {
+                let failed = AttemptEnd::Failed {
                     cause: failure_cause(&args),
                     delivered: args.has("delivered"),
                     tokens: args.get_or("tokens", Tokens::default()),
                     verdict: args.get("verdict"),
                 };
-                self.end(&args, end)
+                end(host, &args, failed)
             }
             "gone" => {
                 let request = args.get("id");
-                self.handle(Event::CallerGone { request })
+                host.handle(Event::CallerGone { request })
             }
             "listed" => {
                 let leaving = args.list("leaving").into_iter();
                 let leaving = leaving.map(|id| id.parse().unwrap());
                 let leaving = leaving.collect();
-                self.handle(Event::UpstreamsListed { leaving })
+                host.handle(Event::UpstreamsListed { leaving })
             }
             "load" => {
                 let report = LoadReport {
@@ -99,132 +108,230 @@
                     waiting: args.get_or("waiting", 0),
                 };
                 let upstream = args.get("upstream");
-                self.handle(Event::LoadReported { report, upstream })
+                host.handle(Event::LoadReported { report, upstream })
             }
             "probe" => {
                 let healthy = args.get("healthy");
                 let upstream = args.get("upstream");
-                self.handle(Event::ProbeAnswered { healthy, upstream })
+                host.handle(Event::ProbeAnswered { healthy, upstream })
             }
             "progress" => {
                 let request = args.get("id");
-                let attempt = self.attempts[&request];
+                let attempt = host.attempts[&request];
                 let tokens = args.get("tokens");
-                self.handle(Event::Progressed {
+                host.handle(Event::Progressed {
                     attempt,
                     request,
                     tokens,
                 })
             }
-            "status" => self.status(),
+            "status" => host.status(),
             other => panic!("no directive {other}"),
         }
     }
 
-    fn configure(&mut self, case: &TestCase) -> String {
-        let edits: Value = if case.input.trim().is_empty() {
-            json!({})
-        } else {
-            serde_json::from_str(&case.input).unwrap()
-        };
-        let args = Args(case);
-        let version = args.get_or("version", self.version.next());
-        self.version = self.version.max(version);
-        let document = Document::from_value(document(&args, edits)).unwrap();
-        let numbered = Arc::new(Numbered { document, version });
-        self.handle(Event::ConfigurationRead(numbered))
+    fn start(&mut self, name: &str, domain: &str) {
+        self.started += 1;
+        let host = ScriptedHost::new(name, domain, self.started);
+        self.hosts.insert(name.to_string(), host);
     }
 
-    fn arrive(&mut self, args: &Args<'_>) -> String {
-        let key_hash = KeyHash::of_key(&args.text("team").unwrap_or("shop".to_string()));
-        let target = match args.text("service") {
-            Some(service) => Target::Service(service.parse().unwrap()),
-            None => Target::Model(args.get_or("model", "small".parse().unwrap())),
-        };
-        let repeatability = match args.text("key") {
-            Some(key) => Repeatability::AtMostOncePerKey {
-                fingerprint: Fingerprint::of_request("POST", "/", b""),
-                key: key.parse().unwrap(),
-            },
-            None if args.has("once") => Repeatability::AtMostOnce,
-            None => Repeatability::AsConfigured,
-        };
-        let mut output = String::new();
-        for id in args.list("id") {
-            let arrival = Arrival {
-                class: args.text("class").map(|class| class.parse().unwrap()),
-                key_hash,
-                max_output: args.text("tokens").map(|tokens| tokens.parse().unwrap()),
-                prefix: args.text("prefix").map(|prefix| prefix.parse().unwrap()),
-                prompt: Tokens::default(),
-                repeatability: repeatability.clone(),
-                request: id.parse().unwrap(),
-                target: target.clone(),
-            };
-            output += &self.handle(Event::Arrived(arrival));
+    fn host(&mut self, args: &Args<'_>) -> &mut ScriptedHost {
+        if self.hosts.is_empty() {
+            self.start(ONLY_HOST, "a");
         }
-        output
+        let name = args.text("host").unwrap_or(ONLY_HOST.to_string());
+        self.hosts
+            .get_mut(&name)
+            .unwrap_or_else(|| panic!("no host {name}"))
     }
 
-    fn end(&mut self, args: &Args<'_>, end: AttemptEnd) -> String {
+    /// Runs something on every host; with several each line names its host.
+    fn each(&mut self, mut run: impl FnMut(&mut ScriptedHost) -> String) -> String {
+        let several = self.hosts.len() > 1;
         let mut output = String::new();
-        for id in args.list("id") {
-            let request = id.parse().unwrap();
-            let Some(attempt) = self.attempts.get(&request).copied() else {
-                let _ = writeln!(output, "{request} was never sent");
-                continue;
-            };
-            output += &self.handle(Event::AttemptEnded {
-                attempt,
-                end: end.clone(),
-                request,
-            });
+        for (name, host) in &mut self.hosts {
+            for line in run(host).lines() {
+                let _ = match several {
+                    true => writeln!(output, "{name}: {line}"),
+                    false => writeln!(output, "{line}"),
+                };
+            }
         }
         output
     }
 
-    fn advance(&mut self, ms: u64) -> String {
-        let mut output = String::new();
-        let end = self.now.plus_ms(ms);
-        while self.now < end {
-            self.now = self.now.plus_ms(TICK_MS).min(end);
-            let actions = self.handle(Event::Ticked);
-            for line in actions.lines() {
-                let _ = writeln!(output, "{} {line}", self.now);
+    /// Time passes on all hosts, but on those whose clock stands still
+    /// (`frozen=`); with `deliver`, heartbeats are delivered as they are sent.
+    fn advance(&mut self, args: &Args<'_>) -> String {
+        let ms: u64 = args.get("ms");
+        let frozen = args.list("frozen");
+        if !args.has("deliver") {
+            return self.each(|host| match is_frozen(host, &frozen) {
+                true => String::new(),
+                false => host.advance(ms),
+            });
+        }
+        for _ in 0..ms / 10 {
+            self.each(|host| match is_frozen(host, &frozen) {
+                true => String::new(),
+                false => host.advance(10),
+            });
+            let senders: Vec<String> = self.hosts.keys().cloned().collect();
+            for sender in senders {
+                self.exchange(&sender, &frozen, false);
             }
         }
-        output
+        String::new()
+    }
+
+    /// Delivers the heartbeat of a host, and its answer; `twice` doubles it,
+    /// `answer-lost` loses the answer.
+    fn deliver(&mut self, args: &Args<'_>) -> String {
+        let from: String = args.get("from");
+        if args.has("twice") {
+            self.ask(&from, &[]);
+        }
+        self.exchange(&from, &[], args.has("answer-lost"))
+    }
+
+    fn lose(&mut self, args: &Args<'_>) -> String {
+        let from: String = args.get("from");
+        let frozen = self.hosts.keys().cloned().collect::<Vec<_>>();
+        self.exchange(&from, &frozen, true)
+    }
+
+    /// Hands the pending heartbeat of a host over; gives the answer.
+    fn ask(&mut self, from: &str, frozen: &[String]) -> Option<HeartbeatAnswer> {
+        let pending = self.hosts[from].pending.as_ref()?;
+        let (to, heartbeat) = (pending.to.clone(), pending.heartbeat.clone());
+        let host = self.hosts.get_mut(&to).filter(|_| !frozen.contains(&to))?;
+        host.handle(Event::HeartbeatAsked { call: 0, heartbeat });
+        host.answer.take()
+    }
+
+    fn exchange(&mut self, from: &str, frozen: &[String], lose_answer: bool) -> String {
+        let answer = self.ask(from, frozen).filter(|_| !lose_answer);
+        let host = self.hosts.get_mut(from).unwrap();
+        let Some(pending) = host.pending.take() else {
+            return String::new();
+        };
+        host.handle(Event::HeartbeatAnswered {
+            answer,
+            asked: pending.asked,
+            host: pending.to.parse().unwrap(),
+        })
     }
 
-    fn handle(&mut self, event: Event) -> String {
-        let mut actions = Vec::new();
-        self.controller.handle(self.now, event, &mut actions);
-        for action in &actions {
-            if let Action::Send { order, request } = action {
-                self.attempts.insert(*request, order.attempt);
+    /// The platform's list, read by all hosts or by those in `to`.
+    fn list(&mut self, args: &Args<'_>) -> String {
+        let leaving = args.list("leaving");
+        let hosts: Vec<PeerHost> = args
+            .list("hosts")
+            .iter()
+            .enumerate()
+            .map(|(number, name)| PeerHost {
+                address: format!("127.0.0.1:{}", 7000 + number).parse().unwrap(),
+                failure_domain: name[..1].parse().unwrap(),
+                host: name.parse().unwrap(),
+                leaving: leaving.contains(name),
+            })
+            .collect();
+        let to = args.list("to");
+        self.each(|host| {
+            let reads = to.is_empty() || to.contains(&name_of(host));
+            match reads {
+                true => host.handle(Event::HostsListed {
+                    hosts: hosts.clone(),
+                }),
+                false => String::new(),
             }
+        })
+    }
+
+    fn configure(&mut self, case: &TestCase) -> String {
+        if self.hosts.is_empty() {
+            self.start(ONLY_HOST, "a");
         }
-        actions.iter().map(|action| render(action) + "\n").collect()
+        let edits: Value = if case.input.trim().is_empty() {
+            json!({})
+        } else {
+            serde_json::from_str(&case.input).unwrap()
+        };
+        let args = Args(case);
+        let version = args.get_or("version", self.version.next());
+        self.version = self.version.max(version);
+        let document = Document::from_value(document(&args, edits)).unwrap();
+        let numbered = Arc::new(Numbered { document, version });
+        let to = args.list("to");
+        self.each(|host| match to.is_empty() || to.contains(&name_of(host)) {
+            true => host.handle(Event::ConfigurationRead(Arc::clone(&numbered))),
+            false => String::new(),
+        })
+    }
+}
+
+fn name_of(host: &ScriptedHost) -> String {
+    host.controller.host().to_string()
+}
+
+fn is_frozen(host: &ScriptedHost, frozen: &[String]) -> bool {
+    frozen.contains(&name_of(host))
+}
+
+fn stored(body: String) -> StoredAnswer {
+    StoredAnswer {
+        body,
+        content_type: "text/plain".to_string(),
+        status: 200,
     }
+}
 
-    fn status(&self) -> String {
-        let controller = &self.controller;
-        let version = controller
-            .version()
-            .map_or("none".to_string(), |v| v.to_string());
-        format!(
-            "phase {:?}, version {version}, queued {}, idle {}\nleaving {:?}, ejected {:?}\n",
-            controller.phase(),
-            controller.queued(),
-            controller.is_idle(),
-            names(&controller.leaving()),
-            names(&controller.ejected()),
-        )
+fn arrive(host: &mut ScriptedHost, args: &Args<'_>) -> String {
+    let key_hash = KeyHash::of_key(&args.text("team").unwrap_or("shop".to_string()));
+    let target = match args.text("service") {
+        Some(service) => Target::Service(service.parse().unwrap()),
+        None => Target::Model(args.get_or("model", "small".parse().unwrap())),
+    };
+    let repeatability = match args.text("key") {
+        Some(key) => Repeatability::AtMostOncePerKey {
+            fingerprint: Fingerprint::of_request("POST", "/", b""),
+            key: key.parse().unwrap(),
+        },
+        None if args.has("once") => Repeatability::AtMostOnce,
+        None => Repeatability::AsConfigured,
+    };
+    let mut output = String::new();
+    for id in args.list("id") {
+        output += &host.handle(Event::Arrived(Arrival {
+            class: args.text("class").map(|class| class.parse().unwrap()),
+            key_hash,
+            max_output: args.text("tokens").map(|tokens| tokens.parse().unwrap()),
+            prefix: args.text("prefix").map(|prefix| prefix.parse().unwrap()),
+            prompt: Tokens::default(),
+            repeatability: repeatability.clone(),
+            request: id.parse().unwrap(),
+            target: target.clone(),
+        }));
     }
+    output
 }
 
-fn names(ids: &[UpstreamId]) -> Vec<&str> {
-    ids.iter().map(UpstreamId::as_str).collect()
+fn end(host: &mut ScriptedHost, args: &Args<'_>, end: AttemptEnd) -> String {
+    let mut output = String::new();
+    for id in args.list("id") {
+        let request = id.parse().unwrap();
+        let Some(attempt) = host.attempts.get(&request).copied() else {
+            let _ = writeln!(output, "{request} was never sent");
+            continue;
+        };
+        output += &host.handle(Event::AttemptEnded {
+            attempt,
+            end: end.clone(),
+            request,
+        });
+    }
+    output
 }
 
 fn claim_answer(args: &Args<'_>) -> ClaimAnswer {
@@ -233,11 +340,7 @@
         "may-have-run" => ClaimAnswer::MayHaveRun,
         "not-tried" => ClaimAnswer::NotTried,
         "ours" => ClaimAnswer::Ours,
-        "ran" => ClaimAnswer::Ran(args.text("body").map(|body| StoredAnswer {
-            body,
-            content_type: "text/plain".to_string(),
-            status: 200,
-        })),
+        "ran" => ClaimAnswer::Ran(args.text("body").map(stored)),
         "reused" => ClaimAnswer::Reused,
         "unknown" => ClaimAnswer::Unknown,
         other => panic!("no claim answer {other}"),
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -3,10 +3,14 @@
 /// An action as one line of a script.
 pub fn render(action: &Action) -> String {
     match action {
+        Action::AnswerHeartbeat { answer, call } => {
+            format!("answer {call}: {}", granted(answer.grants.as_deref()))
+        }
         Action::Break { refusal, request } => format!("break {request}: {}", refused(refusal)),
         Action::Cancel { request, .. } => format!("cancel {request}"),
         Action::Claim(claim) => format!("claim {} for {}", claim.key, claim.request),
         Action::Probe { upstream, .. } => format!("probe {upstream}"),
+        Action::ReadConfiguration => "read the configuration".to_string(),
         Action::Record(outcome) => record(outcome),
         Action::Refuse { refusal, request } => format!("refuse {request}: {}", refused(refusal)),
         Action::Replay { answer, request } => format!("replay {request}: {}", answer.body),
@@ -21,6 +25,7 @@
                 order.upstream, order.priority
             )
         }
+        Action::SendHeartbeat { host, .. } => format!("heartbeat to {host}"),
         Action::Settle(settlement) => {
             let kept = settlement
                 .answer
@@ -31,6 +36,16 @@
     }
 }
 
+fn granted(grants: Option<&[Grant]>) -> String {
+    let Some(grants) = grants else {
+        return "no grants".to_string();
+    };
+    let grants = grants
+        .iter()
+        .map(|grant| format!("{} {}", grant.upstream, grant.slots));
+    grants.collect::<Vec<_>>().join(", ")
+}
+
 /// How soon to return is random; a script shows only whether it was said.
 fn refused(refusal: &Refusal) -> String {
     let retry = if refusal.retry_after.is_some() {
--- /dev/null
+++ b/crates/policy/tests/script/scripted_host.rs
@@ -0,0 +1,113 @@
+use super::*;
+
+/// Length of one tick while time advances.
+const TICK_MS: u64 = 10;
+
+/// A heartbeat that has been sent and not yet delivered.
+pub struct Pending {
+    pub asked: Time,
+    pub heartbeat: Heartbeat,
+    pub to: String,
+}
+
+/// One controller of a script, with a clock of its own.
+pub struct ScriptedHost {
+    pub attempts: BTreeMap<RequestId, AttemptId>,
+    pub controller: Controller,
+    pub now: Time,
+    /// The answer to the heartbeat that was just delivered.
+    pub answer: Option<HeartbeatAnswer>,
+    pub pending: Option<Pending>,
+}
+
+impl ScriptedHost {
+    pub fn new(name: &str, domain: &str, incarnation: u64) -> Self {
+        Self {
+            answer: None,
+            attempts: BTreeMap::new(),
+            controller: Controller::new(ControllerOptions {
+                failure_domain: domain.parse().unwrap(),
+                host: name.parse().unwrap(),
+                incarnation: Incarnation::new(incarnation),
+                max_queued: 4,
+                room: RoomRules::default(),
+                seed: 1,
+            }),
+            now: Time::default(),
+            pending: None,
+        }
+    }
+
+    /// Lets time pass in ticks; what is done is shown with its moment.
+    pub fn advance(&mut self, ms: u64) -> String {
+        let mut output = String::new();
+        let end = self.now.plus_ms(ms);
+        while self.now < end {
+            self.now = self.now.plus_ms(TICK_MS).min(end);
+            let actions = self.handle(Event::Ticked);
+            for line in actions.lines() {
+                let _ = writeln!(output, "{} {line}", self.now);
+            }
+        }
+        output
+    }
+
+    pub fn handle(&mut self, event: Event) -> String {
+        let mut actions = Vec::new();
+        self.controller.handle(self.now, event, &mut actions);
+        for action in &actions {
+            match action {
+                Action::Send { order, request } => {
+                    self.attempts.insert(*request, order.attempt);
+                }
+                Action::AnswerHeartbeat { answer, .. } => self.answer = Some(answer.clone()),
+                Action::SendHeartbeat {
+                    heartbeat, host, ..
+                } => {
+                    self.pending = Some(Pending {
+                        asked: self.now,
+                        heartbeat: heartbeat.clone(),
+                        to: host.to_string(),
+                    });
+                }
+                _ => {}
+            }
+        }
+        actions.iter().map(|action| render(action) + "\n").collect()
+    }
+
+    pub fn status(&self) -> String {
+        let controller = &self.controller;
+        let version = controller
+            .version()
+            .map_or("none".to_string(), |v| v.to_string());
+        format!(
+            "phase {:?}, version {version}, queued {}, idle {}\nleaving {:?}, ejected {:?}\n",
+            controller.phase(),
+            controller.queued(),
+            controller.is_idle(),
+            names(&controller.leaving(self.now)),
+            names(&controller.ejected()),
+        )
+    }
+
+    /// The steward, and this host's share of each engine.
+    pub fn shares(&self) -> String {
+        let shares: Vec<String> = (0..9)
+            .filter_map(|number| {
+                let id = format!("engine-{number}").parse().unwrap();
+                let share = self.controller.share(&id)?;
+                Some(share.to_string())
+            })
+            .collect();
+        format!(
+            "steward {}, shares {}\n",
+            self.controller.steward(self.now),
+            shares.join(" ")
+        )
+    }
+}
+
+fn names(ids: &[UpstreamId]) -> Vec<&str> {
+    ids.iter().map(UpstreamId::as_str).collect()
+}
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -14,8 +14,10 @@
     pub(crate) events: flume::Receiver<RingEvent>,
     pub(crate) ledger: Arc<Mutex<Ledger>>,
     pub(crate) logger: Logger,
+    pub(crate) peers: flume::Sender<PeerJob>,
     pub(crate) platform: flume::Sender<PlatformJob>,
     pub(crate) probes: flume::Sender<ProbeJob>,
+    pub(crate) read_configuration: Arc<Notify>,
     pub(crate) recorder: Arc<metrics_exporter_prometheus::PrometheusRecorder>,
     pub(crate) status: Arc<ArcSwap<HostStatus>>,
 }
@@ -24,6 +26,9 @@
 struct Carrier {
     actions: Vec<Action>,
     callers: HashMap<RequestId, mpsc::Sender<Instruction>>,
+    /// Hosts that wait for the answer to their heartbeat.
+    heartbeats: HashMap<u64, oneshot::Sender<HeartbeatAnswer>>,
+    next_call: u64,
     /// Settlements that the platform's ring had no room for. They are never
     /// dropped: a lost one would leave a key unresolved for good.
     settlements: VecDeque<Settlement>,
@@ -40,6 +45,8 @@
                 let carrier = Carrier {
                     actions: Vec::new(),
                     callers: HashMap::default(),
+                    heartbeats: HashMap::default(),
+                    next_call: 0,
                     settlements: VecDeque::new(),
                     stopping: false,
                     thread: self,
@@ -81,6 +88,12 @@
                 self.callers.insert(arrival.request, caller);
                 self.handle(Event::Arrived(arrival));
             }
+            RingEvent::HeartbeatAsked(heartbeat, answer) => {
+                let call = self.next_call;
+                self.next_call += 1;
+                self.heartbeats.insert(call, answer);
+                self.handle(Event::HeartbeatAsked { call, heartbeat });
+            }
             RingEvent::Happened(event) => {
                 if let Event::CallerGone { request } = &event {
                     self.callers.remove(request);
@@ -115,6 +128,11 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
+            Action::AnswerHeartbeat { answer, call } => {
+                if let Some(sender) = self.heartbeats.remove(&call) {
+                    let _ = sender.send(answer);
+                }
+            }
             Action::Break { refusal, request } => {
                 self.instruct_last(request, Instruction::Break(refusal));
             }
@@ -122,6 +140,7 @@
             Action::Cancel { .. } => {}
             Action::Claim(claim) => self.claim(claim),
             Action::Probe { address, upstream } => self.probe(address, upstream),
+            Action::ReadConfiguration => self.thread.read_configuration.notify_one(),
             Action::Record(outcome) => self.record(&outcome),
             Action::Refuse { refusal, request } => {
                 self.instruct_last(request, Instruction::Refuse(refusal));
@@ -134,6 +153,11 @@
                     let _ = caller.try_send(Instruction::Send(order));
                 }
             }
+            Action::SendHeartbeat {
+                address,
+                heartbeat,
+                host,
+            } => self.send_heartbeat(address, heartbeat, host),
             Action::Settle(settlement) => self.settle(settlement),
         }
     }
@@ -183,6 +207,17 @@
         }
     }
 
+    fn send_heartbeat(&mut self, address: SocketAddr, heartbeat: Heartbeat, host: HostId) {
+        let job = PeerJob {
+            address,
+            asked: self.thread.clock.now(),
+            heartbeat,
+            host,
+        };
+        // One is under way at a time, so the ring cannot be full.
+        let _ = self.thread.peers.try_send(job);
+    }
+
     fn probe(&mut self, address: SocketAddr, upstream: UpstreamId) {
         debug!(self.thread.logger, "controller: probe"; "upstream" => %upstream);
         let job = ProbeJob { address, upstream };
@@ -233,10 +268,12 @@
     fn publish(&self) {
         let controller = &self.thread.controller;
         gauge!("rhubarbcove_queued").set(controller.queued() as f64);
+        let now = self.thread.clock.now();
         let before = self.thread.status.load();
         let after = HostStatus {
             ejected: controller.ejected(),
-            leaving: controller.leaving(),
+            leaving: controller.leaving(now),
+            steward: controller.steward(now).clone(),
             phase: controller.phase(),
             queued: controller.queued(),
             version: controller.version(),
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -6,6 +6,9 @@
 /// Jobs that may wait for the platform's thread.
 const PLATFORM_RING: usize = 4_096;
 
+/// Heartbeats that may wait for the peers' thread.
+const PEER_RING: usize = 16;
+
 /// Probes that may wait for the upstreams' thread.
 const PROBE_RING: usize = 256;
 
@@ -38,6 +41,7 @@
     ledger: Arc<Mutex<Ledger>>,
     logger: Logger,
     operator_address: SocketAddr,
+    peer_address: SocketAddr,
     others: Vec<Thread>,
     others_stop: Shutdown,
     settings: Settings,
@@ -50,7 +54,9 @@
     pub fn start(settings: Settings, logger: Logger) -> eyre::Result<Self> {
         let callers = listen(settings.caller_address)?;
         let operators = listen(settings.operator_address)?;
+        let peers = listen(settings.peer_address)?;
         let caller_address = callers.local_addr()?;
+        let peer_address = peers.local_addr()?;
         let operator_address = operators.local_addr()?;
         let rings = Rings::new();
         let shared = Shared::new(&settings);
@@ -73,8 +79,10 @@
             events: rings.events.1,
             ledger: Arc::clone(&shared.ledger),
             logger: logger.clone(),
+            peers: rings.peers.0,
             platform: rings.platform.0,
             probes: rings.probes.0,
+            read_configuration: Arc::clone(&shared.read_configuration),
             recorder,
             status: Arc::clone(&shared.status),
         }
@@ -84,6 +92,7 @@
             events: rings.events.0.clone(),
             jobs: rings.platform.1,
             logger: logger.clone(),
+            read_configuration: Arc::clone(&shared.read_configuration),
             shutdown: others_stop.clone(),
         }
         .spawn()?;
@@ -95,6 +104,15 @@
             shutdown: others_stop.clone(),
         }
         .spawn()?;
+        let peers = PeerThread {
+            events: rings.events.0.clone(),
+            jobs: rings.peers.1,
+            listener: peers,
+            logger: logger.clone(),
+            shutdown: others_stop.clone(),
+            token: settings.peer_token.clone(),
+        }
+        .spawn()?;
         let client = PlatformClient::new(settings.platform_address, platform_thread::CALL_TIMEOUT);
         let operators = OperatorThread {
             listener: operators,
@@ -130,7 +148,8 @@
             ledger: shared.ledger,
             logger,
             operator_address,
-            others: vec![platform, upstreams, operators],
+            peer_address,
+            others: vec![platform, upstreams, peers, operators],
             others_stop,
             settings,
             status: shared.status,
@@ -203,6 +222,11 @@
         self.parts.operator_address
     }
 
+    /// Where it listens for other hosts.
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.parts.peer_address
+    }
+
     /// What it shows of itself.
     pub fn status(&self) -> HostStatus {
         (**self.parts.status.load()).clone()
@@ -225,6 +249,7 @@
 
 struct Rings {
     events: (flume::Sender<RingEvent>, flume::Receiver<RingEvent>),
+    peers: (flume::Sender<PeerJob>, flume::Receiver<PeerJob>),
     platform: (flume::Sender<PlatformJob>, flume::Receiver<PlatformJob>),
     probes: (flume::Sender<ProbeJob>, flume::Receiver<ProbeJob>),
 }
@@ -233,6 +258,7 @@
     fn new() -> Self {
         Self {
             events: flume::bounded(EVENT_RING),
+            peers: flume::bounded(PEER_RING),
             platform: flume::bounded(PLATFORM_RING),
             probes: flume::bounded(PROBE_RING),
         }
@@ -244,6 +270,7 @@
     clock: Clock,
     configuration: Arc<ArcSwapOption<Numbered>>,
     ledger: Arc<Mutex<Ledger>>,
+    read_configuration: Arc<Notify>,
     status: Arc<ArcSwap<HostStatus>>,
 }
 
@@ -256,12 +283,14 @@
             leaving: Vec::new(),
             phase: HostPhase::Starting,
             queued: 0,
+            steward: settings.host.clone(),
             version: None,
         };
         Self {
             clock: Clock::new(),
             configuration: Arc::default(),
             ledger: Arc::default(),
+            read_configuration: Arc::default(),
             status: Arc::new(ArcSwap::from_pointee(status)),
         }
     }
@@ -277,6 +306,8 @@
 fn controller_options(settings: &Settings) -> ControllerOptions {
     let mut rng = rand::rng();
     ControllerOptions {
+        failure_domain: settings.failure_domain.clone(),
+        host: settings.host.clone(),
         incarnation: Incarnation::new(rng.random()),
         max_queued: settings.limits.max_queued,
         room: RoomRules::default(),
@@ -332,6 +363,6 @@
 }
 
 use {
-    controller_thread::ControllerThread, operator_thread::OperatorThread,
+    controller_thread::ControllerThread, operator_thread::OperatorThread, peer_thread::PeerThread,
     platform_thread::PlatformThread, upstream_thread::UpstreamThread,
 };
--- a/crates/router/src/host_status.rs
+++ b/crates/router/src/host_status.rs
@@ -15,6 +15,8 @@
     pub phase: HostPhase,
     /// Requests queued.
     pub queued: usize,
+    /// Host that it asks for its shares.
+    pub steward: HostId,
     /// Version of the configuration in force.
     pub version: Option<ConfigVersion>,
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,9 +22,10 @@
     },
     metrics::{counter, gauge, histogram},
     metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle},
+    peer::{Heartbeat, HeartbeatAnswer, PeerClient, PeerHandler, PeerHost, PeerServer},
     platform::{
-        ClaimRow, ClaimState, ConfigStore, ConfigStoreError, HostList, ListedState, PlatformClient,
-        PlatformError, Row, TableBatch, TableOperation, TableResult,
+        ClaimRow, ClaimState, ConfigStore, ConfigStoreError, HostList, ListedHost, ListedState,
+        PlatformClient, PlatformError, Row, TableBatch, TableOperation, TableResult,
     },
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
@@ -50,7 +51,7 @@
     subtle::ConstantTimeEq,
     tokio::{
         net::TcpListener,
-        sync::{mpsc, oneshot, watch},
+        sync::{Notify, mpsc, oneshot, watch},
         task::JoinSet,
         time::{sleep, timeout},
     },
@@ -76,6 +77,8 @@
 mod logs;
 mod operator_service;
 mod operator_thread;
+mod peer_job;
+mod peer_thread;
 mod platform_job;
 mod platform_thread;
 mod probe_job;
@@ -108,6 +111,7 @@
     instruction::Instruction,
     jitter::jittered,
     ledger::Ledger,
+    peer_job::PeerJob,
     platform_job::PlatformJob,
     probe_job::ProbeJob,
     pump::Pump,
--- /dev/null
+++ b/crates/router/src/peer_thread.rs
@@ -0,0 +1,92 @@
+//! The thread that talks to other hosts.
+
+use super::*;
+
+/// Longest time of one call to another host.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Clients kept; a host asks one steward at a time.
+const MAX_CLIENTS: usize = 16;
+
+/// What the thread is given.
+pub(crate) struct PeerThread {
+    pub(crate) events: flume::Sender<RingEvent>,
+    pub(crate) jobs: flume::Receiver<PeerJob>,
+    pub(crate) listener: std::net::TcpListener,
+    pub(crate) logger: Logger,
+    pub(crate) shutdown: Shutdown,
+    pub(crate) token: String,
+}
+
+impl PeerThread {
+    pub(crate) fn spawn(self) -> eyre::Result<JoinHandle<eyre::Result<()>>> {
+        std::thread::Builder::new()
+            .name("peers".to_string())
+            .spawn(move || single_thread_runtime()?.block_on(self.run()))
+            .wrap_err("cannot start the peers' thread")
+    }
+
+    async fn run(self) -> eyre::Result<()> {
+        let handler = answer_by_controller(self.events.clone());
+        let server = PeerServer::start(self.listener, self.token.clone(), handler).await?;
+        tokio::select! {
+            () = send_heartbeats(&self.jobs, &self.token, &self.events, &self.logger) => {}
+            () = self.shutdown.started() => {}
+        }
+        server.stop().await;
+        Ok(())
+    }
+}
+
+/// Heartbeats of others go through the controller's ring like all else; where
+/// it is full, the asking host gets no answer and tries another one.
+fn answer_by_controller(events: flume::Sender<RingEvent>) -> PeerHandler {
+    Arc::new(move |heartbeat| {
+        let (sender, answer) = oneshot::channel();
+        let sent = events.try_send(RingEvent::HeartbeatAsked(heartbeat, sender));
+        Box::pin(async move {
+            sent.ok()?;
+            timeout(CALL_TIMEOUT, answer).await.ok()?.ok()
+        })
+    })
+}
+
+async fn send_heartbeats(
+    jobs: &flume::Receiver<PeerJob>,
+    token: &str,
+    events: &flume::Sender<RingEvent>,
+    logger: &Logger,
+) {
+    let mut clients: HashMap<SocketAddr, PeerClient> = HashMap::default();
+    while let Ok(job) = jobs.recv_async().await {
+        if clients.len() >= MAX_CLIENTS {
+            clients.clear();
+        }
+        let answer = match client(&mut clients, job.address, token) {
+            Some(client) => client.heartbeat(job.heartbeat).await,
+            None => None,
+        };
+        if answer.is_none() {
+            debug!(logger, "peers: no answer"; "peer" => %job.host);
+            clients.remove(&job.address);
+        }
+        let event = Event::HeartbeatAnswered {
+            answer,
+            asked: job.asked,
+            host: job.host,
+        };
+        let _ = events.send_async(RingEvent::Happened(event)).await;
+    }
+}
+
+fn client<'a>(
+    clients: &'a mut HashMap<SocketAddr, PeerClient>,
+    address: SocketAddr,
+    token: &str,
+) -> Option<&'a PeerClient> {
+    if !clients.contains_key(&address) {
+        let client = PeerClient::new(address, token.to_string(), CALL_TIMEOUT).ok()?;
+        clients.insert(address, client);
+    }
+    clients.get(&address)
+}
--- a/crates/router/src/platform_thread.rs
+++ b/crates/router/src/platform_thread.rs
@@ -8,6 +8,9 @@
 /// Time between two looks at the newest version.
 const WATCH_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Shortest time between two looks at the newest version.
+const MIN_WATCH_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time between two reads of the host list.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -20,6 +23,7 @@
     pub(crate) events: flume::Sender<RingEvent>,
     pub(crate) jobs: flume::Receiver<PlatformJob>,
     pub(crate) logger: Logger,
+    pub(crate) read_configuration: Arc<Notify>,
     pub(crate) shutdown: Shutdown,
 }
 
@@ -40,7 +44,7 @@
         let store = ConfigStore::new(Arc::clone(&client));
         let watching = async {
             futures::join!(
-                watch_configuration(&store, &self.events, &self.logger),
+                watch_configuration(&store, &self.read_configuration, &self.events, &self.logger),
                 watch_hosts(&client, &self.events, &self.logger),
             );
         };
@@ -57,6 +61,7 @@
 
 async fn watch_configuration(
     store: &ConfigStore,
+    read_now: &Notify,
     events: &flume::Sender<RingEvent>,
     logger: &Logger,
 ) {
@@ -85,7 +90,12 @@
                 }
             }
         }
-        sleep(jittered(WATCH_INTERVAL)).await;
+        // A peer's word of a newer version cuts the wait short, but never below
+        // a pause: peers that are ahead of a slow platform must not make every
+        // host ask it at once and again.
+        sleep(MIN_WATCH_PAUSE).await;
+        let wait = jittered(WATCH_INTERVAL).saturating_sub(MIN_WATCH_PAUSE);
+        let _ = timeout(wait, read_now.notified()).await;
     }
 }
 
@@ -95,6 +105,9 @@
         match client.hosts().await {
             Ok(list) if list != known => {
                 debug!(logger, "platform: host list"; "hosts" => list.hosts.len());
+                let hosts = list.hosts.iter().map(peer_host).collect();
+                let event = Event::HostsListed { hosts };
+                let _ = events.send_async(RingEvent::Happened(event)).await;
                 let leaving = list.upstreams.iter();
                 let leaving = leaving
                     .filter(|listed| listed.state == ListedState::Leaving)
@@ -111,6 +124,15 @@
     }
 }
 
+fn peer_host(listed: &ListedHost) -> PeerHost {
+    PeerHost {
+        address: listed.peer_address,
+        failure_domain: listed.failure_domain.clone(),
+        host: listed.host.clone(),
+        leaving: listed.state == ListedState::Leaving,
+    }
+}
+
 /// Carries jobs out until the ring is closed and empty, and joins them.
 async fn serve_jobs(
     jobs: &flume::Receiver<PlatformJob>,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,7 +14,7 @@
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     platform::{
-        HostList, ListedState, ListedUpstream, Row, TableBatch, TableOperation, TableRead,
+        HostList, ListedHost, ListedState, ListedUpstream, Row, TableBatch, TableOperation, TableRead,
         TableResult, TableResults, TableRows,
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
--- a/crates/standin/src/platform_standin.rs
+++ b/crates/standin/src/platform_standin.rs
@@ -38,9 +38,9 @@
         *lock(&self.state.faults) = faults;
     }
 
-    /// Sets its host list.
-    pub fn set_hosts(&self, hosts: HostList) {
-        *lock(&self.state.hosts) = hosts;
+    /// Sets the hosts of its list.
+    pub fn set_hosts(&self, hosts: Vec<ListedHost>) {
+        lock(&self.state.hosts).hosts = hosts;
     }
 
     /// Lists an upstream as live or leaving.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -34,6 +34,7 @@
 mod parse_quantity_error;
 pub mod prelude;
 mod rate;
+mod rendezvous;
 mod request_id;
 mod service_id;
 mod team_id;
@@ -49,7 +50,7 @@
     failure_domain_id::FailureDomainId, fence::Fence, fingerprint::Fingerprint, host_id::HostId,
     idempotency_key::IdempotencyKey, incarnation::Incarnation, key_hash::KeyHash,
     load_report::LoadReport, model_id::ModelId, parse_id_error::ParseIdError,
-    parse_quantity_error::ParseQuantityError, rate::Rate, request_id::RequestId,
-    service_id::ServiceId, team_id::TeamId, tier::Tier, time::Time, tokens::Tokens,
-    upstream_id::UpstreamId, verdict::Verdict,
+    parse_quantity_error::ParseQuantityError, rate::Rate, rendezvous::rendezvous_weight,
+    request_id::RequestId, service_id::ServiceId, team_id::TeamId, tier::Tier, time::Time,
+    tokens::Tokens, upstream_id::UpstreamId, verdict::Verdict,
 };
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -3,5 +3,5 @@
 pub use crate::{
     AttemptId, ByteSize, ClassId, ConfigVersion, FailureCause, FailureDomainId, Fence, Fingerprint,
     HashMap, HashSet, HostId, IdempotencyKey, Incarnation, KeyHash, LoadReport, ModelId, Rate,
-    RequestId, ServiceId, TeamId, Tier, Time, Tokens, UpstreamId, Verdict,
+    RequestId, ServiceId, TeamId, Tier, Time, Tokens, UpstreamId, Verdict, rendezvous_weight,
 };
