--- /dev/null
+++ b/crates/router/tests/hosts.rs
@@ -0,0 +1,151 @@
+//! Several hosts of one failure domain act together.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod site;
+
+use {
+    config::Patch,
+    serde_json::json,
+    site::Site,
+    standin::{EngineOptions, PlatformFaults},
+    std::collections::BTreeSet,
+    types::prelude::*,
+};
+
+fn patch(base: u64) -> Patch {
+    let operations = json!([{"op": "replace", "path": "/trial/max_slot_share", "value": 0.25}]);
+    Patch {
+        author: "tests".to_string(),
+        base: ConfigVersion::new(base),
+        id: format!("patch-{base}"),
+        operations: serde_json::from_value(operations).unwrap(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_hosts_come_to_name_one_steward() {
+    let site = Site::with_engines(2).and_hosts(3).start().await;
+    site.until("one steward", |site| {
+        let stewards: BTreeSet<HostId> = site.hosts().map(|host| host.status().steward).collect();
+        stewards.len() == 1
+    })
+    .await;
+}
+
+/// Symptom: an order is confirmed twice.
+/// Sequence: the balancer sends the caller's retry to another host while the
+/// first one still runs the request.
+/// Cause: each host knows only its own requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_key_at_three_hosts_runs_once() {
+    let site = Site::with_engines(0)
+        .and_service("orders")
+        .and_hosts(3)
+        .start()
+        .await;
+    site.break_service(|faults| faults.delay_ms = 30);
+    for round in 0..10 {
+        let tag = format!("o{round}");
+        let asks: Vec<_> = (0..12)
+            .map(|number| {
+                let ask = site
+                    .ask("order")
+                    .at_service("orders")
+                    .tagged(&tag)
+                    .with_key(&tag);
+                ask.to_host(number % 3).spawn()
+            })
+            .collect();
+        for ask in asks {
+            let answer = ask.await.unwrap();
+            assert!(matches!(answer.status, 200 | 409), "{answer:?}");
+        }
+        assert_eq!(site.log.count(&tag), 1, "{tag}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_patch_is_soon_in_force_on_all_hosts() {
+    let site = Site::with_engines(1).and_hosts(3).start().await;
+    let version = site.store().submit(&patch(1)).await.unwrap();
+    site.until("in force", |site| {
+        site.hosts()
+            .all(|host| host.status().version == Some(version))
+    })
+    .await;
+}
+
+/// Symptom: requests are cut or lost while hosts are replaced.
+/// Sequence: under load each host in turn drains, stops, and another starts.
+/// Cause: a host that ends before its requests do.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_replacement_loses_nothing() {
+    let few = |options: &mut EngineOptions| options.slots = 4;
+    let mut site = Site::with_engines(2)
+        .engines_like(few)
+        .and_hosts(3)
+        .start()
+        .await;
+    let mut asks = Vec::new();
+    for number in 0..3 {
+        for request in 0..20 {
+            let tag = format!("h{number}r{request}");
+            asks.push((
+                tag.clone(),
+                site.ask("question").tagged(&tag).of(40).to_host(0).spawn(),
+            ));
+        }
+        // The balancer has stopped sending to this host before it stops.
+        site.until("requests are in", |site| {
+            let prefix = format!("h{number}r");
+            site.log
+                .runs()
+                .iter()
+                .any(|run| run.tag.starts_with(&prefix))
+        })
+        .await;
+        site.stop_host().await;
+        site.host = site.others.remove(0);
+        let new = site.start_numbered(number + 3).await;
+        site.others.push(Some(new));
+        site.list_hosts();
+    }
+    for (tag, ask) in asks {
+        ask.await.unwrap().assert_whole(&tag, 40);
+        assert_eq!(site.log.count(&tag), 1);
+    }
+}
+
+/// Symptom: a domain that is cut off from the platform stops serving.
+/// Sequence: the platform is down for all hosts; then one host after another is
+/// asked.
+/// Cause: a decision that waits for the platform.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_domain_without_its_platform_goes_on() {
+    let site = Site::with_engines(2)
+        .and_service("orders")
+        .and_hosts(3)
+        .start()
+        .await;
+    site.until("one steward", |site| {
+        let stewards: BTreeSet<HostId> = site.hosts().map(|host| host.status().steward).collect();
+        stewards.len() == 1
+    })
+    .await;
+    site.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    for number in 0..3 {
+        let tag = format!("t{number}");
+        let ask = site.ask("question").tagged(&tag).to_host(number);
+        ask.send().await.assert_whole(&tag, 4);
+        let ask = site
+            .ask("order")
+            .at_service("orders")
+            .tagged("o")
+            .to_host(number);
+        assert_eq!(ask.send().await.status, 200);
+    }
+}
--- a/crates/router/tests/site/ask.rs
+++ b/crates/router/tests/site/ask.rs
@@ -12,7 +12,7 @@
     path: String,
     stream: bool,
     tag: String,
-    _site: &'a Site,
+    site: &'a Site,
 }
 
 impl<'a> Ask<'a> {
@@ -28,7 +28,7 @@
             path: "/v1/chat/completions".to_string(),
             stream: true,
             tag: "tag".to_string(),
-            _site: site,
+            site,
         }
     }
 
@@ -38,6 +38,12 @@
         self
     }
 
+    /// Sends it to the host with a number instead of the first.
+    pub fn to_host(mut self, number: usize) -> Self {
+        self.address = self.site.hosts().nth(number).unwrap().caller_address();
+        self
+    }
+
     pub fn whole(mut self) -> Self {
         self.stream = false;
         self
--- a/crates/router/tests/site/builder.rs
+++ b/crates/router/tests/site/builder.rs
@@ -5,6 +5,7 @@
     document: Value,
     engine: EngineOptions,
     engines: usize,
+    hosts: usize,
     settings: Vec<SettingsEdit>,
     services: Vec<String>,
 }
@@ -46,11 +47,18 @@
                 ..EngineOptions::default()
             },
             engines,
+            hosts: 1,
             services: Vec::new(),
             settings: Vec::new(),
         }
     }
 
+    /// So many hosts, all in one failure domain.
+    pub fn and_hosts(mut self, hosts: usize) -> Self {
+        self.hosts = hosts;
+        self
+    }
+
     /// A service that is not idempotent, with one replica.
     pub fn and_service(mut self, name: &str) -> Self {
         self.services.push(name.to_string());
@@ -78,11 +86,17 @@
         let document = std::mem::take(&mut site.1);
         let document = Document::from_value(document).unwrap();
         site.0.store().create(document).await.unwrap();
-        site.0.start_host().await;
-        site.0
+        let (mut site, hosts) = (site.0, site.2);
+        site.start_host().await;
+        for number in 1..hosts {
+            let host = site.start_numbered(number).await;
+            site.others.push(Some(host));
+        }
+        site.list_hosts();
+        site
     }
 
-    async fn start_without_configuration(mut self) -> (Site, Value) {
+    async fn start_without_configuration(mut self) -> (Site, Value, usize) {
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
         let log = RunLog::default();
         let platform = PlatformStandin::start(any).await.unwrap();
@@ -128,11 +142,12 @@
             engines,
             host: None,
             log,
+            others: Vec::new(),
             platform,
             services,
             settings,
         };
-        (site, self.document)
+        (site, self.document, self.hosts)
     }
 }
 
--- a/crates/router/tests/site/mod.rs
+++ b/crates/router/tests/site/mod.rs
@@ -13,7 +13,7 @@
     http_body_util::{BodyDataStream, BodyExt, Full},
     hyper::{Request, Response, StatusCode, body::Incoming, client::conn::http1::handshake},
     hyper_util::rt::TokioIo,
-    platform::{ConfigStore, PlatformClient},
+    platform::{ConfigStore, ListedHost, ListedState, PlatformClient},
     router::{Host, Serving},
     serde_json::{Value, json},
     standin::{
@@ -42,6 +42,8 @@
     pub engines: Vec<EngineStandin>,
     pub host: Option<Host<Serving>>,
     pub log: RunLog,
+    /// Hosts beyond the first.
+    pub others: Vec<Option<Host<Serving>>>,
     pub platform: PlatformStandin,
     pub services: Vec<ServiceStandin>,
     settings: Settings,
@@ -60,6 +62,22 @@
         self.host.as_ref().unwrap()
     }
 
+    /// All hosts that run.
+    pub fn hosts(&self) -> impl Iterator<Item = &Host<Serving>> {
+        self.host.iter().chain(self.others.iter().flatten())
+    }
+
+    /// Writes the hosts that run into the platform's list.
+    pub fn list_hosts(&self) {
+        let hosts = self.hosts().map(|host| ListedHost {
+            failure_domain: host.status().failure_domain,
+            host: host.status().host,
+            peer_address: host.peer_address(),
+            state: ListedState::Live,
+        });
+        self.platform.set_hosts(hosts.collect());
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.host().caller_address()
     }
@@ -103,13 +121,19 @@
 
     /// Starts another host in the place of the one before.
     pub async fn start_host(&mut self) {
-        let settings = self.settings.clone();
+        self.host = Some(self.start_numbered(0).await);
+    }
+
+    /// Starts the host with a number.
+    pub async fn start_numbered(&self, number: usize) -> Host<Serving> {
+        let mut settings = self.settings.clone();
+        settings.host = format!("host-{number}").parse().unwrap();
         let host = tokio::task::spawn_blocking(move || {
             let host = Host::start(settings, router::discard_logger()).unwrap();
             assert!(host.wait_ready(LONG));
             host
         });
-        self.host = Some(host.await.unwrap());
+        host.await.unwrap()
     }
 
     /// Sends raw bytes, which ask for the connection to be closed, and reads
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,8 +14,8 @@
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     platform::{
-        HostList, ListedHost, ListedState, ListedUpstream, Row, TableBatch, TableOperation, TableRead,
-        TableResult, TableResults, TableRows,
+        HostList, ListedHost, ListedState, ListedUpstream, Row, TableBatch, TableOperation,
+        TableRead, TableResult, TableResults, TableRows,
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     serde_json::{Value, json},
