--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -37,7 +37,7 @@
     serde_json::{json, value::RawValue},
     slog::{Drain, Logger, debug, info, o, warn},
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, VecDeque, hash_map::Entry},
         convert::Infallible,
         net::SocketAddr,
         pin::pin,
--- a/crates/router/src/peer_thread.rs
+++ b/crates/router/src/peer_thread.rs
@@ -84,9 +84,11 @@
     address: SocketAddr,
     token: &str,
 ) -> Option<&'a PeerClient> {
-    if !clients.contains_key(&address) {
-        let client = PeerClient::new(address, token.to_string(), CALL_TIMEOUT).ok()?;
-        clients.insert(address, client);
+    match clients.entry(address) {
+        Entry::Occupied(entry) => Some(entry.into_mut()),
+        Entry::Vacant(entry) => {
+            let client = PeerClient::new(address, token.to_string(), CALL_TIMEOUT).ok()?;
+            Some(entry.insert(client))
+        }
     }
-    clients.get(&address)
 }
--- a/crates/router/tests/hosts.rs
+++ b/crates/router/tests/hosts.rs
@@ -54,7 +54,7 @@
                     .at_service("orders")
                     .tagged(&tag)
                     .with_key(&tag);
-                ask.to_host(number % 3).spawn()
+                ask.at_host(number % 3).spawn()
             })
             .collect();
         for ask in asks {
@@ -93,7 +93,7 @@
             let tag = format!("h{number}r{request}");
             asks.push((
                 tag.clone(),
-                site.ask("question").tagged(&tag).of(40).to_host(0).spawn(),
+                site.ask("question").tagged(&tag).of(40).at_host(0).spawn(),
             ));
         }
         // The balancer has stopped sending to this host before it stops.
@@ -139,13 +139,13 @@
     });
     for number in 0..3 {
         let tag = format!("t{number}");
-        let ask = site.ask("question").tagged(&tag).to_host(number);
+        let ask = site.ask("question").tagged(&tag).at_host(number);
         ask.send().await.assert_whole(&tag, 4);
         let ask = site
             .ask("order")
             .at_service("orders")
             .tagged("o")
-            .to_host(number);
+            .at_host(number);
         assert_eq!(ask.send().await.status, 200);
     }
 }
--- a/crates/router/tests/site/ask.rs
+++ b/crates/router/tests/site/ask.rs
@@ -39,7 +39,7 @@
     }
 
     /// Sends it to the host with a number instead of the first.
-    pub fn to_host(mut self, number: usize) -> Self {
+    pub fn at_host(mut self, number: usize) -> Self {
         self.address = self.site.hosts().nth(number).unwrap().caller_address();
         self
     }
