--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -11,6 +11,9 @@
     pub classes: BTreeMap<ClassId, Class>,
     /// Format of this document; 1 today.
     pub format: u32,
+    /// How slots are given to requests.
+    #[serde(default)]
+    pub scheduling: Scheduling,
     /// Plain services.
     #[serde(default)]
     pub services: BTreeMap<ServiceId, Service>,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -20,6 +20,7 @@
 mod numbered;
 mod patch;
 mod plan;
+mod scheduling;
 mod service;
 mod service_replica;
 mod settings;
@@ -31,7 +32,7 @@
 
 pub use {
     class::Class, config_error::ConfigError, document::Document, engine::Engine, limits::Limits,
-    numbered::Numbered, patch::Patch, plan::Plan, service::Service,
+    numbered::Numbered, patch::Patch, plan::Plan, scheduling::Scheduling, service::Service,
     service_replica::ServiceReplica, settings::Settings, settings_error::SettingsError, team::Team,
     trial_rules::TrialRules, upstream::Upstream,
 };
--- a/crates/config/src/validation.rs
+++ b/crates/config/src/validation.rs
@@ -11,6 +11,7 @@
 
 pub(crate) fn check(document: &Document) -> Result<(), ConfigError> {
     check_trial(&document.trial)?;
+    check_scheduling(&document.scheduling)?;
     for (id, class) in &document.classes {
         check_class(id, class)?;
     }
@@ -43,6 +44,14 @@
     )
 }
 
+fn check_scheduling(scheduling: &Scheduling) -> Result<(), ConfigError> {
+    in_range(
+        (0.0..=0.5).contains(&scheduling.max_headroom_share),
+        "scheduling.max_headroom_share".to_string(),
+        "0 to 0.5",
+    )
+}
+
 fn check_class(id: &ClassId, class: &Class) -> Result<(), ConfigError> {
     in_range(
         (1..=MAX_DEADLINE_MS).contains(&class.deadline_ms),
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -197,6 +197,7 @@
     let document = Document {
         classes: scenario.classes.iter().map(class_entry).collect(),
         format: 1,
+        scheduling: Scheduling::default(),
         services: scenario
             .fleet
             .services
--- a/crates/peer/src/heartbeat_answer.rs
+++ b/crates/peer/src/heartbeat_answer.rs
@@ -3,7 +3,7 @@
 /// What the steward answers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HeartbeatAnswer {
-    /// The host's shares of the domain's upstreams. `None` if the host that
+    /// The host's shares of the domain's groups of upstreams. `None` if the host that
     /// was asked does not take itself for the steward.
     pub grants: Option<Vec<Grant>>,
     /// Which start of the steward this is.
@@ -27,7 +27,7 @@
     pub fn check(&self) -> Result<(), MessageError> {
         MessageError::check_protocol(self.protocol)?;
         let grants = self.grants.as_ref().map_or(0, Vec::len);
-        MessageError::check_size("grants", grants, MAX_UPSTREAMS)?;
+        MessageError::check_size("grants", grants, MAX_TARGETS)?;
         MessageError::check_size("upstreams", self.leaving.len(), MAX_UPSTREAMS)?;
         MessageError::check_size(
             "milliseconds",
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -38,7 +38,7 @@
 /// Oldest version that is answered.
 pub const OLDEST_PROTOCOL: u32 = 1;
 
-/// Most targets in one message; a domain serves far fewer.
+/// Most targets or groups in one message; a domain serves far fewer.
 pub const MAX_TARGETS: usize = 256;
 
 /// Most upstreams in one message.
--- /dev/null
+++ b/crates/policy/benches/overload/bench_request.rs
@@ -0,0 +1,68 @@
+use super::*;
+
+/// Length of a run in virtual seconds.
+pub const DURATION_S: f64 = 300.0;
+
+/// Median and spread of the output length.
+const OUTPUT_MEDIAN: f64 = 80.0;
+const OUTPUT_SIGMA: f64 = 0.7;
+
+/// One request of a bench.
+#[derive(Clone, Debug)]
+pub struct BenchRequest {
+    pub at: Time,
+    pub class: usize,
+    pub host: usize,
+    pub tokens: u32,
+}
+
+impl BenchRequest {
+    /// When its first token is due.
+    pub fn due(&self) -> Time {
+        self.at.plus_ms(CLASSES[self.class].first_token_target_ms)
+    }
+}
+
+/// Poisson arrivals that ask for `load` times what the engines can do; the
+/// first host gets `skew` times what each other one gets.
+pub fn generate(site: &Site, load: f64, seed: u64) -> Vec<BenchRequest> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let lengths = LogNormal::new(OUTPUT_MEDIAN.ln(), OUTPUT_SIGMA).unwrap();
+    let mean = OUTPUT_MEDIAN * (OUTPUT_SIGMA * OUTPUT_SIGMA / 2.0).exp();
+    let service_s = world::service(mean as u32).as_secs_f64();
+    let slots = (site.engines * site.slots as usize) as f64;
+    let gaps = Exp::new(load * slots / service_s).unwrap();
+    let mut requests = Vec::new();
+    let mut at_s = 0.0;
+    loop {
+        at_s += gaps.sample(&mut rng);
+        if at_s > DURATION_S {
+            return requests;
+        }
+        requests.push(BenchRequest {
+            at: Time::from_us((at_s * 1e6) as u64),
+            class: pick_class(rng.random()),
+            host: pick_host(site, rng.random()),
+            tokens: lengths.sample(&mut rng).clamp(1.0, 1_000.0) as u32,
+        });
+    }
+}
+
+fn pick_class(mut luck: f64) -> usize {
+    for (number, class) in CLASSES.iter().enumerate() {
+        if luck < class.share {
+            return number;
+        }
+        luck -= class.share;
+    }
+    CLASSES.len() - 1
+}
+
+fn pick_host(site: &Site, luck: f64) -> usize {
+    let total = site.skew + (site.hosts - 1) as f64;
+    let place = luck * total;
+    if place < site.skew {
+        return 0;
+    }
+    (1 + (place - site.skew) as usize).min(site.hosts - 1)
+}
--- /dev/null
+++ b/crates/policy/benches/overload/controllers.rs
@@ -0,0 +1,211 @@
+use super::*;
+
+/// How the hosts of a bench talk to each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Peering {
+    /// Heartbeats arrive at once, but the steward's host stands still as a
+    /// peer for 5 s of each 10 s.
+    Frozen,
+    /// No heartbeat arrives.
+    Off,
+    /// Heartbeats arrive at once.
+    On,
+}
+
+/// What is measured: the controller, one for each host.
+pub struct Controllers {
+    attempts: BTreeMap<usize, (usize, AttemptId)>,
+    controllers: Vec<Controller>,
+    engines: BTreeMap<UpstreamId, usize>,
+    host_of: BTreeMap<usize, usize>,
+    peering: Peering,
+}
+
+/// Half of the period in which a frozen steward stands still.
+const FREEZE_S: u64 = 5;
+
+impl Controllers {
+    pub fn new(site: &Site, rules: &RoomRules, peering: Peering, headroom: f64, seed: u64) -> Self {
+        let numbered = Arc::new(Numbered {
+            document: class::document(site, headroom),
+            version: ConfigVersion::new(1),
+        });
+        let hosts: Vec<PeerHost> = (0..site.hosts).map(listed).collect();
+        let mut controllers = Vec::new();
+        for number in 0..site.hosts {
+            let mut controller = Controller::new(ControllerOptions {
+                failure_domain: "a".parse().unwrap(),
+                host: format!("host-{number}").parse().unwrap(),
+                incarnation: Incarnation::new(number as u64),
+                max_queued: 100_000,
+                room: rules.clone(),
+                seed: seed * 1_000 + number as u64,
+            });
+            let mut actions = Vec::new();
+            let read = Event::ConfigurationRead(Arc::clone(&numbered));
+            controller.handle(Time::default(), read, &mut actions);
+            let hosts = hosts.clone();
+            controller.handle(Time::default(), Event::HostsListed { hosts }, &mut actions);
+            controllers.push(controller);
+        }
+        let engines = (0..site.engines)
+            .map(|number| (class::engine_name(number).parse().unwrap(), number))
+            .collect();
+        Self {
+            attempts: BTreeMap::new(),
+            controllers,
+            engines,
+            host_of: BTreeMap::new(),
+            peering,
+        }
+    }
+
+    fn handle(&mut self, now: Time, host: usize, event: Event) -> Vec<Start> {
+        let mut actions = Vec::new();
+        self.controllers[host].handle(now, event, &mut actions);
+        let mut starts = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { order, request } => {
+                    let request = request.get() as usize;
+                    self.attempts.insert(request, (host, order.attempt));
+                    starts.push(Start {
+                        engine: self.engines[&order.upstream],
+                        priority: order.priority,
+                        request,
+                    });
+                }
+                Action::SendHeartbeat {
+                    heartbeat,
+                    host: steward,
+                    ..
+                } => {
+                    let answer = self.ask(now, &steward, heartbeat);
+                    let event = Event::HeartbeatAnswered {
+                        answer,
+                        asked: now,
+                        host: steward,
+                    };
+                    starts.extend(self.handle(now, host, event));
+                }
+                _ => {}
+            }
+        }
+        starts
+    }
+
+    fn ask(
+        &mut self,
+        now: Time,
+        steward: &HostId,
+        heartbeat: peer::Heartbeat,
+    ) -> Option<peer::HeartbeatAnswer> {
+        let frozen = now.as_us() / 1_000_000 / FREEZE_S % 2 == 1;
+        if self.peering == Peering::Off || (self.peering == Peering::Frozen && frozen) {
+            return None;
+        }
+        let number: usize = steward
+            .as_str()
+            .trim_start_matches("host-")
+            .parse()
+            .unwrap();
+        let mut actions = Vec::new();
+        let asked = Event::HeartbeatAsked { call: 0, heartbeat };
+        self.controllers[number].handle(now, asked, &mut actions);
+        actions.into_iter().find_map(|action| match action {
+            Action::AnswerHeartbeat { answer, .. } => Some(answer),
+            _ => None,
+        })
+    }
+
+    fn end(&mut self, now: Time, request: usize, end: AttemptEnd) -> Vec<Start> {
+        let Some((host, attempt)) = self.attempts.remove(&request) else {
+            return Vec::new();
+        };
+        let event = Event::AttemptEnded {
+            attempt,
+            end,
+            request: RequestId::new(request as u64),
+        };
+        self.handle(now, host, event)
+    }
+}
+
+fn listed(number: usize) -> PeerHost {
+    PeerHost {
+        address: format!("127.0.0.1:{}", 20_000 + number).parse().unwrap(),
+        failure_domain: "a".parse().unwrap(),
+        host: format!("host-{number}").parse().unwrap(),
+        leaving: false,
+    }
+}
+
+impl BenchRouter for Controllers {
+    fn arrive(&mut self, now: Time, request: usize, wanted: &BenchRequest) -> Vec<Start> {
+        let class = &CLASSES[wanted.class];
+        self.host_of.insert(request, wanted.host);
+        let arrival = Arrival {
+            class: Some(class.name.parse().unwrap()),
+            key_hash: KeyHash::of_key(if class.trial { "trial" } else { "paid" }),
+            max_output: None,
+            prefix: None,
+            prompt: Tokens::default(),
+            repeatability: Repeatability::AsConfigured,
+            request: RequestId::new(request as u64),
+            target: Target::Model("small".parse().unwrap()),
+        };
+        self.handle(now, wanted.host, Event::Arrived(arrival))
+    }
+
+    fn ended(&mut self, now: Time, request: usize, tokens: u32) -> Vec<Start> {
+        let tokens = Tokens::new(tokens.saturating_sub(1));
+        let answer = None;
+        self.end(now, request, AttemptEnd::Completed { answer, tokens })
+    }
+
+    fn first_token(&mut self, now: Time, request: usize) {
+        let (host, attempt) = self.attempts[&request];
+        let event = Event::Progressed {
+            attempt,
+            request: RequestId::new(request as u64),
+            tokens: Tokens::new(1),
+        };
+        let mut actions = Vec::new();
+        self.controllers[host].handle(now, event, &mut actions);
+    }
+
+    fn refused(&mut self, now: Time, request: usize) -> Vec<Start> {
+        let end = AttemptEnd::Failed {
+            cause: FailureCause::Busy,
+            delivered: false,
+            tokens: Tokens::default(),
+            verdict: Verdict::NotRun,
+        };
+        self.end(now, request, end)
+    }
+
+    fn reported(&mut self, now: Time, loads: &[(u32, u32)]) -> Vec<Start> {
+        let mut starts = Vec::new();
+        for host in 0..self.controllers.len() {
+            for (number, (running, waiting)) in loads.iter().enumerate() {
+                let report = LoadReport {
+                    age_ms: 250,
+                    leaving: false,
+                    running: *running,
+                    waiting: *waiting,
+                };
+                let upstream = class::engine_name(number).parse().unwrap();
+                let event = Event::LoadReported { report, upstream };
+                starts.extend(self.handle(now, host, event));
+            }
+        }
+        starts
+    }
+
+    fn tick(&mut self, now: Time) -> Vec<Start> {
+        let hosts = 0..self.controllers.len();
+        hosts
+            .flat_map(|host| self.handle(now, host, Event::Ticked))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/overload/world.rs
@@ -0,0 +1,182 @@
+use super::*;
+
+/// Requests that an engine holds beyond its slots.
+pub const QUEUE_BOUND: u32 = 8;
+
+/// Time to read a prompt.
+const PREFILL_US: u64 = 60_000;
+
+/// Time of one token.
+const TOKEN_US: u64 = 20_000;
+
+/// Time between two ticks.
+const TICK_US: u64 = 10_000;
+
+/// Time between two load reports; they show the engines of that moment, and
+/// are read half an interval later.
+const REPORT_US: u64 = 500_000;
+
+/// Virtual time after the last arrival until what is left counts as unserved.
+const TAIL_S: u64 = 120;
+
+/// A site of a bench.
+pub struct Site {
+    pub engines: usize,
+    pub hosts: usize,
+    /// How many times more the first host gets than each other one.
+    pub skew: f64,
+    pub slots: u32,
+}
+
+/// Time that a slot is taken by an answer.
+pub fn service(tokens: u32) -> std::time::Duration {
+    std::time::Duration::from_micros(PREFILL_US + u64::from(tokens.max(1) - 1) * TOKEN_US)
+}
+
+/// Time from the start on a slot to the first token.
+pub fn prefill() -> std::time::Duration {
+    std::time::Duration::from_micros(PREFILL_US)
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Happening {
+    Arrive(usize),
+    End { engine: usize, request: usize },
+    FirstToken(usize),
+    Report,
+    ReportRead,
+    Tick,
+}
+
+#[derive(Default)]
+struct Engine {
+    running: u32,
+    waiting: BTreeMap<(u8, u64), usize>,
+}
+
+struct World<'a> {
+    engines: Vec<Engine>,
+    events: BinaryHeap<Reverse<(Time, u64, Happening)>>,
+    first_token: Vec<Option<Time>>,
+    loads: Vec<(u32, u32)>,
+    requests: &'a [BenchRequest],
+    result: BenchResult,
+    seq: u64,
+    slots: u32,
+}
+
+/// Runs a load against a router.
+pub fn run(site: &Site, requests: &[BenchRequest], router: &mut dyn BenchRouter) -> BenchResult {
+    let mut world = World {
+        engines: (0..site.engines).map(|_| Engine::default()).collect(),
+        events: BinaryHeap::new(),
+        first_token: vec![None; requests.len()],
+        loads: vec![(0, 0); site.engines],
+        requests,
+        result: BenchResult::default(),
+        seq: 0,
+        slots: site.slots,
+    };
+    for (number, request) in requests.iter().enumerate() {
+        world.result.classes[request.class].total += 1;
+        world.push(request.at, Happening::Arrive(number));
+    }
+    world.push(Time::from_us(TICK_US), Happening::Tick);
+    world.push(Time::from_us(REPORT_US), Happening::Report);
+    let end = Time::from_ms((bench_request::DURATION_S as u64 + TAIL_S) * 1_000);
+    while let Some(Reverse((now, _, happening))) = world.events.pop() {
+        if now > end {
+            break;
+        }
+        let starts = world.happen(now, happening, router);
+        world.start_all(now, starts, router);
+    }
+    world.result
+}
+
+impl World<'_> {
+    fn push(&mut self, at: Time, happening: Happening) {
+        self.seq += 1;
+        self.events.push(Reverse((at, self.seq, happening)));
+    }
+
+    fn happen(
+        &mut self,
+        now: Time,
+        happening: Happening,
+        router: &mut dyn BenchRouter,
+    ) -> Vec<Start> {
+        match happening {
+            Happening::Arrive(request) => router.arrive(now, request, &self.requests[request]),
+            Happening::End { engine, request } => {
+                self.count_end(now, request);
+                self.leave(now, engine);
+                router.ended(now, request, self.requests[request].tokens)
+            }
+            Happening::FirstToken(request) => {
+                self.first_token[request] = Some(now);
+                router.first_token(now, request);
+                Vec::new()
+            }
+            Happening::Report => {
+                let loads = self.engines.iter();
+                self.loads = loads
+                    .map(|engine| (engine.running, engine.waiting.len() as u32))
+                    .collect();
+                let half = std::time::Duration::from_micros(REPORT_US / 2);
+                self.push(now + half, Happening::ReportRead);
+                self.push(now + half + half, Happening::Report);
+                Vec::new()
+            }
+            Happening::ReportRead => router.reported(now, &self.loads),
+            Happening::Tick => {
+                let next = now + std::time::Duration::from_micros(TICK_US);
+                self.push(next, Happening::Tick);
+                router.tick(now)
+            }
+        }
+    }
+
+    fn start_all(&mut self, now: Time, starts: Vec<Start>, router: &mut dyn BenchRouter) {
+        let mut left: VecDeque<Start> = starts.into();
+        while let Some(start) = left.pop_front() {
+            let engine = &mut self.engines[start.engine];
+            if engine.running < self.slots {
+                engine.running += 1;
+                self.begin(now, start.engine, start.request);
+            } else if (engine.waiting.len() as u32) < QUEUE_BOUND {
+                self.seq += 1;
+                let place = (start.priority, self.seq);
+                engine.waiting.insert(place, start.request);
+            } else {
+                self.result.refused_by_engine += 1;
+                left.extend(router.refused(now, start.request));
+            }
+        }
+    }
+
+    fn begin(&mut self, now: Time, engine: usize, request: usize) {
+        let tokens = self.requests[request].tokens;
+        self.push(now + prefill(), Happening::FirstToken(request));
+        self.push(now + service(tokens), Happening::End { engine, request });
+    }
+
+    fn leave(&mut self, now: Time, engine: usize) {
+        match self.engines[engine].waiting.pop_first() {
+            Some((_, next)) => self.begin(now, engine, next),
+            None => self.engines[engine].running -= 1,
+        }
+    }
+
+    fn count_end(&mut self, _now: Time, request: usize) {
+        let wanted = &self.requests[request];
+        let class = &mut self.result.classes[wanted.class];
+        class.finished += 1;
+        let met = self.first_token[request].is_some_and(|first| first <= wanted.due());
+        if met {
+            class.met += 1;
+            self.result.good_tokens += u64::from(wanted.tokens);
+        }
+        self.result.tokens += u64::from(wanted.tokens);
+    }
+}
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -304,7 +304,7 @@
     /// Gives the slot back and counts the work done for the lane.
     fn leave_upstream(&mut self, now: Time, request: &Request<Running>) {
         self.pool
-            .end(&request.stage.upstream, request.facts.rank.plan);
+            .end(&request.stage.upstream, request.facts.rank.plan, now);
         if let Some(lane) = self.lanes.get_mut(&request.facts.target) {
             lane.rate.note_served(request.item.cost, now);
         }
--- a/crates/policy/src/claims.rs
+++ b/crates/policy/src/claims.rs
@@ -28,7 +28,7 @@
             None => return,
         };
         if request.stage.caller_gone && answer != ClaimAnswer::Ours {
-            self.release_claiming(&request);
+            self.release_claiming(now, &request);
             let outcome = request.outcome(OutcomeEnd::CallerGone, Verdict::NotRun, None, now);
             actions.push(Action::Record(outcome));
             return;
@@ -36,7 +36,7 @@
         match answer {
             ClaimAnswer::Ours => self.on_claim_granted(now, request, actions),
             ClaimAnswer::Ran(Some(answer)) => {
-                self.release_claiming(&request);
+                self.release_claiming(now, &request);
                 actions.push(Action::Replay {
                     answer,
                     request: id,
@@ -48,7 +48,7 @@
             ClaimAnswer::NotTried => self.park(now, request),
             other => {
                 let refusal = self.claim_refusal(&other);
-                self.release_claiming(&request);
+                self.release_claiming(now, &request);
                 self.finish_refused(now, &request, refusal, actions);
             }
         }
@@ -76,11 +76,11 @@
         let attempt = request.stage.attempt;
         if in_time && !request.stage.caller_gone {
             self.pool
-                .end(&request.stage.upstream, request.facts.rank.plan);
+                .end(&request.stage.upstream, request.facts.rank.plan, now);
             self.enqueue(now, request.granted(now).requeue());
             return;
         }
-        self.release_claiming(&request);
+        self.release_claiming(now, &request);
         settle(&request, attempt, Verdict::NotRun, None, actions);
         if request.stage.caller_gone {
             let outcome = request.outcome(OutcomeEnd::CallerGone, Verdict::NotRun, None, now);
@@ -120,7 +120,7 @@
     /// comes back to its queue to try again, and is refused at its deadline.
     fn park(&mut self, now: Time, request: Request<Claiming>) {
         self.pool
-            .end(&request.stage.upstream, request.facts.rank.plan);
+            .end(&request.stage.upstream, request.facts.rank.plan, now);
         let request = request.park();
         self.deadlines.insert((request.facts.deadline, request.id));
         self.parked.insert((now + PARK_PAUSE, request.id));
@@ -142,9 +142,9 @@
         }
     }
 
-    fn release_claiming(&mut self, request: &Request<Claiming>) {
+    fn release_claiming(&mut self, now: Time, request: &Request<Claiming>) {
         self.pool
-            .end(&request.stage.upstream, request.facts.rank.plan);
+            .end(&request.stage.upstream, request.facts.rank.plan, now);
         self.limits.release(&request.facts.team);
     }
 }
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -94,7 +94,7 @@
                 self.on_heartbeat(now, call, &heartbeat, actions);
             }
             Event::HostsListed { hosts } => self.on_hosts_listed(now, hosts),
-            Event::LoadReported { report, upstream } => self.on_load_report(&upstream, report),
+            Event::LoadReported { report, upstream } => self.on_load_report(now, &upstream, report),
             Event::ProbeAnswered { healthy, upstream } => {
                 if let Some(state) = self.pool.get_mut(&upstream) {
                     state.health.note_probe(healthy, now);
@@ -131,9 +131,10 @@
         self.queued
     }
 
-    /// Slots of an upstream that this host may fill now.
+    /// Slots that this host may fill now in the group of an upstream, those of
+    /// its own domain that serve the same targets.
     pub fn share(&self, upstream: &UpstreamId) -> Option<u32> {
-        self.pool.get(upstream).map(|state| state.share)
+        self.pool.share(upstream)
     }
 
     /// The host that this controller decides for.
@@ -172,6 +173,7 @@
         self.pool
             .apply(&numbered.document, &self.options.failure_domain);
         self.limits.retain(&numbered.document);
+        self.peering.follow(&numbered.document.scheduling);
         self.configuration = Some(numbered);
         self.apply_shares(now);
         if self.phase == HostPhase::Starting {
@@ -190,11 +192,11 @@
         self.pool.select(|state| !state.health.is_well())
     }
 
-    fn on_load_report(&mut self, upstream: &UpstreamId, report: LoadReport) {
+    fn on_load_report(&mut self, now: Time, upstream: &UpstreamId, report: LoadReport) {
         let Some(state) = self.pool.get_mut(upstream) else {
             return;
         };
-        state.note_report(report);
+        state.note_report(report, now);
     }
 
     fn on_tick(&mut self, now: Time, actions: &mut Vec<Action>) {
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -56,10 +56,11 @@
     }
 
     fn dispatch_floors(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let hosts = self.peering.members.domain_size();
         let targets: Vec<(Target, Rank)> = self
             .lanes
             .iter()
-            .filter_map(|(target, lane)| Some((target.clone(), lane.floor.due(now)?)))
+            .filter_map(|(target, lane)| Some((target.clone(), lane.floor.due(now, hosts)?)))
             .collect();
         for (target, rank) in targets {
             let Some(item) = self.peek(now, &target, rank) else {
@@ -127,7 +128,8 @@
         if let Some(lane) = self.lanes.get_mut(&facts.target) {
             lane.serve(facts.rank, item, now);
         }
-        self.pool.start(&upstream, facts.rank.plan, facts.prefix);
+        self.pool
+            .start(&upstream, facts.rank.plan, facts.prefix, now);
         request.attempts += 1;
         if request.attempts == 1 {
             self.retries.note_first_attempt();
--- a/crates/policy/src/floor.rs
+++ b/crates/policy/src/floor.rs
@@ -1,7 +1,9 @@
 use super::*;
 
 /// Each rank below the most urgent that has work is served at least once in
-/// this time, in each lane of each host.
+/// this time, in each lane of each failure domain; each host of the domain
+/// serves it once in as many such times as there are hosts. With a floor for
+/// each host by itself, the floors of eight hosts took half of all slots.
 const FLOOR_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The floor against starvation, one clock for each rank of a lane.
@@ -10,7 +12,8 @@
 /// served, strict priority never serves the rest. One would notice requests of
 /// low tiers that all end with `deadline_passed`. With it, a rank with waiting
 /// work takes one slot in each interval; all others are delayed by at most
-/// eleven such requests in each interval, one for each rank below the first.
+/// eleven such requests in each interval and domain, one for each rank below
+/// the first.
 #[derive(Debug, Default)]
 pub(crate) struct Floor {
     /// Since when each rank waits without being served; `None` while it has no
@@ -29,12 +32,14 @@
         self.waiting_since[rank.index()] = more.then_some(now);
     }
 
-    /// The rank that has waited longest beyond the interval.
-    pub(crate) fn due(&self, now: Time) -> Option<Rank> {
+    /// The rank that has waited longest beyond the interval of a domain with so
+    /// many hosts.
+    pub(crate) fn due(&self, now: Time, hosts: u32) -> Option<Rank> {
+        let interval = FLOOR_INTERVAL * hosts.max(1);
         Rank::all()
             .skip(1)
             .filter_map(|rank| self.waiting_since[rank.index()].map(|since| (since, rank)))
-            .filter(|(since, _)| now.since(*since) >= FLOOR_INTERVAL)
+            .filter(|(since, _)| now.since(*since) >= interval)
             .min()
             .map(|(_, rank)| rank)
     }
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -3,8 +3,12 @@
 /// Time from dispatch to the first token before anything has been seen.
 const FIRST_LEAD: Duration = Duration::from_millis(50);
 
-/// Weight of the newest sample in the moving average of the lead.
-const NEWEST_WEIGHT: f64 = 0.05;
+/// Weight of a sample below the lead, and of one above it: the lead follows the
+/// quick answers. What goes wrong with an average: one request that waited in
+/// an engine's own queue makes others count as late that still have time, and
+/// they are put behind the rest.
+const WEIGHT_BELOW: f64 = 0.2;
+const WEIGHT_ABOVE: f64 = 0.005;
 
 /// The queues of one target, a model or a service.
 #[derive(Debug)]
@@ -63,7 +67,12 @@
     /// Notes the time from a dispatch to its first token.
     pub(crate) fn note_lead(&mut self, sample: Duration) {
         let change = sample.as_secs_f64() - self.lead.as_secs_f64();
-        let lead_s = self.lead.as_secs_f64() + NEWEST_WEIGHT * change;
+        let weight = if change < 0.0 {
+            WEIGHT_BELOW
+        } else {
+            WEIGHT_ABOVE
+        };
+        let lead_s = self.lead.as_secs_f64() + weight * change;
         self.lead = Duration::from_secs_f64(lead_s.max(0.0));
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,14 +3,13 @@
 //! every failure can be written as a script of events.
 
 use {
-    config::{Class, Document, Numbered, Plan, Team, Upstream},
+    config::{Class, Document, Numbered, Plan, Scheduling, Team, Upstream},
     peer::{Demand, Grant, Heartbeat, HeartbeatAnswer, PeerHost, PeerPhase},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
         fmt::{self, Display, Formatter},
-        hash::{DefaultHasher, Hash, Hasher},
         net::SocketAddr,
         sync::Arc,
         time::Duration,
@@ -32,8 +31,10 @@
 mod event;
 mod fair_queue;
 mod floor;
+mod group;
 mod health;
 mod host_phase;
+mod in_flight_history;
 mod lane;
 mod length_estimate;
 mod member;
@@ -52,6 +53,7 @@
 mod room_rules;
 mod service_rate;
 mod settlement;
+mod share;
 mod shares;
 mod steward;
 mod stored_answer;
@@ -85,7 +87,9 @@
     claims::settle,
     fair_queue::FairQueue,
     floor::Floor,
+    group::Group,
     health::Health,
+    in_flight_history::InFlightHistory,
     lane::Lane,
     length_estimate::LengthEstimate,
     member::Member,
@@ -93,11 +97,12 @@
     peering::Peering,
     pool::{Pool, Wish},
     queued_item::QueuedItem,
-    rank::Rank,
+    rank::{PRESSING_TIERS, Rank},
     rank_queue::RankQueue,
     request::{Claiming, Queued, Request, RequestFacts, Running, Stage},
     retry_budget::RetryBudget,
     service_rate::ServiceRate,
+    share::Share,
     shares::Shares,
     steward::{Divided, Steward},
     team_limits::TeamLimits,
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -91,6 +91,11 @@
         self.sharing().count() as u32 + 1
     }
 
+    /// How many of them come before this one in the order of ids.
+    pub(crate) fn place(&self) -> u32 {
+        self.sharing().filter(|host| **host < self.host).count() as u32
+    }
+
     /// All hosts of the list, this one included.
     pub(crate) fn total_size(&self) -> u32 {
         self.members.len() as u32 + 1
--- a/crates/policy/src/peering.rs
+++ b/crates/policy/src/peering.rs
@@ -38,6 +38,10 @@
         }
     }
 
+    pub(crate) fn follow(&mut self, scheduling: &Scheduling) {
+        self.steward.max_headroom_share = scheduling.max_headroom_share;
+    }
+
     fn interval(&self) -> Duration {
         (INTERVAL_PER_HOST * self.members.domain_size()).max(MIN_INTERVAL)
     }
@@ -190,36 +194,32 @@
     fn divide_for(&mut self, now: Time, heartbeat: &Heartbeat) -> Vec<Grant> {
         let valid = self.peering.valid();
         let steward = &mut self.peering.steward;
-        steward.note_demand(&heartbeat.host, heartbeat.demand.clone(), now);
+        steward.note_demand(&heartbeat.host, &heartbeat.demand, now);
         steward.forget(now, valid);
         let mut hosts: BTreeSet<HostId> = self.peering.members.sharing().cloned().collect();
         if self.phase() != HostPhase::Draining {
             hosts.insert(self.options.host.clone());
         }
         hosts.insert(heartbeat.host.clone());
-        let upstreams = self.pool.divided(&self.options.failure_domain);
+        let groups = self.pool.divided();
         let keep = self.peering.interval() / 2;
         let steward = &mut self.peering.steward;
-        steward.grants(&heartbeat.host, hosts, &upstreams, now, keep)
+        steward.grants(&heartbeat.host, hosts, &groups, now, keep)
     }
 
     /// Puts the shares, or equal parts without them, in force.
     pub(crate) fn apply_shares(&mut self, now: Time) {
         let domain_size = self.peering.members.domain_size();
         let total_size = self.peering.members.total_size();
+        let place = self.peering.members.place();
         let shares = &self.peering.shares;
         let hold = shares.hold(now);
-        let domain = &self.options.failure_domain;
-        self.pool.set_shares(|state| {
-            let slots = state.definition.slots();
-            if state.definition.failure_domain() != domain {
-                return equal_part(slots, total_size);
-            }
-            if hold {
-                return shares.of(&state.id);
-            }
-            equal_part(slots, domain_size)
-        });
+        let own = |group: &str, slots: u32| {
+            let granted = shares.of(group).filter(|_| hold);
+            granted.unwrap_or_else(|| Share::equal(slots, domain_size, place))
+        };
+        self.pool
+            .set_shares(own, |slots| equal_part(slots, total_size));
     }
 }
 
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -24,6 +24,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     affinity: Affinity,
+    groups: Vec<Group>,
     index: HashMap<UpstreamId, usize>,
     /// Upstreams that are leaving by the platform's list. It may be read before
     /// the configuration that names them, so it is kept apart from the states.
@@ -77,25 +78,44 @@
         self.mark_listed();
     }
 
-    /// Sets this host's share of each upstream.
-    pub(crate) fn set_shares(&mut self, share: impl Fn(&UpstreamState) -> u32) {
+    /// Sets this host's share of each group, given its name and slots, and of
+    /// each upstream of another domain, given its slots.
+    pub(crate) fn set_shares(
+        &mut self,
+        own: impl Fn(&str, u32) -> Share,
+        foreign: impl Fn(u32) -> u32,
+    ) {
         for state in &mut self.states {
-            state.share = share(state);
+            state.foreign_share = foreign(state.definition.slots());
+            state.home = 0;
         }
+        for group in &mut self.groups {
+            group.share = own(&group.name, group.slots);
+            let mut first = 0;
+            for (number, place) in group.places.iter().enumerate() {
+                let state = &mut self.states[*place];
+                let kept = even_part(group.share.headroom, group.places.len(), number);
+                let slots = state.definition.slots().saturating_sub(kept);
+                state.home = group.share.overlap(first, slots);
+                first += slots;
+            }
+        }
+    }
+
+    /// This host's share of the group that an upstream is in.
+    pub(crate) fn share(&self, id: &UpstreamId) -> Option<u32> {
+        let group = self.get(id)?.group?;
+        Some(self.groups[group].share.slots)
     }
 
-    /// The upstreams of a failure domain, as its steward divides them.
-    pub(crate) fn divided(&self, domain: &FailureDomainId) -> Vec<Divided<'_>> {
-        let states = self.states.iter();
-        states
-            .filter(|state| state.definition.failure_domain() == domain && !state.removed)
-            .map(|state| Divided {
-                id: &state.id,
-                slots: state.definition.slots(),
-                targets: targets_of(&state.definition)
-                    .iter()
-                    .map(Target::to_string)
-                    .collect(),
+    /// The groups of the own domain, as its steward divides them.
+    pub(crate) fn divided(&self) -> Vec<Divided> {
+        let groups = self.groups.iter();
+        groups
+            .map(|group| Divided {
+                name: group.name.clone(),
+                slots: group.slots,
+                targets: group.name.split(',').map(str::to_string).collect(),
             })
             .collect()
     }
@@ -121,11 +141,34 @@
     fn reindex(&mut self, domain: &FailureDomainId) {
         self.index.clear();
         self.targets.clear();
-        for (place, state) in self.states.iter().enumerate() {
+        self.groups.clear();
+        let mut names: BTreeMap<String, usize> = BTreeMap::new();
+        for (place, state) in self.states.iter_mut().enumerate() {
             self.index.insert(state.id.clone(), place);
-            for target in targets_of(&state.definition) {
+            let targets = targets_of(&state.definition);
+            let own = state.definition.failure_domain() == domain;
+            state.group = own.then(|| {
+                let name = Group::name_of(&targets);
+                *names.entry(name.clone()).or_insert_with(|| {
+                    self.groups.push(Group {
+                        name,
+                        ..Group::default()
+                    });
+                    self.groups.len() - 1
+                })
+            });
+            if let Some(group) = state.group {
+                let group = &mut self.groups[group];
+                group.in_flight += state.in_flight;
+                group.in_flight_trial += state.in_flight_trial;
+                if !state.removed {
+                    group.places.push(place);
+                    group.slots += state.definition.slots();
+                }
+            }
+            for target in targets {
                 let places = self.targets.entry(target).or_default();
-                if state.definition.failure_domain() == domain {
+                if own {
                     places.own.push(place);
                 } else {
                     places.foreign.push(place);
@@ -158,20 +201,68 @@
         let pace_ms = wish
             .pace_ms
             .filter(|pace_ms| self.any_keeps_pace(places, *pace_ms, now));
-        let candidates = || {
-            places
-                .iter()
-                .map(|place| &self.states[*place])
-                .filter(|state| state.has_room(wish.rank, &self.room, now))
-                .filter(|state| pace_ms.is_none_or(|pace_ms| state.keeps_pace(pace_ms)))
+        let in_pace = || {
+            let states = places.iter().map(|place| &self.states[*place]);
+            states.filter(|state| pace_ms.is_none_or(|pace_ms| state.keeps_pace(pace_ms)))
         };
-        let fresh = candidates().filter(|state| !wish.avoid.contains(&state.id));
-        let best = least_full(fresh, rng).or_else(|| least_full(candidates(), rng))?;
+        let home =
+            |state: &&UpstreamState| state.is_home_free(now) && self.may_use_home(state, wish.rank);
+        let free =
+            |state: &&UpstreamState| state.is_free(now) && self.may_use_free(state, wish.rank);
+        let queue =
+            |state: &&UpstreamState| state.is_queueable(now) && self.may_queue(state, wish.rank);
+        let best = self
+            .best(in_pace().filter(home), wish, rng)
+            .or_else(|| self.best(in_pace().filter(free), wish, rng))
+            .or_else(|| pick(in_pace().filter(queue), wish, rng))?;
+        Some(best.id.clone())
+    }
+
+    /// The least full of some upstreams, or the one that has served the same
+    /// prefix if it is among them and about as free.
+    fn best<'a>(
+        &'a self,
+        states: impl Iterator<Item = &'a UpstreamState> + Clone,
+        wish: &Wish<'_>,
+        rng: &mut SmallRng,
+    ) -> Option<&'a UpstreamState> {
+        let best = pick(states.clone(), wish, rng)?;
         let cached = self
             .cached(wish)
-            .filter(|state| candidates().any(|candidate| candidate.id == state.id))
-            .filter(|state| state.fullness() <= best.fullness() + AFFINITY_SLACK);
-        Some(cached.unwrap_or(best).id.clone())
+            .filter(|cached| states.clone().any(|state| state.id == cached.id))
+            .filter(|cached| cached.fullness() <= best.fullness() + AFFINITY_SLACK);
+        Some(cached.unwrap_or(best))
+    }
+
+    /// Whether a free slot of this host's own may be used. A pressing request
+    /// always may; the others leave the headroom, and what an overdraft took.
+    fn may_use_home(&self, state: &UpstreamState, rank: Rank) -> bool {
+        let Some(group) = state.group else {
+            return false;
+        };
+        rank.is_pressing() || self.groups[group].has_room(rank, &self.room)
+    }
+
+    /// Whether this host may use a free slot of an upstream.
+    fn may_use_free(&self, state: &UpstreamState, rank: Rank) -> bool {
+        let Some(group) = state.group else {
+            return state.in_flight < state.foreign_share;
+        };
+        let overdraft = rank.is_pressing() && self.room.overdraft != Overdraft::None;
+        overdraft || self.groups[group].has_room(rank, &self.room)
+    }
+
+    /// Whether this host may use an upstream's own queue, since all upstreams
+    /// look full: with a share left some slot must be free, so the reports are
+    /// older than that.
+    fn may_queue(&self, state: &UpstreamState, rank: Rank) -> bool {
+        let Some(group) = state.group else {
+            return false;
+        };
+        let group = &self.groups[group];
+        let others_there = group.share.slots < group.slots;
+        let overdraft = rank.is_pressing() && self.room.overdraft == Overdraft::EngineQueue;
+        others_there && (overdraft || group.has_room(rank, &self.room))
     }
 
     /// The domain's own upstreams of a target; those of other domains only
@@ -198,22 +289,38 @@
     }
 
     /// Takes a slot.
-    pub(crate) fn start(&mut self, id: &UpstreamId, plan: Plan, prefix: Option<PrefixHash>) {
+    pub(crate) fn start(
+        &mut self,
+        id: &UpstreamId,
+        plan: Plan,
+        prefix: Option<PrefixHash>,
+        now: Time,
+    ) {
         if let Some(prefix) = prefix {
             self.affinity.note(prefix, id);
         }
-        if let Some(state) = self.get_mut(id) {
-            state.in_flight += 1;
-            state.in_flight_trial += u32::from(plan == Plan::Trial);
+        let trial = u32::from(plan == Plan::Trial);
+        let Some(state) = self.get_mut(id) else {
+            return;
+        };
+        state.start(plan, now);
+        if let Some(group) = state.group {
+            self.groups[group].in_flight += 1;
+            self.groups[group].in_flight_trial += trial;
         }
     }
 
     /// Gives a slot back.
-    pub(crate) fn end(&mut self, id: &UpstreamId, plan: Plan) {
-        if let Some(state) = self.get_mut(id) {
-            state.in_flight = state.in_flight.saturating_sub(1);
-            let trial = u32::from(plan == Plan::Trial);
-            state.in_flight_trial = state.in_flight_trial.saturating_sub(trial);
+    pub(crate) fn end(&mut self, id: &UpstreamId, plan: Plan, now: Time) {
+        let trial = u32::from(plan == Plan::Trial);
+        let Some(state) = self.get_mut(id) else {
+            return;
+        };
+        state.end(plan, now);
+        if let Some(group) = state.group {
+            let group = &mut self.groups[group];
+            group.in_flight = group.in_flight.saturating_sub(1);
+            group.in_flight_trial = group.in_flight_trial.saturating_sub(trial);
         }
     }
 
@@ -263,6 +370,19 @@
     }
 }
 
+/// The least full upstream, one that the request has not failed on if there is
+/// one.
+fn pick<'a>(
+    states: impl Iterator<Item = &'a UpstreamState> + Clone,
+    wish: &Wish<'_>,
+    rng: &mut SmallRng,
+) -> Option<&'a UpstreamState> {
+    let fresh = states
+        .clone()
+        .filter(|state| !wish.avoid.contains(&state.id));
+    least_full(fresh, rng).or_else(|| least_full(states, rng))
+}
+
 /// The least full upstream; ties are broken at random, so that several hosts
 /// do not all choose the same one.
 fn least_full<'a>(
@@ -287,3 +407,9 @@
     }
     best.map(|(state, _)| state)
 }
+
+/// One place's part of a number that is spread evenly over places.
+fn even_part(number: u32, places: usize, place: usize) -> u32 {
+    let places = places.max(1) as u32;
+    number / places + u32::from((place as u32) < number % places)
+}
--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Tiers that may go beyond their host's share where an engine is free.
+pub(crate) const PRESSING_TIERS: usize = 2;
+
 /// The strict order between requests: by tier, and within a tier paid before
 /// trial. Time spent waiting never changes it.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -21,6 +24,11 @@
         Tier::all().flat_map(|tier| [Plan::Paid, Plan::Trial].map(|plan| Self::new(tier, plan)))
     }
 
+    /// Whether it may go beyond its host's share where an engine is free.
+    pub(crate) const fn is_pressing(self) -> bool {
+        self.tier.index() < PRESSING_TIERS
+    }
+
     pub(crate) const fn index(self) -> usize {
         2 * self.tier.index() + matches!(self.plan, Plan::Trial) as usize
     }
--- a/crates/policy/src/rank_queue.rs
+++ b/crates/policy/src/rank_queue.rs
@@ -1,8 +1,9 @@
 use super::*;
 
 /// Of so many requests served, one is taken from those that can no longer meet
-/// their target while others still can.
-const LATE_SHARE: u32 = 8;
+/// their target while others still can. At 8, the late took a tenth of the
+/// drafts' goodput at twice the capacity.
+const LATE_SHARE: u32 = 32;
 
 /// The queue of one rank: requests that can still meet their target, and those
 /// that cannot. The latter are served behind the former, but not starved.
--- a/crates/policy/src/shares.rs
+++ b/crates/policy/src/shares.rs
@@ -1,9 +1,9 @@
 use super::*;
 
-/// This host's shares of its domain's upstreams.
+/// This host's shares of its domain's groups of upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct Shares {
-    granted: BTreeMap<UpstreamId, u32>,
+    granted: BTreeMap<String, Share>,
     /// Until when the grants hold.
     until: Time,
 }
@@ -12,7 +12,14 @@
     pub(crate) fn grant(&mut self, grants: Vec<Grant>, until: Time) {
         self.granted = grants
             .into_iter()
-            .map(|grant| (grant.upstream, grant.slots))
+            .map(|grant| {
+                let share = Share {
+                    first: grant.first,
+                    headroom: grant.headroom,
+                    slots: grant.slots,
+                };
+                (grant.group, share)
+            })
             .collect();
         self.until = until;
     }
@@ -24,9 +31,9 @@
         now < self.until
     }
 
-    /// The granted slots of one upstream; one that the steward does not know
-    /// yet has none.
-    pub(crate) fn of(&self, upstream: &UpstreamId) -> u32 {
-        self.granted.get(upstream).copied().unwrap_or(0)
+    /// The granted share of a group; `None` for one that the steward did not
+    /// name, since its configuration is older or newer.
+    pub(crate) fn of(&self, group: &str) -> Option<Share> {
+        self.granted.get(group).copied()
     }
 }
--- a/crates/policy/src/steward.rs
+++ b/crates/policy/src/steward.rs
@@ -1,45 +1,92 @@
 use super::*;
 
+/// Weight of the newest demand in the moving average: shares that follow each
+/// moment's demand move all the time, and slots stand idle on the way.
+const NEWEST_WEIGHT: f64 = 0.4;
+
+/// Slots kept free for pressing tiers, for each square root of their demand: the
+/// spread of a Poisson count is the square root of its mean.
+const HEADROOM_PER_ROOT: f64 = 1.5;
+
+/// Part of a slot by which a host's total must be off before it is changed.
+const HYSTERESIS: f64 = 0.75;
+
+type Needs = [f64; Tier::COUNT];
+
 /// What a steward keeps of one host.
 #[derive(Clone, Debug)]
 struct Heard {
     at: Time,
-    demand: BTreeMap<String, Demand>,
+    /// Moving average of its demand by target and tier.
+    demand: BTreeMap<String, Needs>,
 }
 
-/// The demands that a steward has heard, and the division of the domain's
-/// slots by them.
-#[derive(Debug, Default)]
-pub(crate) struct Steward {
-    division: Division,
-    heard: BTreeMap<HostId, Heard>,
+/// A group of upstreams as the steward divides it.
+#[derive(Debug)]
+pub(crate) struct Divided {
+    pub(crate) name: String,
+    pub(crate) slots: u32,
+    pub(crate) targets: Vec<String>,
 }
 
-/// The last division, kept for a while: it is the same work for one host as for
-/// all, and each host asks once an interval.
+/// The slots of one group by host, in the order of the hosts' ids.
+type Totals = BTreeMap<HostId, u32>;
+
+/// How one group is divided.
 #[derive(Debug, Default)]
 struct Division {
-    hosts: BTreeSet<HostId>,
-    made: Time,
-    parts: BTreeMap<HostId, Vec<Grant>>,
+    headroom: u32,
+    totals: Totals,
 }
 
-/// One upstream as the steward divides it.
-#[derive(Debug)]
-pub(crate) struct Divided<'a> {
-    pub(crate) id: &'a UpstreamId,
-    pub(crate) slots: u32,
-    pub(crate) targets: Vec<String>,
+impl Division {
+    fn grant(&self, group: &str, host: &HostId) -> Grant {
+        let before = self.totals.range::<HostId, _>(..host);
+        Grant {
+            first: before.map(|(_, slots)| slots).sum(),
+            group: group.to_string(),
+            headroom: self.headroom,
+            slots: self.totals.get(host).copied().unwrap_or(0),
+        }
+    }
+}
+
+/// The demands that a steward has heard, and the division of the domain's
+/// slots by them. The division is made once for all hosts and kept for a while;
+/// each new one changes as little of the last one as it can.
+#[derive(Debug, Default)]
+pub(crate) struct Steward {
+    divided: BTreeMap<String, Division>,
+    heard: BTreeMap<HostId, Heard>,
+    hosts: BTreeSet<HostId>,
+    made: Option<Time>,
+    /// Most of the slots that are kept free.
+    pub(crate) max_headroom_share: f64,
 }
 
 impl Steward {
     pub(crate) fn note_demand(
         &mut self,
         host: &HostId,
-        demand: BTreeMap<String, Demand>,
+        demand: &BTreeMap<String, Demand>,
         now: Time,
     ) {
-        self.heard.insert(host.clone(), Heard { at: now, demand });
+        let entry = self.heard.entry(host.clone()).or_insert_with(|| Heard {
+            at: now,
+            demand: demand.iter().map(first_needs).collect(),
+        });
+        entry.at = now;
+        for needs in entry.demand.values_mut() {
+            needs
+                .iter_mut()
+                .for_each(|need| *need *= 1.0 - NEWEST_WEIGHT);
+        }
+        for (target, demand) in demand {
+            let needs = entry.demand.entry(target.clone()).or_default();
+            for (need, count) in needs.iter_mut().zip(demand.by_tier) {
+                *need += NEWEST_WEIGHT * f64::from(count);
+            }
+        }
     }
 
     /// Forgets what is older than `valid`.
@@ -47,7 +94,7 @@
         self.heard.retain(|_, heard| now.since(heard.at) <= valid);
     }
 
-    /// Shares of one host in all upstreams. `hosts` are those that share the
+    /// Shares of one host in all groups. `hosts` are those that share the
     /// domain; one of which nothing has been heard is left its equal part,
     /// since it may have fallen back to it or have another steward. A division
     /// is kept for `keep`.
@@ -55,101 +102,117 @@
         &mut self,
         host: &HostId,
         hosts: BTreeSet<HostId>,
-        upstreams: &[Divided<'_>],
+        groups: &[Divided],
         now: Time,
         keep: Duration,
     ) -> Vec<Grant> {
-        let fresh = now.since(self.division.made) < keep && self.division.hosts == hosts;
-        if !fresh || self.division.parts.is_empty() {
-            let parts = self.divide_all(&hosts, upstreams);
-            self.division = Division {
-                hosts,
-                made: now,
-                parts,
-            };
+        let fresh = self.made.is_some_and(|made| now.since(made) < keep);
+        if !fresh || self.hosts != hosts {
+            self.hosts = hosts;
+            self.made = Some(now);
+            self.divide(groups);
         }
-        self.division.parts.get(host).cloned().unwrap_or_default()
+        let divided = self.divided.iter();
+        divided
+            .map(|(group, division)| division.grant(group, host))
+            .collect()
     }
 
-    fn divide_all(
-        &self,
-        hosts: &BTreeSet<HostId>,
-        upstreams: &[Divided<'_>],
-    ) -> BTreeMap<HostId, Vec<Grant>> {
-        let mut served_by: BTreeMap<&str, f64> = BTreeMap::new();
-        for upstream in upstreams {
-            for target in &upstream.targets {
-                *served_by.entry(target).or_default() += 1.0;
+    fn divide(&mut self, groups: &[Divided]) {
+        let mut slots_for: BTreeMap<&str, f64> = BTreeMap::new();
+        for group in groups {
+            for target in &group.targets {
+                *slots_for.entry(target).or_default() += f64::from(group.slots);
             }
         }
-        let mut all: BTreeMap<HostId, Vec<Grant>> = BTreeMap::new();
-        for upstream in upstreams {
-            for (host, slots) in self.divide(hosts, upstream, &served_by) {
-                all.entry(host).or_default().push(Grant {
-                    slots,
-                    upstream: upstream.id.clone(),
-                });
+        self.divided = groups
+            .iter()
+            .map(|group| (group.name.clone(), self.divide_group(group, &slots_for)))
+            .collect();
+    }
+
+    fn divide_group(&self, group: &Divided, slots_for: &BTreeMap<&str, f64>) -> Division {
+        let part = |target: &str| f64::from(group.slots) / slots_for[target];
+        let mut needs: Vec<(HostId, Needs)> = Vec::new();
+        for host in &self.hosts {
+            if let Some(heard) = self.heard.get(host) {
+                needs.push((host.clone(), needs_of(heard, &group.targets, part)));
             }
         }
-        all
+        let headroom = self.headroom(group.slots, &needs);
+        let usable = group.slots - headroom;
+        let totals = self.totals(usable, needs);
+        let none = Totals::new();
+        let before = self.divided.get(&group.name);
+        let before = before.map_or(&none, |division| &division.totals);
+        Division {
+            headroom,
+            totals: whole(totals, before, usable),
+        }
     }
 
-    fn divide(
-        &self,
-        hosts: &BTreeSet<HostId>,
-        upstream: &Divided<'_>,
-        served_by: &BTreeMap<&str, f64>,
-    ) -> BTreeMap<HostId, u32> {
-        let equal = f64::from(upstream.slots) / hosts.len().max(1) as f64;
-        let mut parts: BTreeMap<&HostId, f64> = BTreeMap::new();
-        let mut left = f64::from(upstream.slots);
-        let mut needs: Vec<(&HostId, [f64; Tier::COUNT])> = Vec::new();
-        for host in hosts {
-            match self.heard.get(host) {
-                Some(heard) => needs.push((host, need(heard, upstream, served_by))),
-                None => {
-                    parts.insert(host, equal);
-                    left -= equal;
-                }
-            }
+    /// Slots that are granted to nobody. With a single host there are none: its
+    /// own strict order does better.
+    fn headroom(&self, slots: u32, needs: &[(HostId, Needs)]) -> u32 {
+        if self.hosts.len() < 2 {
+            return 0;
         }
+        let pressing: f64 = needs
+            .iter()
+            .map(|(_, needs)| needs[..PRESSING_TIERS].iter().sum::<f64>())
+            .sum();
+        let wanted = HEADROOM_PER_ROOT * pressing.sqrt();
+        wanted
+            .min(self.max_headroom_share * f64::from(slots))
+            .round() as u32
+    }
+
+    /// How many slots each host should have.
+    fn totals(&self, usable: u32, mut needs: Vec<(HostId, Needs)>) -> BTreeMap<HostId, f64> {
+        let equal = f64::from(usable) / self.hosts.len().max(1) as f64;
+        let unheard = self
+            .hosts
+            .iter()
+            .filter(|host| !self.heard.contains_key(*host));
+        let mut totals: BTreeMap<HostId, f64> = unheard.map(|host| (host.clone(), equal)).collect();
+        let mut left = f64::from(usable) - equal * totals.len() as f64;
         for tier in 0..Tier::COUNT {
-            left = fill(&mut parts, &mut needs, tier, left);
+            left = fill(&mut totals, &mut needs, tier, left);
         }
         // What nobody asked for is left for whoever gets a burst.
-        let spare = left / needs.len().max(1) as f64;
-        for (host, _) in &needs {
-            *parts.entry(host).or_default() += spare;
+        let spare = left.max(0.0) / needs.len().max(1) as f64;
+        for (host, _) in needs {
+            *totals.entry(host).or_default() += spare;
         }
-        round(upstream, parts)
+        totals
     }
 }
 
-/// What a host could use of one upstream, by tier: its demand for each target,
-/// spread over the upstreams that serve it.
-fn need(
-    heard: &Heard,
-    upstream: &Divided<'_>,
-    served_by: &BTreeMap<&str, f64>,
-) -> [f64; Tier::COUNT] {
-    let mut need = [0.0; Tier::COUNT];
-    for target in &upstream.targets {
+fn first_needs((target, demand): (&String, &Demand)) -> (String, Needs) {
+    (target.clone(), demand.by_tier.map(f64::from))
+}
+
+/// What a host could use of a group of upstreams, by tier: of its demand for
+/// each target the part that falls to the group.
+fn needs_of(heard: &Heard, targets: &[String], part: impl Fn(&str) -> f64) -> Needs {
+    let mut needs = Needs::default();
+    for target in targets {
         let Some(demand) = heard.demand.get(target) else {
             continue;
         };
-        for (need, count) in need.iter_mut().zip(demand.by_tier) {
-            *need += f64::from(count) / served_by[target.as_str()];
+        for (need, count) in needs.iter_mut().zip(demand) {
+            *need += count * part(target);
         }
     }
-    need
+    needs
 }
 
 /// Gives what is left to the needs of one tier, the smallest first, so that a
 /// host with a long queue takes nothing that a host with a short one needs.
 /// Returns what is left then.
-fn fill<'a>(
-    parts: &mut BTreeMap<&'a HostId, f64>,
-    needs: &mut [(&'a HostId, [f64; Tier::COUNT])],
+fn fill(
+    totals: &mut BTreeMap<HostId, f64>,
+    needs: &mut [(HostId, Needs)],
     tier: usize,
     mut left: f64,
 ) -> f64 {
@@ -157,36 +220,46 @@
     for (place, (host, need)) in needs.iter().enumerate() {
         let most = left / (needs.len() - place) as f64;
         let part = need[tier].min(most).max(0.0);
-        *parts.entry(host).or_default() += part;
+        *totals.entry(host.clone()).or_default() += part;
         left -= part;
     }
     left
 }
 
-/// Breaks a tie between two hosts, differently for each upstream.
-fn luck(upstream: &UpstreamId, host: &HostId) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    upstream.hash(&mut hasher);
-    host.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// Whole slots by largest remainder. Which host gains by the rounding differs
-/// from upstream to upstream, so that no host loses everywhere.
-fn round(upstream: &Divided<'_>, parts: BTreeMap<&HostId, f64>) -> BTreeMap<HostId, u32> {
-    let whole: u32 = parts.values().map(|part| part.floor() as u32).sum();
-    let mut rest = upstream.slots.saturating_sub(whole);
-    let mut order: Vec<(&HostId, f64)> = parts.iter().map(|(host, part)| (*host, *part)).collect();
-    order.sort_by(|a, b| {
-        let by_remainder = b.1.fract().total_cmp(&a.1.fract());
-        by_remainder.then_with(|| luck(upstream.id, a.0).cmp(&luck(upstream.id, b.0)))
-    });
-    order
+/// Whole slots that add up to `usable`: a host keeps what it had if that is
+/// about right, and the rest goes by largest remainder.
+fn whole(totals: BTreeMap<HostId, f64>, before: &Totals, usable: u32) -> Totals {
+    let mut wholes: Vec<(HostId, f64, u32)> = totals
         .into_iter()
-        .map(|(host, part)| {
-            let extra = u32::from(rest > 0);
-            rest -= extra;
-            (host.clone(), part.floor() as u32 + extra)
+        .map(|(host, total)| {
+            let had = before.get(&host).copied();
+            let keep = had.filter(|had| (f64::from(*had) - total).abs() < HYSTERESIS);
+            let whole = keep.unwrap_or(total.floor() as u32);
+            (host, total, whole)
         })
+        .collect();
+    loop {
+        let sum: u32 = wholes.iter().map(|(_, _, whole)| whole).sum();
+        let over = |(_, total, whole): &(HostId, f64, u32)| f64::from(*whole) - total;
+        let by_excess =
+            |a: &&mut (HostId, f64, u32), b: &&mut (HostId, f64, u32)| over(a).total_cmp(&over(b));
+        if sum < usable {
+            let Some(least) = wholes.iter_mut().min_by(by_excess) else {
+                break;
+            };
+            least.2 += 1;
+        } else if sum > usable {
+            let holders = wholes.iter_mut().filter(|(_, _, whole)| *whole > 0);
+            let Some(most) = holders.max_by(by_excess) else {
+                break;
+            };
+            most.2 -= 1;
+        } else {
+            break;
+        }
+    }
+    wholes
+        .into_iter()
+        .map(|(host, _, whole)| (host, whole))
         .collect()
 }
--- a/crates/policy/src/upstream_state.rs
+++ b/crates/policy/src/upstream_state.rs
@@ -6,31 +6,32 @@
 /// Pause after an upstream refused a request for want of room.
 const BUSY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Least urgent tier that may go beyond an engine's slots into its own queue,
-/// which the engine serves by priority.
-const LAST_PRESSING_TIER: usize = 1;
-
 /// What a host knows of one upstream.
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
     pub(crate) definition: Upstream,
+    /// Place of its group; `None` for an upstream of another domain.
+    pub(crate) group: Option<usize>,
     pub(crate) health: Health,
+    /// Slots that are this host's own, by its share of the group.
+    pub(crate) home: u32,
     pub(crate) id: UpstreamId,
     /// Requests that this host has there.
     pub(crate) in_flight: u32,
     /// Trial requests among them.
     pub(crate) in_flight_trial: u32,
-    /// Until when a peer's word that it is leaving is believed.
-    pub(crate) told_leaving_until: Time,
     /// Leaving by the platform's list.
     pub(crate) listed_leaving: bool,
+    /// Slots that this host may fill, for an upstream of another domain.
+    pub(crate) foreign_share: u32,
     /// Not configured any more.
     pub(crate) removed: bool,
-    /// Slots that this host may fill.
-    pub(crate) share: u32,
+    /// Until when a peer's word that it is leaving is believed.
+    pub(crate) told_leaving_until: Time,
     /// Moving average of the time between two tokens.
     pub(crate) token_time_ms: Option<f64>,
     busy_until: Time,
+    history: InFlightHistory,
     /// Requests of other hosts there, by the last load report.
     others: u32,
     /// Leaving by its own load report.
@@ -41,25 +42,43 @@
     pub(crate) fn new(id: UpstreamId, definition: Upstream) -> Self {
         Self {
             busy_until: Time::default(),
+            foreign_share: 0,
+            group: None,
             health: Health::default(),
+            history: InFlightHistory::default(),
+            home: 0,
             id,
             in_flight: 0,
             in_flight_trial: 0,
-            told_leaving_until: Time::default(),
             listed_leaving: false,
             others: 0,
             removed: false,
             reported_leaving: false,
-            share: definition.slots(),
+            told_leaving_until: Time::default(),
             token_time_ms: None,
             definition,
         }
     }
 
-    pub(crate) fn note_report(&mut self, report: LoadReport) {
+    /// Takes a load report against what this host had there when it was made.
+    pub(crate) fn note_report(&mut self, report: LoadReport, now: Time) {
         self.reported_leaving = report.leaving;
         let reported = report.running + report.waiting;
-        self.others = reported.saturating_sub(self.in_flight);
+        let made = now - Duration::from_millis(report.age_ms);
+        self.others = reported.saturating_sub(self.history.at(made));
+    }
+
+    pub(crate) fn start(&mut self, plan: Plan, now: Time) {
+        self.in_flight += 1;
+        self.in_flight_trial += u32::from(plan == Plan::Trial);
+        self.history.note(self.in_flight, now);
+    }
+
+    pub(crate) fn end(&mut self, plan: Plan, now: Time) {
+        let trial = u32::from(plan == Plan::Trial);
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.in_flight_trial = self.in_flight_trial.saturating_sub(trial);
+        self.history.note(self.in_flight, now);
     }
 
     pub(crate) fn note_busy(&mut self, now: Time) {
@@ -92,38 +111,31 @@
         !self.is_leaving(now) && self.health.is_well() && now >= self.busy_until
     }
 
-    /// Whether one more request of `rank` fits.
-    pub(crate) fn has_room(&self, rank: Rank, room: &RoomRules, now: Time) -> bool {
-        if !self.is_open(now) {
-            return false;
-        }
-        let slots = (f64::from(self.share) * self.health.share(now)).ceil() as u32;
-        if rank.tier.index() <= LAST_PRESSING_TIER {
-            return self.in_flight < slots || self.has_overdraft(room, now);
-        }
-        let headroom = (f64::from(slots) * room.headroom_share).floor() as u32;
-        let fits = self.in_flight < slots - headroom;
-        fits && (rank.plan == Plan::Paid || self.in_flight_trial < self.trial_limit(room))
+    /// Slots that may be used while it comes back slowly.
+    fn usable_slots(&self, now: Time) -> u32 {
+        (f64::from(self.definition.slots()) * self.health.share(now)).ceil() as u32
+    }
+
+    /// Whether one of this host's own slots is free; no report is needed for
+    /// that.
+    pub(crate) fn is_home_free(&self, now: Time) -> bool {
+        self.is_open(now) && self.in_flight < self.home.min(self.usable_slots(now))
+    }
+
+    /// Whether a slot is free, by the last load report and own requests.
+    pub(crate) fn is_free(&self, now: Time) -> bool {
+        self.is_open(now) && self.in_flight + self.others < self.usable_slots(now)
     }
 
-    /// Whether a pressing request fits beyond the share. While the upstream
-    /// comes back slowly its slots are not to be overdrawn.
-    fn has_overdraft(&self, room: &RoomRules, now: Time) -> bool {
+    /// Whether one more request fits into the upstream's own queue. Only an
+    /// engine serves that by priority.
+    pub(crate) fn is_queueable(&self, now: Time) -> bool {
         let Upstream::Engine(engine) = &self.definition else {
             return false;
         };
-        let there = self.in_flight + self.others;
-        let own_alone = self.share >= engine.slots;
         let slow_start = self.health.share(now) < 1.0;
-        match room.overdraft {
-            Overdraft::EngineQueue => there < engine.slots + engine.queue_bound,
-            Overdraft::None => false,
-            Overdraft::ReportedFree => !own_alone && !slow_start && there < engine.slots,
-        }
-    }
-
-    fn trial_limit(&self, room: &RoomRules) -> u32 {
-        (f64::from(self.share) * room.trial_share).floor().max(1.0) as u32
+        let there = self.in_flight + self.others;
+        self.is_open(now) && !slow_start && there < engine.slots + engine.queue_bound
     }
 
     /// How full it is, 1 for all slots taken, counting what other hosts have
