Keep control within its budget as a domain grows

By the code, 24 hosts with 131 engines would have polled 262 engines a second each and read a host list of 380 entries every second.

Change: a host asks four engines a second, whatever the domain's size; the host list is read with its tag; only a steward looks for a new configuration every second; an idle host ticks every 50 ms and publishes its state every 100 ms; the shortest heartbeat interval is 400 ms. Streams are passed on without a timer for each token and without a select where data is there.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,8 @@
     hyper::{
         Method, Request, StatusCode,
         client::conn::http1::{SendRequest, handshake},
+        header::{ETAG, HeaderValue, IF_NONE_MATCH},
+        http::response::Parts,
     },
     hyper_util::rt::TokioIo,
     rand::Rng,
@@ -43,6 +45,7 @@
 mod table_operation;
 mod table_read;
 mod table_result;
+mod tagged_list;
 
 pub use {
     claim_row::ClaimRow,
@@ -60,4 +63,5 @@
     table_operation::TableOperation,
     table_read::{TableRead, TableRows},
     table_result::{TableResult, TableResults},
+    tagged_list::TaggedList,
 };
--- a/crates/platform/src/platform_client.rs
+++ b/crates/platform/src/platform_client.rs
@@ -45,9 +45,26 @@
         Ok(rows.rows)
     }
 
-    /// Reads the list of hosts and upstreams.
-    pub async fn hosts(&self) -> Result<HostList, PlatformError> {
-        self.call(Method::GET, "/hosts", &()).await
+    /// Reads the list of hosts and upstreams, unless it is still the one with
+    /// the tag `known`: then the answer is `None` and a hundred bytes long,
+    /// where the list of a large fleet has tens of thousands.
+    pub async fn hosts(&self, known: &str) -> Result<Option<TaggedList>, PlatformError> {
+        let request = self.request(Method::GET, "/hosts", Bytes::new());
+        let request = request.and_then(|mut request| {
+            let tag = HeaderValue::from_str(known).map_err(not_done)?;
+            request.headers_mut().insert(IF_NONE_MATCH, tag);
+            Ok(request)
+        })?;
+        let (head, body) = self.send(request).await?;
+        if head.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        check_status(head.status)?;
+        let tag = head.headers.get(ETAG).and_then(|tag| tag.to_str().ok());
+        Ok(Some(TaggedList {
+            list: parse(&body)?,
+            tag: tag.unwrap_or_default().to_string(),
+        }))
     }
 
     /// Stores an object under a name, or replaces it.
@@ -72,10 +89,7 @@
         let body = serde_json::to_vec(body).map_err(|error| PlatformError::NotDone {
             message: error.to_string(),
         })?;
-        let answer = self.exchange(method, path, body.into()).await?;
-        serde_json::from_slice(&answer).map_err(|error| PlatformError::Malformed {
-            message: error.to_string(),
-        })
+        parse(&self.exchange(method, path, body.into()).await?)
     }
 
     async fn exchange(
@@ -84,31 +98,41 @@
         path: &str,
         body: Bytes,
     ) -> Result<Bytes, PlatformError> {
-        let deadline = Instant::now() + self.timeout;
-        let request = Request::builder()
+        let request = self.request(method, path, body)?;
+        let (head, body) = self.send(request).await?;
+        check_status(head.status)?;
+        Ok(body)
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, PlatformError> {
+        Request::builder()
             .method(method)
             .uri(path)
             .header("host", self.address.to_string())
             .header("content-type", "application/json")
             .body(Full::new(body))
-            .map_err(not_done)?;
+            .map_err(not_done)
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<(Parts, Bytes), PlatformError> {
+        let deadline = Instant::now() + self.timeout;
         let mut sender = timeout_at(deadline, self.connection())
             .await
             .map_err(not_done)??;
         let exchange = async {
             let response = sender.send_request(request).await.map_err(lost)?;
-            let status = response.status();
-            let body = response.into_body().collect().await.map_err(lost)?;
-            Ok::<_, PlatformError>((status, body.to_bytes()))
+            let (head, body) = response.into_parts();
+            let body = body.collect().await.map_err(lost)?;
+            Ok::<_, PlatformError>((head, body.to_bytes()))
         };
-        let (status, body) = timeout_at(deadline, exchange).await.map_err(lost)??;
+        let answer = timeout_at(deadline, exchange).await.map_err(lost)??;
         self.keep(sender).await;
-        match status {
-            StatusCode::OK => Ok(body),
-            status => Err(PlatformError::NotDone {
-                message: format!("status {status}"),
-            }),
-        }
+        Ok(answer)
     }
 
     async fn connection(&self) -> Result<SendRequest<Full<Bytes>>, PlatformError> {
@@ -133,6 +157,21 @@
     }
 }
 
+fn parse<A: DeserializeOwned>(body: &[u8]) -> Result<A, PlatformError> {
+    serde_json::from_slice(body).map_err(|error| PlatformError::Malformed {
+        message: error.to_string(),
+    })
+}
+
+fn check_status(status: StatusCode) -> Result<(), PlatformError> {
+    match status {
+        StatusCode::OK => Ok(()),
+        status => Err(PlatformError::NotDone {
+            message: format!("status {status}"),
+        }),
+    }
+}
+
 fn not_done(error: impl Display) -> PlatformError {
     PlatformError::NotDone {
         message: error.to_string(),
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -187,6 +187,11 @@
         self.pool.select(|state| state.is_leaving(now))
     }
 
+    /// Upstreams on which this host has slots of its own.
+    pub fn home(&self) -> Vec<UpstreamId> {
+        self.pool.select(|state| state.home > 0)
+    }
+
     /// Upstreams that get no new work until a probe succeeds.
     pub fn ejected(&self) -> Vec<UpstreamId> {
         self.pool.select(|state| !state.health.is_well())
--- a/crates/policy/src/peering.rs
+++ b/crates/policy/src/peering.rs
@@ -8,7 +8,7 @@
 const INTERVAL_PER_HOST: Duration = Duration::from_millis(100);
 
 /// Shortest interval.
-const MIN_INTERVAL: Duration = Duration::from_millis(250);
+const MIN_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Intervals for which shares hold without news.
 const VALID_INTERVALS: u32 = 3;
@@ -89,12 +89,18 @@
     }
 
     fn heartbeat(&self) -> Heartbeat {
-        let mut demand: BTreeMap<String, Demand> = BTreeMap::new();
+        let mut demand: BTreeMap<&Target, Demand> = BTreeMap::new();
         for stage in self.requests.values() {
             let facts = stage.facts();
-            let entry = demand.entry(facts.target.to_string()).or_default();
-            entry.add(facts.rank.tier);
+            demand
+                .entry(&facts.target)
+                .or_default()
+                .add(facts.rank.tier);
         }
+        let demand = demand.into_iter();
+        let demand = demand
+            .map(|(target, demand)| (target.to_string(), demand))
+            .collect();
         Heartbeat {
             demand,
             failure_domain: self.options.failure_domain.clone(),
--- /dev/null
+++ b/crates/router/benches/control/main.rs
@@ -0,0 +1,149 @@
+//! What a host spends on control: processor time by duty, memory, bytes and
+//! calls, without any request, and how it grows with hosts, upstreams and teams.
+//!
+//! `cargo bench -p rhubarbcove-router --bench control`
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use {
+    config::{Document, Settings},
+    platform::{ConfigStore, ListedHost, ListedState, PlatformClient},
+    router::{Host, Serving},
+    serde_json::{Map, Value, json},
+    standin::{EngineOptions, EngineStandin, PlatformStandin, RunLog},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+    },
+    types::prelude::*,
+};
+
+mod process;
+mod relay;
+mod site;
+
+use {
+    process::{processor_s_by_duty, resident_bytes},
+    relay::{Counter, relay},
+    site::{ControlSite, Size},
+};
+
+/// Time for a site to settle before it is measured.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Time over which it is measured.
+const MEASURED: Duration = Duration::from_secs(8);
+
+fn main() {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    println!(
+        "{:>5} {:>9} {:>5} | percent of a core a host, by duty                      | {:>8} | bytes/s a host, both ways   | {:>9}",
+        "hosts", "upstreams", "teams", "MB/host", "reads/s"
+    );
+    println!(
+        "{:>5} {:>9} {:>5} | {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} | {:>8} | {:>8} {:>8} {:>8} | {:>9}",
+        "",
+        "",
+        "",
+        "decide",
+        "platform",
+        "upstrms",
+        "peers",
+        "others",
+        "sum",
+        "",
+        "platform",
+        "engines",
+        "peers",
+        "all hosts"
+    );
+    let base = Size {
+        engines: 16,
+        hosts: 4,
+        teams: 100,
+    };
+    let sizes = [
+        base,
+        Size { hosts: 2, ..base },
+        Size { hosts: 8, ..base },
+        Size { hosts: 16, ..base },
+        Size { hosts: 24, ..base },
+        Size { engines: 4, ..base },
+        Size {
+            engines: 64,
+            ..base
+        },
+        Size {
+            engines: 131,
+            ..base
+        },
+        Size { teams: 10, ..base },
+        Size { teams: 435, ..base },
+        Size { teams: 870, ..base },
+        Size {
+            engines: 131,
+            hosts: 24,
+            teams: 870,
+        },
+    ];
+    for size in sizes {
+        runtime.block_on(measure(size));
+    }
+}
+
+async fn measure(size: Size) {
+    let before_bytes = resident_bytes();
+    let mut site = ControlSite::start_upstreams(size).await;
+    let upstream_bytes = resident_bytes();
+    site.start_hosts(size).await;
+    tokio::time::sleep(SETTLE).await;
+    let cpu_before = processor_s_by_duty();
+    let bytes_before = site.bytes();
+    let reads_before = site.platform.reads();
+    tokio::time::sleep(MEASURED).await;
+    let cpu = processor_s_by_duty();
+    let bytes = site.bytes();
+    let reads = site.platform.reads() - reads_before;
+    let host_bytes = resident_bytes().saturating_sub(upstream_bytes);
+    let seconds = MEASURED.as_secs_f64();
+    let hosts = size.hosts as f64;
+    let percent = |duty: &str| {
+        let spent = cpu.get(duty).unwrap_or(&0.0) - cpu_before.get(duty).unwrap_or(&0.0);
+        100.0 * spent / seconds / hosts
+    };
+    let duties = ["controller", "platform", "upstreams", "peers", "operators"];
+    let mut shares: Vec<f64> = duties.iter().map(|duty| percent(duty)).collect();
+    shares[4] += percent("callers-0");
+    let rate = |index: usize| (bytes[index] - bytes_before[index]) as f64 / seconds / hosts;
+    println!(
+        "{:>5} {:>9} {:>5} | {:>8.3} {:>8.3} {:>8.3} {:>8.3} {:>8.3} {:>8.3} | {:>8.2} | {:>8.0} {:>8.0} {:>8.0} | {:>9.1}",
+        size.hosts,
+        size.engines,
+        size.teams,
+        shares[0],
+        shares[1],
+        shares[2],
+        shares[3],
+        shares[4],
+        shares.iter().sum::<f64>(),
+        host_bytes as f64 / hosts / 1e6,
+        rate(0),
+        rate(1),
+        rate(2),
+        reads as f64 / seconds,
+    );
+    site.stop().await;
+    let _ = before_bytes;
+}
--- /dev/null
+++ b/crates/router/benches/serving/main.rs
@@ -0,0 +1,125 @@
+//! What a host adds to the first token and between tokens, against the engine
+//! stand-in directly, and how many requests and tokens a second one host passes
+//! on. Both ways are measured in one run, in turns.
+//!
+//! `cargo bench -p rhubarbcove-router --bench serving`
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use {
+    config::{Document, Settings},
+    futures::StreamExt,
+    http_body_util::{BodyDataStream, Full},
+    hyper::{Request, client::conn::http1::handshake},
+    hyper_util::rt::TokioIo,
+    platform::{ConfigStore, PlatformClient},
+    router::{Host, Serving},
+    serde_json::{Map, json},
+    standin::{EngineOptions, EngineStandin, PlatformStandin, RunLog},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::net::TcpStream,
+    types::prelude::*,
+};
+
+mod load;
+mod setup;
+
+use {
+    load::{Timing, passed, percentile, timed},
+    setup::{start_engines, start_host},
+};
+
+/// Streams timed in each way.
+const TIMED: usize = 400;
+
+/// Streams at once while the greatest rate is sought.
+const AT_ONCE: [usize; 3] = [64, 256, 1_024];
+
+fn main() {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(added_time());
+    for caller_threads in [1, 2, 4] {
+        runtime.block_on(greatest_rate(caller_threads));
+    }
+}
+
+/// Streams of 20 tokens, 5 ms apart, directly and through a host in turns.
+async fn added_time() {
+    let options = EngineOptions {
+        load_slope: 0.0,
+        prefill_us_per_token: 0,
+        token_time_us: 5_000,
+        ..EngineOptions::default()
+    };
+    let engines = start_engines(2, &options).await;
+    let host = start_host(&engines, &options, 1).await;
+    let mut direct = Vec::new();
+    let mut through = Vec::new();
+    for number in 0..TIMED {
+        let engine = engines[number % engines.len()].address();
+        direct.push(timed(engine, 20).await);
+        through.push(timed(host.caller_address(), 20).await);
+    }
+    for (name, part) in [
+        (
+            "first token",
+            (|timing| timing.first_token) as fn(&Timing) -> Duration,
+        ),
+        ("between tokens, mean of an answer", |timing| timing.between),
+    ] {
+        for share in [0.5, 0.95] {
+            let direct = percentile(&direct, part, share);
+            let through = percentile(&through, part, share);
+            println!(
+                "{name}, p{:.0}: direct {:.3} ms, through a host {:.3} ms, added {:.3} ms",
+                share * 100.0,
+                direct.as_secs_f64() * 1e3,
+                through.as_secs_f64() * 1e3,
+                (through.as_secs_f64() - direct.as_secs_f64()) * 1e3,
+            );
+        }
+    }
+    stop(host).await;
+}
+
+/// Many short streams at once, from engines that give tokens as fast as they
+/// can.
+async fn greatest_rate(caller_threads: usize) {
+    let options = EngineOptions {
+        load_slope: 0.0,
+        prefill_us_per_token: 0,
+        slots: 4_096,
+        token_time_us: 1,
+        ..EngineOptions::default()
+    };
+    let engines = start_engines(4, &options).await;
+    let host = start_host(&engines, &options, caller_threads).await;
+    for at_once in AT_ONCE {
+        let direct: Vec<SocketAddr> = engines.iter().map(EngineStandin::address).collect();
+        let direct = passed(&direct, at_once, 240).await;
+        let through = passed(&[host.caller_address()], at_once, 240).await;
+        println!(
+            "{caller_threads} caller threads, {at_once} at once, 240 tokens each: through a host \
+             {:.0} requests/s, {:.0} tokens/s; engines directly {:.0} and {:.0}, ratio {:.2}",
+            through.requests_per_s,
+            through.tokens_per_s,
+            direct.requests_per_s,
+            direct.tokens_per_s,
+            through.tokens_per_s / direct.tokens_per_s,
+        );
+    }
+    stop(host).await;
+}
+
+async fn stop(host: Host<Serving>) {
+    tokio::task::spawn_blocking(move || host.drain().stop().unwrap())
+        .await
+        .unwrap();
+}
--- a/crates/router/src/answer_sender.rs
+++ b/crates/router/src/answer_sender.rs
@@ -63,11 +63,15 @@
     /// Sends part of a stream; false if the caller is gone or reads too
     /// slowly.
     pub(crate) async fn send_part(&mut self, part: Bytes, slow_reader: Duration) -> bool {
-        match &self.way {
-            Way::Stream(frames) => {
+        let Way::Stream(frames) = &self.way else {
+            return false;
+        };
+        match frames.try_send(part) {
+            Ok(()) => true,
+            Err(mpsc::error::TrySendError::Closed(_)) => false,
+            Err(mpsc::error::TrySendError::Full(part)) => {
                 matches!(timeout(slow_reader, frames.send(part)).await, Ok(Ok(())))
             }
-            _ => false,
         }
     }
 }
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -3,9 +3,15 @@
 
 use super::*;
 
-/// Longest time without a tick.
+/// Time between two ticks while there are requests.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Time between two ticks of a host without requests.
+const IDLE_TICK: Duration = Duration::from_millis(50);
+
+/// Time between two looks at what the host shows of itself.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What the controller's thread is given.
 pub(crate) struct ControllerThread {
     pub(crate) clock: Clock,
@@ -61,6 +67,7 @@
 impl Carrier {
     fn run(mut self) {
         let mut next_tick = Instant::now();
+        let mut next_publish = Instant::now();
         loop {
             let wait = next_tick.saturating_duration_since(Instant::now());
             match self.thread.events.recv_timeout(wait) {
@@ -71,8 +78,12 @@
             if Instant::now() >= next_tick {
                 self.handle(Event::Ticked);
                 self.retry_settlements();
+                let idle = self.thread.controller.is_idle();
+                next_tick = Instant::now() + if idle { IDLE_TICK } else { TICK };
+            }
+            if Instant::now() >= next_publish {
                 self.publish();
-                next_tick = Instant::now() + TICK;
+                next_publish = Instant::now() + PUBLISH_INTERVAL;
             }
             let settled = self.settlements.is_empty();
             if self.stopping && self.thread.controller.is_idle() && settled {
@@ -272,6 +283,7 @@
         let before = self.thread.status.load();
         let after = HostStatus {
             ejected: controller.ejected(),
+            home: controller.home(),
             leaving: controller.leaving(now),
             steward: controller.steward(now).clone(),
             phase: controller.phase(),
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -94,6 +94,7 @@
             logger: logger.clone(),
             read_configuration: Arc::clone(&shared.read_configuration),
             shutdown: others_stop.clone(),
+            status: Arc::clone(&shared.status),
         }
         .spawn()?;
         let upstreams = UpstreamThread {
@@ -102,6 +103,7 @@
             logger: logger.clone(),
             probes: rings.probes.1,
             shutdown: others_stop.clone(),
+            status: Arc::clone(&shared.status),
         }
         .spawn()?;
         let peers = PeerThread {
@@ -279,6 +281,7 @@
         let status = HostStatus {
             ejected: Vec::new(),
             failure_domain: settings.failure_domain.clone(),
+            home: Vec::new(),
             host: settings.host.clone(),
             leaving: Vec::new(),
             phase: HostPhase::Starting,
--- a/crates/router/src/host_status.rs
+++ b/crates/router/src/host_status.rs
@@ -7,6 +7,8 @@
     pub ejected: Vec<UpstreamId>,
     /// Failure domain it stands in.
     pub failure_domain: FailureDomainId,
+    /// Upstreams on which this host has slots of its own.
+    pub home: Vec<UpstreamId>,
     /// Id.
     pub host: HostId,
     /// Upstreams that get no new work because they are leaving.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -56,7 +56,10 @@
         time::{sleep, timeout},
     },
     types::prelude::*,
-    upstream::{Answer, Call, CallFailure, Connections, EngineAdapter, ServiceAdapter, StreamItem},
+    upstream::{
+        Answer, Call, CallFailure, Connections, EngineAdapter, ServiceAdapter, StreamItem,
+        TokenStream,
+    },
 };
 
 mod answer_sender;
--- a/crates/router/src/platform_thread.rs
+++ b/crates/router/src/platform_thread.rs
@@ -5,8 +5,12 @@
 /// Longest time of one call to the platform.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Time between two looks at the newest version.
-const WATCH_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between two looks of a steward at the newest version.
+const STEWARD_WATCH_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// The same for other hosts: they hear of a new version from their steward, so
+/// that the platform's reads grow with the domains and not with the hosts.
+const WATCH_INTERVAL: Duration = Duration::from_millis(5_000);
 
 /// Shortest time between two looks at the newest version.
 const MIN_WATCH_PAUSE: Duration = Duration::from_millis(100);
@@ -25,6 +29,7 @@
     pub(crate) logger: Logger,
     pub(crate) read_configuration: Arc<Notify>,
     pub(crate) shutdown: Shutdown,
+    pub(crate) status: Arc<ArcSwap<HostStatus>>,
 }
 
 impl PlatformThread {
@@ -44,7 +49,13 @@
         let store = ConfigStore::new(Arc::clone(&client));
         let watching = async {
             futures::join!(
-                watch_configuration(&store, &self.read_configuration, &self.events, &self.logger),
+                watch_configuration(
+                    &store,
+                    &self.read_configuration,
+                    &self.status,
+                    &self.events,
+                    &self.logger
+                ),
                 watch_hosts(&client, &self.events, &self.logger),
             );
         };
@@ -62,6 +73,7 @@
 async fn watch_configuration(
     store: &ConfigStore,
     read_now: &Notify,
+    status: &ArcSwap<HostStatus>,
     events: &flume::Sender<RingEvent>,
     logger: &Logger,
 ) {
@@ -94,36 +106,50 @@
         // a pause: peers that are ahead of a slow platform must not make every
         // host ask it at once and again.
         sleep(MIN_WATCH_PAUSE).await;
-        let wait = jittered(WATCH_INTERVAL).saturating_sub(MIN_WATCH_PAUSE);
+        let interval = if is_steward(&status.load()) {
+            STEWARD_WATCH_INTERVAL
+        } else {
+            WATCH_INTERVAL
+        };
+        let wait = jittered(interval).saturating_sub(MIN_WATCH_PAUSE);
         let _ = timeout(wait, read_now.notified()).await;
     }
 }
 
+fn is_steward(status: &HostStatus) -> bool {
+    status.steward == status.host
+}
+
 async fn watch_hosts(client: &PlatformClient, events: &flume::Sender<RingEvent>, logger: &Logger) {
-    let mut known = HostList::default();
+    let mut tag = String::new();
     loop {
-        match client.hosts().await {
-            Ok(list) if list != known => {
-                debug!(logger, "platform: host list"; "hosts" => list.hosts.len());
-                let hosts = list.hosts.iter().map(peer_host).collect();
-                let event = Event::HostsListed { hosts };
-                let _ = events.send_async(RingEvent::Happened(event)).await;
-                let leaving = list.upstreams.iter();
-                let leaving = leaving
-                    .filter(|listed| listed.state == ListedState::Leaving)
-                    .map(|listed| listed.upstream.clone())
-                    .collect();
-                let event = Event::UpstreamsListed { leaving };
-                let _ = events.send_async(RingEvent::Happened(event)).await;
-                known = list;
+        match client.hosts(&tag).await {
+            Ok(Some(newest)) => {
+                debug!(logger, "platform: host list"; "hosts" => newest.list.hosts.len());
+                tag = newest.tag;
+                tell_list(&newest.list, events).await;
             }
-            Ok(_) => {}
+            Ok(None) => {}
             Err(error) => debug!(logger, "platform: host list not read"; "error" => %error),
         }
         sleep(jittered(LIST_INTERVAL)).await;
     }
 }
 
+async fn tell_list(list: &HostList, events: &flume::Sender<RingEvent>) {
+    let hosts = list.hosts.iter().map(peer_host).collect();
+    let event = Event::HostsListed { hosts };
+    let _ = events.send_async(RingEvent::Happened(event)).await;
+    let leaving = list
+        .upstreams
+        .iter()
+        .filter(|listed| listed.state == ListedState::Leaving)
+        .map(|listed| listed.upstream.clone())
+        .collect();
+    let event = Event::UpstreamsListed { leaving };
+    let _ = events.send_async(RingEvent::Happened(event)).await;
+}
+
 fn peer_host(listed: &ListedHost) -> PeerHost {
     PeerHost {
         address: listed.peer_address,
--- a/crates/router/src/pump.rs
+++ b/crates/router/src/pump.rs
@@ -255,44 +255,67 @@
 
     async fn pass_events(&mut self, order: &SendOrder, answer: Answer) -> Streamed {
         let content_type = answer.content_type().to_string();
-        let idle = Duration::from_millis(self.limits.upstream_idle_timeout_ms);
         let mut tokens = answer.into_tokens();
         loop {
-            let item = if self.request.is_keyed() {
-                tokens.next(idle).await
-            } else {
-                let next = pin!(tokens.next(idle));
-                let gone = pin!(self.answer.gone());
-                match select(next, gone).await {
-                    Either::Left((item, _)) => item,
-                    Either::Right(_) => return Streamed::CallerGone,
-                }
-            };
-            let mut part = String::new();
-            let mut item = Some(item);
-            let mut taken = 0;
-            let ended = loop {
-                match item {
-                    Some(Ok(StreamItem::Event { data, id })) => {
-                        self.take_event(&mut part, &data, id);
-                    }
-                    Some(Ok(StreamItem::End)) => break Some(Streamed::Whole),
-                    Some(Err(failure)) => break Some(Streamed::Failed(failure)),
-                    None => break None,
-                }
-                taken += 1;
-                if taken == MAX_TOGETHER {
-                    break None;
-                }
-                item = tokens.try_next();
+            let Some(first) = self.next_item(&mut tokens).await else {
+                return Streamed::CallerGone;
             };
+            let (part, ended) = self.gather(first, &mut tokens);
             if !part.is_empty() && !self.pass_part(order, &content_type, part).await {
                 return Streamed::CallerGone;
             }
-            if let Some(ended) = ended {
-                return ended;
+            match ended {
+                None => {}
+                Some(Ok(())) => {
+                    tokens.finish().await;
+                    return Streamed::Whole;
+                }
+                Some(Err(failure)) => return Streamed::Failed(failure),
+            }
+        }
+    }
+
+    /// The next item of a stream; `None` if the caller is gone before and
+    /// nothing obliges the host to go on.
+    async fn next_item(
+        &mut self,
+        tokens: &mut TokenStream,
+    ) -> Option<Result<StreamItem, CallFailure>> {
+        if let Some(item) = tokens.try_next() {
+            return Some(item);
+        }
+        let idle = Duration::from_millis(self.limits.upstream_idle_timeout_ms);
+        if self.request.is_keyed() {
+            return Some(tokens.next(idle).await);
+        }
+        let next = pin!(tokens.next(idle));
+        let gone = pin!(self.answer.gone());
+        match select(next, gone).await {
+            Either::Left((item, _)) => Some(item),
+            Either::Right(_) => None,
+        }
+    }
+
+    /// Gathers an item and those that are there already into one piece for the
+    /// caller; says whether the stream ended with them.
+    fn gather(
+        &mut self,
+        first: Result<StreamItem, CallFailure>,
+        tokens: &mut TokenStream,
+    ) -> (String, Option<Result<(), CallFailure>>) {
+        let mut part = String::new();
+        let mut item = Some(first);
+        for place in 1..=MAX_TOGETHER {
+            match item {
+                Some(Ok(StreamItem::Event { data, id })) => self.take_event(&mut part, &data, id),
+                Some(Ok(StreamItem::End)) => return (part, Some(Ok(()))),
+                Some(Err(failure)) => return (part, Some(Err(failure))),
+                None => break,
             }
+            // An item taken here must not be left behind by the end of the loop.
+            item = (place < MAX_TOGETHER).then(|| tokens.try_next()).flatten();
         }
+        (part, None)
     }
 
     fn take_event(&mut self, part: &mut String, data: &str, id: String) {
--- a/crates/router/src/upstream_thread.rs
+++ b/crates/router/src/upstream_thread.rs
@@ -2,8 +2,14 @@
 
 use super::*;
 
-/// Time between two load reports of one engine.
-const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause between two polls of engines: four a second.
+const POLL_PAUSE: Duration = Duration::from_millis(250);
+
+/// Engines of a domain up to which each host asks all of them.
+const FEW_ENGINES: usize = 8;
+
+/// Engines beyond its own share that a host asks in a larger domain.
+const MORE_ENGINES: usize = 4;
 
 /// What the thread is given.
 pub(crate) struct UpstreamThread {
@@ -12,6 +18,7 @@
     pub(crate) logger: Logger,
     pub(crate) probes: flume::Receiver<ProbeJob>,
     pub(crate) shutdown: Shutdown,
+    pub(crate) status: Arc<ArcSwap<HostStatus>>,
 }
 
 impl UpstreamThread {
@@ -28,29 +35,59 @@
     async fn run(self) {
         let adapter = EngineAdapter::default();
         tokio::select! {
-            () = poll_loads(&self.configuration, &adapter, &self.events) => {}
+            () = poll_loads(&self.configuration, &self.status, &adapter, &self.events) => {}
             () = serve_probes(&self.probes, &adapter, &self.events, &self.logger) => {}
             () = self.shutdown.started() => {}
         }
     }
 }
 
+/// Asks one engine after the other, a fixed number a second, so that the cost
+/// of control does not grow with the domain.
 async fn poll_loads(
     configuration: &ArcSwapOption<Numbered>,
+    status: &ArcSwap<HostStatus>,
     adapter: &EngineAdapter,
     events: &flume::Sender<RingEvent>,
 ) {
     loop {
-        let numbered = configuration.load_full();
-        let engines = numbered
-            .iter()
-            .flat_map(|numbered| &numbered.document.upstreams);
-        let polls = engines
-            .filter(|(_, upstream)| matches!(upstream, config::Upstream::Engine(_)))
-            .map(|(id, upstream)| poll_load(adapter, id.clone(), upstream.address(), events));
-        futures::future::join_all(polls).await;
-        sleep(jittered(LOAD_INTERVAL)).await;
+        let polled = polled_engines(configuration.load_full().as_deref(), &status.load());
+        if polled.is_empty() {
+            sleep(POLL_PAUSE).await;
+        }
+        for (upstream, address) in polled {
+            let poll = poll_load(adapter, upstream, address, events);
+            futures::join!(poll, sleep(jittered(POLL_PAUSE)));
+        }
+    }
+}
+
+/// The engines that this host asks: all of its domain where they are few, else
+/// those that its share lies on and some others, different for each host.
+fn polled_engines(
+    numbered: Option<&Numbered>,
+    status: &HostStatus,
+) -> Vec<(UpstreamId, SocketAddr)> {
+    let Some(numbered) = numbered else {
+        return Vec::new();
+    };
+    let mut engines: Vec<(&UpstreamId, SocketAddr)> = numbered
+        .document
+        .upstreams
+        .iter()
+        .filter(|(_, upstream)| matches!(upstream, config::Upstream::Engine(_)))
+        .filter(|(_, upstream)| *upstream.failure_domain() == status.failure_domain)
+        .map(|(id, upstream)| (id, upstream.address()))
+        .collect();
+    if engines.len() > FEW_ENGINES {
+        engines.sort_by_key(|(id, _)| {
+            let is_home = status.home.contains(id);
+            (!is_home, rendezvous_weight(id.as_str(), &status.host))
+        });
+        engines.truncate(status.home.len() + MORE_ENGINES);
     }
+    let engines = engines.into_iter();
+    engines.map(|(id, address)| (id.clone(), address)).collect()
 }
 
 async fn poll_load(
--- a/crates/standin/src/platform_standin.rs
+++ b/crates/standin/src/platform_standin.rs
@@ -83,7 +83,7 @@
         return Ok(empty(StatusCode::SERVICE_UNAVAILABLE));
     }
     match (request.method(), path.as_str()) {
-        (&Method::GET, "/hosts") => Ok(answer_json(&*lock(&state.hosts))),
+        (&Method::GET, "/hosts") => Ok(hosts(&state, &request)),
         (&Method::POST, "/standin/hosts") => Ok(match read_json(request).await {
             Ok(hosts) => {
                 *lock(&state.hosts) = hosts;
@@ -114,6 +114,23 @@
     }
 }
 
+fn hosts(state: &PlatformState, request: &Request<Incoming>) -> Response<Body> {
+    let mut response = answer_json(&*lock(&state.hosts));
+    let list = serde_json::to_string(&*lock(&state.hosts)).unwrap_or_default();
+    let tag = Fingerprint::of_request("", "", list.as_bytes()).to_string();
+    if request
+        .headers()
+        .get("if-none-match")
+        .is_some_and(|known| *known == *tag)
+    {
+        return empty(StatusCode::NOT_MODIFIED);
+    }
+    if let Ok(tag) = hyper::header::HeaderValue::from_str(&tag) {
+        response.headers_mut().insert("etag", tag);
+    }
+    response
+}
+
 async fn write(state: &PlatformState, request: Request<Incoming>) -> Answer {
     let batch: TableBatch = match read_json(request).await {
         Ok(batch) => batch,
--- a/crates/upstream/src/event_stream.rs
+++ b/crates/upstream/src/event_stream.rs
@@ -3,6 +3,11 @@
 /// Data of the event that ends an answer.
 const END_MARK: &str = "[DONE]";
 
+/// Time for the end of the body after the end mark.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(100);
+
+type FrameEvent = Result<Event, EventStreamError<hyper::Error>>;
+
 type Frames = EventStream<BodyDataStream<Incoming>>;
 
 /// The events of an answer, up to its end mark.
@@ -30,33 +35,43 @@
     /// however the connection was closed: a cut answer is never taken for a
     /// whole one.
     pub async fn next(&mut self, idle_timeout: Duration) -> Result<StreamItem, CallFailure> {
+        // A timer for each token would cost more than the token.
+        if let Some(item) = self.try_next() {
+            return item;
+        }
         match timeout(idle_timeout, self.events.next()).await {
-            Ok(Some(Ok(event))) if event.data == END_MARK => {
-                self.finish().await;
-                Ok(StreamItem::End)
-            }
-            Ok(Some(Ok(Event { data, id, .. }))) => Ok(StreamItem::Event { data, id }),
-            Ok(Some(Err(EventStreamError::Transport(_)))) => {
-                Err(CallFailure::may_have_run(FailureCause::Reset))
-            }
-            Ok(Some(Err(_)) | None) => Err(CallFailure::may_have_run(FailureCause::Truncated)),
+            Ok(event) => self.item(event),
             Err(_) => Err(CallFailure::may_have_run(FailureCause::Silent)),
         }
     }
 
     /// The next item if it is there already.
     pub fn try_next(&mut self) -> Option<Result<StreamItem, CallFailure>> {
-        use futures::FutureExt;
         if self.ended {
             return None;
         }
-        self.next(Duration::MAX).now_or_never()
+        let event = self.events.next().now_or_never()?;
+        Some(self.item(event))
+    }
+
+    fn item(&mut self, event: Option<FrameEvent>) -> Result<StreamItem, CallFailure> {
+        match event {
+            Some(Ok(event)) if event.data == END_MARK => {
+                self.ended = true;
+                Ok(StreamItem::End)
+            }
+            Some(Ok(Event { data, id, .. })) => Ok(StreamItem::Event { data, id }),
+            Some(Err(EventStreamError::Transport(_))) => {
+                Err(CallFailure::may_have_run(FailureCause::Reset))
+            }
+            Some(Err(_)) | None => Err(CallFailure::may_have_run(FailureCause::Truncated)),
+        }
     }
 
-    /// Reads the last bytes, so that the connection can be used again.
-    async fn finish(&mut self) {
-        self.ended = true;
-        let rest = timeout(Duration::from_millis(100), self.events.next()).await;
+    /// Reads the last bytes after the end mark, so that the connection can be
+    /// used again.
+    pub async fn finish(mut self) {
+        let rest = timeout(FINISH_TIMEOUT, self.events.next()).await;
         if let (Ok(None), Some(sender)) = (rest, self.sender.take()) {
             self.connections.keep(self.address, sender);
         }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,7 +4,7 @@
 use {
     bytes::Bytes,
     eventsource_stream::{Event, EventStream, EventStreamError, Eventsource},
-    futures::StreamExt,
+    futures::{FutureExt, StreamExt},
     http_body_util::{BodyDataStream, Full, Limited},
     hyper::{
         Method, Request, Response, StatusCode,
