--- /dev/null
+++ b/crates/config/tests/documents.rs
@@ -0,0 +1,127 @@
+//! Documents and settings: the examples pass, and each fault is named.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use {
+    config::{ConfigError, Document, Settings},
+    quickcheck::{Arbitrary, Gen, QuickCheck},
+    serde_json::{Value, json},
+};
+
+const EXAMPLE: &str = include_str!("../../../examples/configuration.json");
+const HOST: &str = include_str!("../../../examples/host.toml");
+
+fn example() -> Value {
+    serde_json::from_str(EXAMPLE).unwrap()
+}
+
+#[test]
+fn the_examples_are_valid() {
+    let document = Document::from_json(EXAMPLE).unwrap();
+    assert_eq!(Document::from_json(&document.to_json()).unwrap(), document);
+    Settings::from_toml(HOST).unwrap();
+}
+
+#[test]
+fn each_fault_is_named() {
+    let cases: [(&str, Value, &str); 12] = [
+        ("/format", json!(2), "format 2"),
+        ("/classes/question/tier", json!(6), "tier (0 to 5)"),
+        (
+            "/classes/question/deadline_ms",
+            json!(0),
+            "classes.question.deadline_ms",
+        ),
+        (
+            "/classes/question/first_token_target_ms",
+            json!(20_000),
+            "first_token_target_ms",
+        ),
+        (
+            "/classes/question/objective",
+            json!(1.0),
+            "above 0, below 1",
+        ),
+        (
+            "/teams/shop/default_class",
+            json!("trial"),
+            "default class of team shop",
+        ),
+        (
+            "/teams/shop/max_requests_per_s",
+            json!(-1.0),
+            "not a valid rate",
+        ),
+        (
+            "/teams/visitors/classes",
+            json!(["description", "question"]),
+            "too urgent",
+        ),
+        ("/trial/max_slot_share", json!(0.0), "trial.max_slot_share"),
+        ("/scheduling/max_headroom_share", json!(0.9), "0 to 0.5"),
+        (
+            "/upstreams/orders-1/service",
+            json!("stock"),
+            "service stock",
+        ),
+        (
+            "/upstreams/orders-1/address",
+            json!("10.1.0.31:8000"),
+            "both have address",
+        ),
+    ];
+    for (path, value, expected) in cases {
+        let mut document = example();
+        *document.pointer_mut(path).unwrap() = value;
+        let error = Document::from_value(document).unwrap_err().to_string();
+        assert!(error.contains(expected), "{path}: {error}");
+    }
+}
+
+#[test]
+fn a_key_twice_and_an_unknown_field_are_refused() {
+    let mut document = example();
+    document["teams"]["visitors"]["key_sha256"] = document["teams"]["shop"]["key_sha256"].clone();
+    let error = Document::from_value(document).unwrap_err();
+    assert!(matches!(error, ConfigError::KeyTwice { .. }), "{error}");
+    let mut document = example();
+    document["teams"]["shop"]["max_rate"] = json!(1);
+    let error = Document::from_value(document).unwrap_err().to_string();
+    assert!(error.contains("unknown field `max_rate`"), "{error}");
+}
+
+/// Text that is sometimes close to a document.
+#[derive(Clone, Debug)]
+struct NearlyJson(String);
+
+impl Arbitrary for NearlyJson {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut text: Vec<char> = EXAMPLE.chars().collect();
+        for _ in 0..u8::arbitrary(g) % 8 {
+            let place = usize::arbitrary(g) % text.len().max(1);
+            if text.is_empty() {
+                break;
+            }
+            match u8::arbitrary(g) % 3 {
+                0 => text[place] = char::arbitrary(g),
+                1 => text.truncate(place + 1),
+                _ => {
+                    text.remove(place);
+                }
+            }
+        }
+        Self(text.into_iter().collect())
+    }
+}
+
+#[test]
+fn no_text_makes_the_parser_panic() {
+    fn survives(text: NearlyJson) -> bool {
+        let again = Document::from_json(&text.0).map(|document| document.to_json());
+        again.is_err() || Document::from_json(&again.unwrap()).is_ok()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 1))
+        .tests(300)
+        .quickcheck(survives as fn(NearlyJson) -> bool);
+}
--- a/crates/operator/src/load_command.rs
+++ b/crates/operator/src/load_command.rs
@@ -3,6 +3,9 @@
 /// Options of `load`.
 #[derive(Bpaf, Clone, Debug)]
 pub struct LoadCommand {
+    /// Add the faults of another file, as TOML
+    #[bpaf(argument("FILE"))]
+    faults: Option<PathBuf>,
     /// Write the report as JSON
     #[bpaf(argument("FILE"))]
     json: Option<PathBuf>,
@@ -22,10 +25,13 @@
 
 impl LoadCommand {
     pub(crate) async fn run(self) -> eyre::Result<()> {
-        let text = std::fs::read_to_string(&self.file)
-            .wrap_err_with(|| format!("cannot read {}", self.file.display()))?;
-        let mut scenario = Scenario::from_toml(&text)
+        let mut scenario = Scenario::from_toml(&read(&self.file)?)
             .wrap_err_with(|| format!("{} is not valid", self.file.display()))?;
+        if let Some(file) = &self.faults {
+            let timeline: Timeline = toml::from_str(&read(file)?)
+                .wrap_err_with(|| format!("{} is not valid", file.display()))?;
+            scenario.faults.extend(timeline.faults);
+        }
         if let Some(seed) = self.seed {
             scenario.seed = seed;
         }
@@ -39,6 +45,17 @@
     }
 }
 
+/// Faults in a file of their own.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Timeline {
+    faults: Vec<Fault>,
+}
+
+fn read(file: &Path) -> eyre::Result<String> {
+    std::fs::read_to_string(file).wrap_err_with(|| format!("cannot read {}", file.display()))
+}
+
 /// Runs a scenario and reports; an error if a promise was broken.
 pub(crate) async fn run_and_report(
     scenario: &Scenario,
