Estimate the wait from what a slot can do; try only the lanes concerned

The wait was worked out from the work done in the last seconds, which is small on a host that had little to do, so a burst after a quiet time was refused with slots free. Ruled out: the drain (no request was cut) and the queue bound (not reached).

Change: the work that one slot gets done in a second is averaged over answers, and taken times the host's slots. Reports count errors by their code.

Change: an event tries the lanes that it concerns; a lane without a share left is skipped without a look at its upstreams; progress tries none.

--- a/crates/operator/src/history_report.rs
+++ b/crates/operator/src/history_report.rs
@@ -10,6 +10,9 @@
         ..Report::default()
     };
     for record in &experiment.records {
+        if let Some(code) = &record.code {
+            *report.refused_by_code.entry(code.clone()).or_default() += 1;
+        }
         if let Some(verdict) = record.verdict {
             *report.verdicts.entry(verdict).or_default() += 1;
         }
--- a/crates/operator/src/render.rs
+++ b/crates/operator/src/render.rs
@@ -58,13 +58,23 @@
         .iter()
         .map(|(verdict, count)| format!("{verdict} {count}"))
         .collect();
+    let codes: Vec<String> = report
+        .refused_by_code
+        .iter()
+        .map(|(code, count)| format!("{code} {count}"))
+        .collect();
     text += &format!(
-        "\ngoodput {:.1} tokens/s, {:.1} % of all computed\nwasted {:.2} % (tokens: {})\nverdicts: {}\n",
+        "\ngoodput {:.1} tokens/s, {:.1} % of all computed\nwasted {:.2} % (tokens: {})\nverdicts: {}\nerrors: {}\n",
         report.goodput_tokens_per_s,
         report.goodput_share * 100.0,
         report.wasted_share * 100.0,
         waste.join(", "),
         verdicts.join(", "),
+        if codes.is_empty() {
+            "none".to_string()
+        } else {
+            codes.join(", ")
+        },
     );
     if !report.promises.is_empty() {
         let promises = report.promises.iter().map(|promise| PromiseRow {
--- /dev/null
+++ b/crates/policy/benches/decision/main.rs
@@ -0,0 +1,186 @@
+//! Time of one decision by queued requests, upstreams and teams, of following a
+//! configuration, and of a steward's answer by hosts. Each figure is the mean
+//! over many; look at the growth, absolute times are noisy.
+//!
+//! `cargo bench -p rhubarbcove-policy --bench decision`
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use {
+    config::{Document, Numbered},
+    peer::{Demand, Heartbeat, PeerHost, PeerPhase},
+    policy::{
+        Action, Arrival, AttemptEnd, Controller, ControllerOptions, Event, Repeatability,
+        RoomRules, Target,
+    },
+    serde_json::{Map, json},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::Arc,
+        time::Instant,
+    },
+    types::prelude::*,
+};
+
+mod setup;
+
+use setup::{Size, arrival, controller, document, heartbeat, listed};
+
+/// Decisions timed for each figure.
+const DECISIONS: usize = 20_000;
+
+fn main() {
+    let base = Size {
+        queued: 10_000,
+        teams: 870,
+        upstreams: 200,
+    };
+    println!("a request ends and the next one is sent, with so many queued, upstreams and teams:");
+    for size in [
+        base,
+        Size {
+            queued: 20_000,
+            ..base
+        },
+        Size {
+            queued: 1_000,
+            ..base
+        },
+        Size {
+            upstreams: 400,
+            ..base
+        },
+        Size {
+            upstreams: 100,
+            ..base
+        },
+        Size {
+            teams: 1_740,
+            ..base
+        },
+        Size { teams: 435, ..base },
+    ] {
+        decisions(size);
+    }
+    println!("\na whole fleet's configuration:");
+    for (upstreams, teams) in [(131, 870), (1_050, 870), (2_100, 870), (2_100, 435)] {
+        configuration(upstreams, teams);
+    }
+    println!("\na steward answers a heartbeat, 131 upstreams, 8 models:");
+    for hosts in [2, 8, 24, 48] {
+        steward(hosts);
+    }
+}
+
+fn decisions(size: Size) {
+    let mut controller = controller(size);
+    let mut actions = Vec::new();
+    let mut running: VecDeque<(RequestId, AttemptId)> = VecDeque::new();
+    let mut next = 0;
+    let mut now = Time::default();
+    let in_flight = size.upstreams * setup::SLOTS as usize;
+    while next < size.queued + in_flight {
+        controller.handle(now, Event::Arrived(arrival(next, size.teams)), &mut actions);
+        next += 1;
+    }
+    note_sent(&mut actions, &mut running);
+    let start = Instant::now();
+    for _ in 0..DECISIONS {
+        now = now.plus_ms(1);
+        let (request, attempt) = running.pop_front().unwrap();
+        let end = AttemptEnd::Completed {
+            answer: None,
+            tokens: Tokens::new(100),
+        };
+        let event = Event::AttemptEnded {
+            attempt,
+            end,
+            request,
+        };
+        controller.handle(now, event, &mut actions);
+        controller.handle(now, Event::Arrived(arrival(next, size.teams)), &mut actions);
+        next += 1;
+        note_sent(&mut actions, &mut running);
+    }
+    let each_us = start.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64;
+    println!(
+        "  {:>6} queued {:>4} upstreams {:>5} teams: {each_us:>7.2} us, with the arrival of the one after it",
+        controller.queued(),
+        size.upstreams,
+        size.teams,
+    );
+}
+
+fn note_sent(actions: &mut Vec<Action>, running: &mut VecDeque<(RequestId, AttemptId)>) {
+    for action in actions.drain(..) {
+        if let Action::Send { order, request } = action {
+            running.push_back((request, order.attempt));
+        }
+    }
+}
+
+fn configuration(upstreams: usize, teams: usize) {
+    let document = document(upstreams, teams);
+    let bytes = document.to_json().len();
+    let patch = json!([{"op": "replace", "path": "/trial/max_slot_share", "value": 0.4}]);
+    let patch: json_patch::Patch = serde_json::from_value(patch).unwrap();
+    let start = Instant::now();
+    let patched = document.patched(&patch).unwrap();
+    let patch_ms = start.elapsed().as_secs_f64() * 1e3;
+    let mut controller = controller(Size {
+        queued: 0,
+        teams,
+        upstreams,
+    });
+    let numbered = Arc::new(Numbered {
+        document: patched,
+        version: ConfigVersion::new(2),
+    });
+    let start = Instant::now();
+    let event = Event::ConfigurationRead(numbered);
+    controller.handle(Time::default(), event, &mut Vec::new());
+    let apply_ms = start.elapsed().as_secs_f64() * 1e3;
+    println!(
+        "  {upstreams:>4} upstreams {teams:>3} teams: {:>4} KB as JSON, patched in {patch_ms:.1} ms, \
+         put in force in {apply_ms:.1} ms",
+        bytes / 1_000,
+    );
+}
+
+fn steward(hosts: usize) {
+    let mut controller = controller(Size {
+        queued: 0,
+        teams: 10,
+        upstreams: 131,
+    });
+    let mut actions = Vec::new();
+    let listed = (0..hosts).map(listed).collect();
+    controller.handle(
+        Time::default(),
+        Event::HostsListed { hosts: listed },
+        &mut actions,
+    );
+    let rounds = 200;
+    let mut now = Time::default();
+    let mut bytes = (0, 0);
+    let start = Instant::now();
+    for round in 0..rounds {
+        for number in 0..hosts {
+            now = now.plus_ms(100);
+            let heartbeat = heartbeat(number, round);
+            let event = Event::HeartbeatAsked { call: 0, heartbeat };
+            controller.handle(now, event, &mut actions);
+        }
+    }
+    let each_us = start.elapsed().as_secs_f64() * 1e6 / (rounds * hosts) as f64;
+    for action in actions {
+        if let Action::AnswerHeartbeat { answer, .. } = action {
+            bytes.1 = serde_json::to_string(&answer).unwrap().len();
+        }
+    }
+    bytes.0 = serde_json::to_string(&heartbeat(0, 0)).unwrap().len();
+    println!(
+        "  {hosts:>3} hosts: {each_us:>7.1} us each; a loaded host's heartbeat {} bytes, its answer {}",
+        bytes.0, bytes.1,
+    );
+}
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -43,7 +43,7 @@
         let resolved = self.resolve(&arrival, now)?;
         let rank = Rank::new(resolved.class.tier, resolved.plan);
         let admitted = self
-            .check_wait(&arrival.target, rank, &resolved.class, now)
+            .check_wait(&arrival.target, rank, &resolved.class)
             .and_then(|()| self.make_room(now, rank, actions));
         if let Err(refusal) = admitted {
             self.limits.release(&resolved.team_id);
@@ -109,16 +109,12 @@
 
     /// Refuses at once what could not start in time anyway. Only work of the
     /// same or a more urgent rank is counted as going before it.
-    fn check_wait(
-        &mut self,
-        target: &Target,
-        rank: Rank,
-        class: &Class,
-        now: Time,
-    ) -> Result<(), Refusal> {
-        let lane = self.lanes.entry(target.clone()).or_default();
+    fn check_wait(&mut self, target: &Target, rank: Rank, class: &Class) -> Result<(), Refusal> {
+        let Some(lane) = self.lanes.get(target) else {
+            return Ok(());
+        };
         let ahead = lane.cost_ahead(rank) as f64;
-        let Some(tokens_per_s) = lane.rate.tokens_per_s(now) else {
+        let Some(tokens_per_s) = lane.rate.tokens_per_s(self.pool.slots_for(target)) else {
             return Ok(());
         };
         let wait_s = ahead / tokens_per_s;
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -100,6 +100,10 @@
             state.health.note_success();
         }
         let facts = &request.facts;
+        if let Some(lane) = self.lanes.get_mut(&facts.target) {
+            let span = now.since(request.stage.sent);
+            lane.rate.note_answer(request.item.cost, span);
+        }
         self.limits.release(&facts.team);
         self.length.note(&facts.class, &facts.team, request.tokens);
         if let Some(attempt) = request.claimed_by {
@@ -301,13 +305,10 @@
         actions.push(Action::Record(outcome));
     }
 
-    /// Gives the slot back and counts the work done for the lane.
+    /// Gives the slot back.
     fn leave_upstream(&mut self, now: Time, request: &Request<Running>) {
         self.pool
             .end(&request.stage.upstream, request.facts.rank.plan, now);
-        if let Some(lane) = self.lanes.get_mut(&request.facts.target) {
-            lane.rate.note_served(request.item.cost, now);
-        }
     }
 }
 
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -17,6 +17,13 @@
     pub seed: u64,
 }
 
+/// The lanes that an event concerns.
+enum Affected {
+    All,
+    Nothing,
+    Targets(Vec<Target>),
+}
+
 /// The state machine that makes all of a host's decisions. It is given an
 /// event and the time, and answers with actions; two runs of one script of
 /// events give the same actions.
@@ -72,6 +79,34 @@
 
     /// Takes an event at a moment, and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        let affected = self.affected(&event);
+        self.take(now, event, actions);
+        match affected {
+            Affected::All => self.dispatch(now, None, actions),
+            Affected::Nothing => {}
+            Affected::Targets(targets) => self.dispatch(now, Some(&targets), actions),
+        }
+    }
+
+    /// The lanes for which an event may have made room, or brought work. Trying
+    /// all of them after each event would cost as much as the lanes are many.
+    fn affected(&self, event: &Event) -> Affected {
+        match event {
+            Event::Arrived(arrival) => Affected::Targets(vec![arrival.target.clone()]),
+            Event::AttemptEnded { request, .. } | Event::CallerGone { request } => {
+                match self.requests.get(request) {
+                    Some(Stage::Running(request)) => {
+                        Affected::Targets(self.pool.targets_of(&request.stage.upstream))
+                    }
+                    _ => Affected::All,
+                }
+            }
+            Event::HeartbeatAsked { .. } | Event::Progressed { .. } => Affected::Nothing,
+            _ => Affected::All,
+        }
+    }
+
+    fn take(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Arrived(arrival) => self.on_arrived(now, arrival, actions),
             Event::AttemptEnded {
@@ -108,7 +143,6 @@
             Event::Ticked => self.on_tick(now, actions),
             Event::UpstreamsListed { leaving } => self.pool.note_listed(leaving),
         }
-        self.dispatch(now, actions);
     }
 
     /// Where this host is in its life.
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -7,8 +7,14 @@
 const FLOOR_PRIORITY: u8 = 0;
 
 impl Controller {
-    /// Sends queued requests while there is room for them.
-    pub(crate) fn dispatch(&mut self, now: Time, actions: &mut Vec<Action>) {
+    /// Sends queued requests while there is room for them; `only` names the
+    /// lanes to be tried, all if it is `None`.
+    pub(crate) fn dispatch(
+        &mut self,
+        now: Time,
+        only: Option<&[Target]>,
+        actions: &mut Vec<Action>,
+    ) {
         if self.queued == 0 {
             return;
         }
@@ -18,6 +24,7 @@
             let targets: Vec<Target> = self
                 .lanes
                 .iter()
+                .filter(|(target, _)| only.is_none_or(|only| only.contains(target)))
                 .filter(|(target, lane)| lane.has_work(rank) && !full.contains(target))
                 .map(|(target, _)| target.clone())
                 .collect();
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -38,6 +38,8 @@
 #[derive(Debug, Default)]
 struct Places {
     foreign: Vec<usize>,
+    /// Groups of its own ones.
+    groups: Vec<usize>,
     own: Vec<usize>,
 }
 
@@ -168,10 +170,14 @@
             }
             for target in targets {
                 let places = self.targets.entry(target).or_default();
-                if own {
-                    places.own.push(place);
-                } else {
-                    places.foreign.push(place);
+                match state.group {
+                    Some(group) => {
+                        places.own.push(place);
+                        if !places.groups.contains(&group) {
+                            places.groups.push(group);
+                        }
+                    }
+                    None => places.foreign.push(place),
                 }
             }
         }
@@ -197,6 +203,9 @@
         now: Time,
         rng: &mut SmallRng,
     ) -> Option<UpstreamId> {
+        if self.is_surely_full(wish) {
+            return None;
+        }
         let places = self.usable(wish.target, now)?;
         let pace_ms = wish
             .pace_ms
@@ -265,6 +274,38 @@
         others_there && (overdraft || group.has_room(rank, &self.room))
     }
 
+    /// Whether no share is left for a request, without a look at each upstream.
+    fn is_surely_full(&self, wish: &Wish<'_>) -> bool {
+        let Some(places) = self.targets.get(wish.target) else {
+            return true;
+        };
+        let full = |group: &usize| {
+            let group = &self.groups[*group];
+            let alone = group.share.slots >= group.slots;
+            let overdraft = wish.rank.is_pressing() && !alone;
+            !overdraft && !group.has_room(wish.rank, &self.room)
+        };
+        places.foreign.is_empty() && places.groups.iter().all(full)
+    }
+
+    /// Slots that this host may fill for a target.
+    pub(crate) fn slots_for(&self, target: &Target) -> u32 {
+        let Some(places) = self.targets.get(target) else {
+            return 0;
+        };
+        let groups = places.groups.iter();
+        let own: u32 = groups.map(|group| self.groups[*group].share.slots).sum();
+        let foreign = places.foreign.iter();
+        let foreign: u32 = foreign.map(|place| self.states[*place].foreign_share).sum();
+        if own > 0 { own } else { foreign }
+    }
+
+    /// Targets that an upstream serves.
+    pub(crate) fn targets_of(&self, id: &UpstreamId) -> Vec<Target> {
+        self.get(id)
+            .map_or(Vec::new(), |state| targets_of(&state.definition))
+    }
+
     /// The domain's own upstreams of a target; those of other domains only
     /// while none of its own takes work, for their slots are shared out there.
     fn usable(&self, target: &Target, now: Time) -> Option<&[usize]> {
--- a/crates/policy/src/service_rate.rs
+++ b/crates/policy/src/service_rate.rs
@@ -1,43 +1,35 @@
 use super::*;
 
-/// Length of one measuring window.
-const WINDOW: Duration = Duration::from_secs(1);
+/// Weight of the newest answer in the moving average.
+const NEWEST_WEIGHT: f64 = 0.05;
 
-/// Weight of the newest window in the moving average.
-const NEWEST_WEIGHT: f64 = 0.3;
+/// Answers before the average is used.
+const MIN_ANSWERS: u32 = 10;
 
-/// How fast a lane gets its work done, in estimated tokens a second, as a
-/// moving average over windows of one second.
+/// How much work a lane gets done on one slot in a second, in estimated tokens.
+///
+/// What went wrong with the work that was done in the last seconds: on a host
+/// that had little to do it is small, and the first burst was refused with
+/// `deadline_unreachable` though slots were free. What a slot can do does not
+/// depend on how much there was to do.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceRate {
-    average_tokens_per_s: Option<f64>,
-    window_start: Time,
-    window_tokens: u64,
+    answers: u32,
+    tokens_per_slot_s: f64,
 }
 
 impl ServiceRate {
-    pub(crate) fn note_served(&mut self, tokens: u64, now: Time) {
-        self.roll(now);
-        self.window_tokens += tokens;
+    /// Notes an answer that took a slot for `span`.
+    pub(crate) fn note_answer(&mut self, tokens: u64, span: Duration) {
+        let sample = tokens as f64 / span.as_secs_f64().max(1e-3);
+        self.answers = self.answers.saturating_add(1);
+        let weight = NEWEST_WEIGHT.max(1.0 / f64::from(self.answers));
+        self.tokens_per_slot_s += weight * (sample - self.tokens_per_slot_s);
     }
 
-    /// Tokens a second; `None` until the first window has ended.
-    pub(crate) fn tokens_per_s(&mut self, now: Time) -> Option<f64> {
-        self.roll(now);
-        self.average_tokens_per_s.filter(|rate| *rate > 0.0)
-    }
-
-    fn roll(&mut self, now: Time) {
-        let passed = now.since(self.window_start);
-        if passed < WINDOW {
-            return;
-        }
-        let newest = self.window_tokens as f64 / passed.as_secs_f64();
-        self.average_tokens_per_s = Some(match self.average_tokens_per_s {
-            Some(average) => average + NEWEST_WEIGHT * (newest - average),
-            None => newest,
-        });
-        self.window_start = now;
-        self.window_tokens = 0;
+    /// Tokens a second on so many slots; `None` until enough has been seen.
+    pub(crate) fn tokens_per_s(&self, slots: u32) -> Option<f64> {
+        let rate = self.tokens_per_slot_s * f64::from(slots);
+        (self.answers >= MIN_ANSWERS && rate > 0.0).then_some(rate)
     }
 }
--- a/crates/router/benches/control/main.rs
+++ b/crates/router/benches/control/main.rs
@@ -1,12 +1,13 @@
 //! What a host spends on control: processor time by duty, memory, bytes and
 //! calls, without any request, and how it grows with hosts, upstreams and teams.
 //!
-//! `cargo bench -p rhubarbcove-router --bench control`
+//! `cargo bench -p rhubarbcove-router --bench control`, and with `-- CONFIG` how
+//! long an accepted patch takes to be in force on all hosts of a domain.
 
 #![allow(missing_docs, clippy::unwrap_used)]
 
 use {
-    config::{Document, Settings},
+    config::{Document, Patch, Settings},
     platform::{ConfigStore, ListedHost, ListedState, PlatformClient},
     router::{Host, Serving},
     serde_json::{Map, Value, json},
@@ -37,6 +38,9 @@
     site::{ControlSite, Size},
 };
 
+/// Patches submitted for each size.
+const PATCHES: u64 = 12;
+
 /// Time for a site to settle before it is measured.
 const SETTLE: Duration = Duration::from_secs(3);
 
@@ -48,6 +52,12 @@
         .enable_all()
         .build()
         .unwrap();
+    if std::env::args().any(|arg| arg == "CONFIG") {
+        for hosts in [2, 8, 24] {
+            runtime.block_on(configuration_delay(hosts));
+        }
+        return;
+    }
     println!(
         "{:>5} {:>9} {:>5} | percent of a core a host, by duty                      | {:>8} | bytes/s a host, both ways   | {:>9}",
         "hosts", "upstreams", "teams", "MB/host", "reads/s"
@@ -103,8 +113,34 @@
     }
 }
 
+/// Submits patches one after the other and waits for each on all hosts.
+async fn configuration_delay(hosts: usize) {
+    let size = Size {
+        engines: 4,
+        hosts,
+        teams: 100,
+    };
+    let mut site = ControlSite::start_upstreams(size).await;
+    site.start_hosts(size).await;
+    tokio::time::sleep(SETTLE).await;
+    let mut delays_ms = Vec::new();
+    for version in 1..=PATCHES {
+        let delays = site.patch(version).await;
+        delays_ms.extend(delays.iter().map(|delay| delay.as_secs_f64() * 1e3));
+    }
+    delays_ms.sort_by(f64::total_cmp);
+    let at = |share: f64| delays_ms[((delays_ms.len() - 1) as f64 * share) as usize];
+    println!(
+        "{hosts:>2} hosts, {PATCHES} patches: in force on a host after p50 {:.0} ms, p95 {:.0} ms, \
+         last {:.0} ms",
+        at(0.5),
+        at(0.95),
+        at(1.0),
+    );
+    site.stop().await;
+}
+
 async fn measure(size: Size) {
-    let before_bytes = resident_bytes();
     let mut site = ControlSite::start_upstreams(size).await;
     let upstream_bytes = resident_bytes();
     site.start_hosts(size).await;
@@ -145,5 +181,4 @@
         reads as f64 / seconds,
     );
     site.stop().await;
-    let _ = before_bytes;
 }
--- a/crates/router/benches/control/site.rs
+++ b/crates/router/benches/control/site.rs
@@ -117,6 +117,34 @@
         .unwrap()
     }
 
+    /// Submits a patch against a version; gives the time from its acceptance
+    /// until it is in force, for each host.
+    pub async fn patch(&self, base: u64) -> Vec<Duration> {
+        let client = PlatformClient::new(self.platform.address(), Duration::from_secs(1));
+        let store = ConfigStore::new(Arc::new(client));
+        let share = 0.1 + base as f64 / 1_000.0;
+        let operations =
+            json!([{"op": "replace", "path": "/trial/max_slot_share", "value": share}]);
+        let patch = Patch {
+            author: "bench".to_string(),
+            base: ConfigVersion::new(base),
+            id: format!("patch-{base}"),
+            operations: serde_json::from_value(operations).unwrap(),
+        };
+        let version = store.submit(&patch).await.unwrap();
+        let accepted = std::time::Instant::now();
+        let mut delays = vec![None; self.hosts.len()];
+        while delays.contains(&None) {
+            for (delay, host) in delays.iter_mut().zip(&self.hosts) {
+                if delay.is_none() && host.status().version >= Some(version) {
+                    *delay = Some(accepted.elapsed());
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        delays.into_iter().flatten().collect()
+    }
+
     /// Bytes to and from the platform, the engines and between hosts.
     pub fn bytes(&self) -> [u64; 3] {
         let counters = &self.counters;
--- a/crates/router/src/ledger.rs
+++ b/crates/router/src/ledger.rs
@@ -72,6 +72,7 @@
             goodput_share: share(self.good_tokens),
             goodput_tokens_per_s: self.good_tokens as f64 / seconds.max(1e-3),
             promises: Vec::new(),
+            refused_by_code: BTreeMap::new(),
             verdicts: self.verdicts.clone(),
             wasted_by_cause: self.wasted.clone(),
             wasted_share: share(wasted),
--- a/crates/router/src/report.rs
+++ b/crates/router/src/report.rs
@@ -11,6 +11,10 @@
     pub goodput_tokens_per_s: f64,
     /// Promises checked over the run's history; empty where none is kept.
     pub promises: Vec<Promise>,
+    /// Requests that were refused or broke, by the error's code; empty where
+    /// codes are not kept.
+    #[serde(default)]
+    pub refused_by_code: BTreeMap<String, u64>,
     /// Requests by the verdict they were told.
     pub verdicts: BTreeMap<Verdict, u64>,
     /// Tokens computed in vain, by cause.
