Give rings, readers and the choice of upstreams files of their own

Change: moved without a change of behaviour: the rings and shared parts of a host, the cursor and readers of the engine stand-in, the choice of an upstream and what a request asks of it.

--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -207,7 +207,7 @@
     patch: &Patch,
     document: Document,
 ) -> TableBatch {
-    let keep = version.get() % SNAPSHOT_EVERY == 0;
+    let keep = version.get().is_multiple_of(SNAPSHOT_EVERY);
     let logged = LoggedPatch {
         patch: Some(patch.clone()),
         snapshot: keep.then_some(document),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod arrival;
 mod attempt_end;
 mod attempts;
+mod choice;
 mod claim_answer;
 mod claim_request;
 mod claims;
@@ -61,6 +62,7 @@
 mod team_limits;
 mod upstream_state;
 mod waste;
+mod wish;
 
 pub use {
     action::{Action, SendOrder},
@@ -95,7 +97,7 @@
     member::Member,
     membership::Membership,
     peering::Peering,
-    pool::{Pool, Wish},
+    pool::Pool,
     queued_item::QueuedItem,
     rank::{PRESSING_TIERS, Rank},
     rank_queue::RankQueue,
@@ -107,4 +109,5 @@
     steward::{Divided, Steward},
     team_limits::TeamLimits,
     upstream_state::UpstreamState,
+    wish::Wish,
 };
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -1,46 +1,30 @@
 use super::*;
 
-/// How much fuller than the least full upstream the one with the cached
-/// prefix may be and still be chosen.
-const AFFINITY_SLACK: f64 = 0.25;
-
 /// At least one in so many upstreams of a target stays in use, however many
 /// have failed.
 const KEEP_ONE_IN: usize = 2;
 
-/// What a request asks of its upstream.
-#[derive(Debug)]
-pub(crate) struct Wish<'a> {
-    /// Upstreams that it has failed on.
-    pub(crate) avoid: &'a [UpstreamId],
-    /// Token time that it needs; `None` if it can miss its target anyway.
-    pub(crate) pace_ms: Option<u64>,
-    pub(crate) prefix: Option<PrefixHash>,
-    pub(crate) rank: Rank,
-    pub(crate) target: &'a Target,
-}
-
 /// All upstreams, and the choice between them.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
-    affinity: Affinity,
-    groups: Vec<Group>,
-    index: HashMap<UpstreamId, usize>,
+    pub(crate) affinity: Affinity,
+    pub(crate) groups: Vec<Group>,
+    pub(crate) index: HashMap<UpstreamId, usize>,
     /// Upstreams that are leaving by the platform's list. It may be read before
     /// the configuration that names them, so it is kept apart from the states.
-    listed_leaving: BTreeSet<UpstreamId>,
-    room: RoomRules,
-    states: Vec<UpstreamState>,
-    targets: HashMap<Target, Places>,
+    pub(crate) listed_leaving: BTreeSet<UpstreamId>,
+    pub(crate) room: RoomRules,
+    pub(crate) states: Vec<UpstreamState>,
+    pub(crate) targets: HashMap<Target, Places>,
 }
 
 /// Where the upstreams of one target are, by their failure domain.
 #[derive(Debug, Default)]
-struct Places {
-    foreign: Vec<usize>,
+pub(crate) struct Places {
+    pub(crate) foreign: Vec<usize>,
     /// Groups of its own ones.
-    groups: Vec<usize>,
-    own: Vec<usize>,
+    pub(crate) groups: Vec<usize>,
+    pub(crate) own: Vec<usize>,
 }
 
 impl Pool {
@@ -195,99 +179,6 @@
         self.index.get(id).map(|place| &mut self.states[*place])
     }
 
-    /// Chooses the upstream for a request: among those with room the least
-    /// full, unless one that has served the same prefix is about as free.
-    pub(crate) fn choose(
-        &self,
-        wish: &Wish<'_>,
-        now: Time,
-        rng: &mut SmallRng,
-    ) -> Option<UpstreamId> {
-        if self.is_surely_full(wish) {
-            return None;
-        }
-        let places = self.usable(wish.target, now)?;
-        let pace_ms = wish
-            .pace_ms
-            .filter(|pace_ms| self.any_keeps_pace(places, *pace_ms, now));
-        let in_pace = || {
-            let states = places.iter().map(|place| &self.states[*place]);
-            states.filter(|state| pace_ms.is_none_or(|pace_ms| state.keeps_pace(pace_ms)))
-        };
-        let home =
-            |state: &&UpstreamState| state.is_home_free(now) && self.may_use_home(state, wish.rank);
-        let free =
-            |state: &&UpstreamState| state.is_free(now) && self.may_use_free(state, wish.rank);
-        let queue =
-            |state: &&UpstreamState| state.is_queueable(now) && self.may_queue(state, wish.rank);
-        let best = self
-            .best(in_pace().filter(home), wish, rng)
-            .or_else(|| self.best(in_pace().filter(free), wish, rng))
-            .or_else(|| pick(in_pace().filter(queue), wish, rng))?;
-        Some(best.id.clone())
-    }
-
-    /// The least full of some upstreams, or the one that has served the same
-    /// prefix if it is among them and about as free.
-    fn best<'a>(
-        &'a self,
-        states: impl Iterator<Item = &'a UpstreamState> + Clone,
-        wish: &Wish<'_>,
-        rng: &mut SmallRng,
-    ) -> Option<&'a UpstreamState> {
-        let best = pick(states.clone(), wish, rng)?;
-        let cached = self
-            .cached(wish)
-            .filter(|cached| states.clone().any(|state| state.id == cached.id))
-            .filter(|cached| cached.fullness() <= best.fullness() + AFFINITY_SLACK);
-        Some(cached.unwrap_or(best))
-    }
-
-    /// Whether a free slot of this host's own may be used. A pressing request
-    /// always may; the others leave the headroom, and what an overdraft took.
-    fn may_use_home(&self, state: &UpstreamState, rank: Rank) -> bool {
-        let Some(group) = state.group else {
-            return false;
-        };
-        rank.is_pressing() || self.groups[group].has_room(rank, &self.room)
-    }
-
-    /// Whether this host may use a free slot of an upstream.
-    fn may_use_free(&self, state: &UpstreamState, rank: Rank) -> bool {
-        let Some(group) = state.group else {
-            return state.in_flight < state.foreign_share;
-        };
-        let overdraft = rank.is_pressing() && self.room.overdraft != Overdraft::None;
-        overdraft || self.groups[group].has_room(rank, &self.room)
-    }
-
-    /// Whether this host may use an upstream's own queue, since all upstreams
-    /// look full: with a share left some slot must be free, so the reports are
-    /// older than that.
-    fn may_queue(&self, state: &UpstreamState, rank: Rank) -> bool {
-        let Some(group) = state.group else {
-            return false;
-        };
-        let group = &self.groups[group];
-        let others_there = group.share.slots < group.slots;
-        let overdraft = rank.is_pressing() && self.room.overdraft == Overdraft::EngineQueue;
-        others_there && (overdraft || group.has_room(rank, &self.room))
-    }
-
-    /// Whether no share is left for a request, without a look at each upstream.
-    fn is_surely_full(&self, wish: &Wish<'_>) -> bool {
-        let Some(places) = self.targets.get(wish.target) else {
-            return true;
-        };
-        let full = |group: &usize| {
-            let group = &self.groups[*group];
-            let alone = group.share.slots >= group.slots;
-            let overdraft = wish.rank.is_pressing() && !alone;
-            !overdraft && !group.has_room(wish.rank, &self.room)
-        };
-        places.foreign.is_empty() && places.groups.iter().all(full)
-    }
-
     /// Slots that this host may fill for a target.
     pub(crate) fn slots_for(&self, target: &Target) -> u32 {
         let Some(places) = self.targets.get(target) else {
@@ -306,29 +197,6 @@
             .map_or(Vec::new(), |state| targets_of(&state.definition))
     }
 
-    /// The domain's own upstreams of a target; those of other domains only
-    /// while none of its own takes work, for their slots are shared out there.
-    fn usable(&self, target: &Target, now: Time) -> Option<&[usize]> {
-        let places = self.targets.get(target)?;
-        let open = |places: &[usize]| places.iter().any(|place| self.states[*place].is_open(now));
-        if !open(&places.own) && open(&places.foreign) {
-            return Some(&places.foreign);
-        }
-        Some(&places.own)
-    }
-
-    fn cached(&self, wish: &Wish<'_>) -> Option<&UpstreamState> {
-        let id = self.affinity.lookup(wish.prefix?)?;
-        self.get(id).filter(|state| !wish.avoid.contains(&state.id))
-    }
-
-    fn any_keeps_pace(&self, places: &[usize], pace_ms: u64, now: Time) -> bool {
-        places
-            .iter()
-            .map(|place| &self.states[*place])
-            .any(|state| state.is_open(now) && state.keeps_pace(pace_ms))
-    }
-
     /// Takes a slot.
     pub(crate) fn start(
         &mut self,
@@ -411,44 +279,6 @@
     }
 }
 
-/// The least full upstream, one that the request has not failed on if there is
-/// one.
-fn pick<'a>(
-    states: impl Iterator<Item = &'a UpstreamState> + Clone,
-    wish: &Wish<'_>,
-    rng: &mut SmallRng,
-) -> Option<&'a UpstreamState> {
-    let fresh = states
-        .clone()
-        .filter(|state| !wish.avoid.contains(&state.id));
-    least_full(fresh, rng).or_else(|| least_full(states, rng))
-}
-
-/// The least full upstream; ties are broken at random, so that several hosts
-/// do not all choose the same one.
-fn least_full<'a>(
-    states: impl Iterator<Item = &'a UpstreamState>,
-    rng: &mut SmallRng,
-) -> Option<&'a UpstreamState> {
-    let mut best: Option<(&UpstreamState, f64)> = None;
-    let mut ties = 0;
-    for state in states {
-        let fullness = state.fullness();
-        match best {
-            Some((_, least)) if fullness > least => continue,
-            Some((_, least)) if fullness == least => {
-                ties += 1;
-                if rng.random_range(0..=ties) > 0 {
-                    continue;
-                }
-            }
-            _ => ties = 0,
-        }
-        best = Some((state, fullness));
-    }
-    best.map(|(state, _)| state)
-}
-
 /// One place's part of a number that is spread evenly over places.
 fn even_part(number: u32, places: usize, place: usize) -> u32 {
     let places = places.max(1) as u32;
--- /dev/null
+++ b/crates/policy/src/wish.rs
@@ -0,0 +1,13 @@
+use super::*;
+
+/// What a request asks of its upstream.
+#[derive(Debug)]
+pub(crate) struct Wish<'a> {
+    /// Upstreams that it has failed on.
+    pub(crate) avoid: &'a [UpstreamId],
+    /// Token time that it needs; `None` if it can miss its target anyway.
+    pub(crate) pace_ms: Option<u64>,
+    pub(crate) prefix: Option<PrefixHash>,
+    pub(crate) rank: Rank,
+    pub(crate) target: &'a Target,
+}
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -1,17 +1,5 @@
 use super::*;
 
-/// Events that may wait for the controller.
-const EVENT_RING: usize = 65_536;
-
-/// Jobs that may wait for the platform's thread.
-const PLATFORM_RING: usize = 4_096;
-
-/// Heartbeats that may wait for the peers' thread.
-const PEER_RING: usize = 16;
-
-/// Probes that may wait for the upstreams' thread.
-const PROBE_RING: usize = 256;
-
 /// Pause between two looks at whether a host is ready.
 const READY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -249,56 +237,6 @@
     }
 }
 
-struct Rings {
-    events: (flume::Sender<RingEvent>, flume::Receiver<RingEvent>),
-    peers: (flume::Sender<PeerJob>, flume::Receiver<PeerJob>),
-    platform: (flume::Sender<PlatformJob>, flume::Receiver<PlatformJob>),
-    probes: (flume::Sender<ProbeJob>, flume::Receiver<ProbeJob>),
-}
-
-impl Rings {
-    fn new() -> Self {
-        Self {
-            events: flume::bounded(EVENT_RING),
-            peers: flume::bounded(PEER_RING),
-            platform: flume::bounded(PLATFORM_RING),
-            probes: flume::bounded(PROBE_RING),
-        }
-    }
-}
-
-/// What several threads read.
-struct Shared {
-    clock: Clock,
-    configuration: Arc<ArcSwapOption<Numbered>>,
-    ledger: Arc<Mutex<Ledger>>,
-    read_configuration: Arc<Notify>,
-    status: Arc<ArcSwap<HostStatus>>,
-}
-
-impl Shared {
-    fn new(settings: &Settings) -> Self {
-        let status = HostStatus {
-            ejected: Vec::new(),
-            failure_domain: settings.failure_domain.clone(),
-            home: Vec::new(),
-            host: settings.host.clone(),
-            leaving: Vec::new(),
-            phase: HostPhase::Starting,
-            queued: 0,
-            steward: settings.host.clone(),
-            version: None,
-        };
-        Self {
-            clock: Clock::new(),
-            configuration: Arc::default(),
-            ledger: Arc::default(),
-            read_configuration: Arc::default(),
-            status: Arc::new(ArcSwap::from_pointee(status)),
-        }
-    }
-}
-
 fn listen(address: SocketAddr) -> eyre::Result<std::net::TcpListener> {
     let listener = std::net::TcpListener::bind(address)
         .wrap_err_with(|| format!("cannot listen on {address}"))?;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -89,7 +89,9 @@
 mod pump;
 mod report;
 mod ring_event;
+mod rings;
 mod runtime;
+mod shared;
 mod shutdown;
 mod table_claims;
 mod upstream_thread;
@@ -119,7 +121,9 @@
     probe_job::ProbeJob,
     pump::Pump,
     ring_event::RingEvent,
+    rings::Rings,
     runtime::single_thread_runtime,
+    shared::Shared,
     shutdown::Shutdown,
     table_claims::TableClaims,
 };
--- /dev/null
+++ b/crates/router/src/rings.rs
@@ -0,0 +1,32 @@
+use super::*;
+
+/// Events that may wait for the controller.
+const EVENT_RING: usize = 65_536;
+
+/// Heartbeats that may wait for the peers' thread.
+const PEER_RING: usize = 16;
+
+/// Jobs that may wait for the platform's thread.
+const PLATFORM_RING: usize = 4_096;
+
+/// Probes that may wait for the upstreams' thread.
+const PROBE_RING: usize = 256;
+
+/// The bounded rings that join the threads of a host.
+pub(crate) struct Rings {
+    pub(crate) events: (flume::Sender<RingEvent>, flume::Receiver<RingEvent>),
+    pub(crate) peers: (flume::Sender<PeerJob>, flume::Receiver<PeerJob>),
+    pub(crate) platform: (flume::Sender<PlatformJob>, flume::Receiver<PlatformJob>),
+    pub(crate) probes: (flume::Sender<ProbeJob>, flume::Receiver<ProbeJob>),
+}
+
+impl Rings {
+    pub(crate) fn new() -> Self {
+        Self {
+            events: flume::bounded(EVENT_RING),
+            peers: flume::bounded(PEER_RING),
+            platform: flume::bounded(PLATFORM_RING),
+            probes: flume::bounded(PROBE_RING),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/shared.rs
@@ -0,0 +1,33 @@
+use super::*;
+
+/// What several threads read.
+pub(crate) struct Shared {
+    pub(crate) clock: Clock,
+    pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
+    pub(crate) ledger: Arc<Mutex<Ledger>>,
+    pub(crate) read_configuration: Arc<Notify>,
+    pub(crate) status: Arc<ArcSwap<HostStatus>>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let status = HostStatus {
+            ejected: Vec::new(),
+            failure_domain: settings.failure_domain.clone(),
+            home: Vec::new(),
+            host: settings.host.clone(),
+            leaving: Vec::new(),
+            phase: HostPhase::Starting,
+            queued: 0,
+            steward: settings.host.clone(),
+            version: None,
+        };
+        Self {
+            clock: Clock::new(),
+            configuration: Arc::default(),
+            ledger: Arc::default(),
+            read_configuration: Arc::default(),
+            status: Arc::new(ArcSwap::from_pointee(status)),
+        }
+    }
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -318,39 +318,6 @@
     )
 }
 
-/// Counts a stream among the readers of an answer while it lives.
-struct Reader {
-    generation: Arc<Generation>,
-}
-
-impl Reader {
-    fn new(generation: &Arc<Generation>) -> Self {
-        *lock(&generation.readers) += 1;
-        Self {
-            generation: Arc::clone(generation),
-        }
-    }
-}
-
-impl Drop for Reader {
-    fn drop(&mut self) {
-        *lock(&self.generation.readers) -= 1;
-    }
-}
-
-/// Where a stream stands.
-struct Cursor {
-    break_at: Option<u32>,
-    crash: watch::Receiver<u64>,
-    ended: bool,
-    events: u32,
-    generation: Arc<Generation>,
-    progress: watch::Receiver<u32>,
-    _reader: Reader,
-    sent: u32,
-    truncate_at: Option<u32>,
-}
-
 fn stream_answer(
     state: &EngineState,
     generation: Arc<Generation>,
@@ -382,38 +349,3 @@
     );
     response
 }
-
-impl Cursor {
-    async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
-        if self.ended {
-            return None;
-        }
-        if self.truncate_at.is_some_and(|limit| self.events >= limit) {
-            return None;
-        }
-        if self.break_at.is_some_and(|limit| self.events >= limit) {
-            return self.cut();
-        }
-        if self.sent >= self.generation.output {
-            self.ended = true;
-            return Some(Ok(Bytes::from_static(b"data: [DONE]\n\n")));
-        }
-        let sent = self.sent;
-        let done = tokio::select! {
-            done = self.progress.wait_for(|done| *done > sent) => done.ok().map(|done| *done),
-            _ = self.crash.changed() => None,
-        };
-        let Some(done) = done else {
-            return self.cut();
-        };
-        let upto = done.min(sent + self.generation.tokens_per_event);
-        self.sent = upto;
-        self.events += 1;
-        Some(Ok(self.generation.event(sent, upto).into()))
-    }
-
-    fn cut(&mut self) -> Option<Result<Bytes, Broken>> {
-        self.ended = true;
-        Some(Err(Broken))
-    }
-}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -38,6 +38,7 @@
 };
 
 mod batch;
+mod cursor;
 mod engine;
 mod engine_faults;
 mod engine_options;
@@ -47,6 +48,7 @@
 mod platform_faults;
 mod platform_standin;
 mod prefix_cache;
+mod reader;
 mod run;
 mod run_log;
 mod server;
@@ -62,9 +64,11 @@
 
 use {
     batch::{Batch, Place},
+    cursor::Cursor,
     engine_request::EngineRequest,
     generation::Generation,
     http::{Answer, Body, Broken, answer_json, empty, full, lock, read_body, read_json},
     prefix_cache::PrefixCache,
+    reader::Reader,
     table::Table,
 };
