--- a/crates/operator/src/load_command.rs
+++ b/crates/operator/src/load_command.rs
@@ -12,6 +12,9 @@
     /// Multiply every arrival rate
     #[bpaf(argument("FACTOR"), fallback(1.0), display_fallback)]
     load: f64,
+    /// Run it so many times, each with the next seed; stops at a broken promise
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    runs: u64,
     /// Use another seed than the scenario's
     #[bpaf(argument("NUMBER"))]
     seed: Option<u64>,
@@ -35,13 +38,12 @@
         if let Some(seed) = self.seed {
             scenario.seed = seed;
         }
-        run_and_report(
-            &scenario,
-            self.load,
-            self.json.as_deref(),
-            self.svg.as_deref(),
-        )
-        .await
+        for _ in 0..self.runs {
+            let (json, svg) = (self.json.as_deref(), self.svg.as_deref());
+            run_and_report(&scenario, self.load, json, svg).await?;
+            scenario.seed += 1;
+        }
+        Ok(())
     }
 }
 
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -89,6 +89,20 @@
     }
 }
 
+impl Running {
+    fn new(upstream: UpstreamId, attempt: AttemptId, priority: u8, now: Time) -> Self {
+        Self {
+            attempt,
+            last_progress: now,
+            priority,
+            resumes: 0,
+            sent: now,
+            tokens: Tokens::default(),
+            upstream,
+        }
+    }
+}
+
 impl Request<Queued> {
     pub(crate) fn new(id: RequestId, facts: RequestFacts, item: QueuedItem) -> Self {
         Self {
@@ -127,15 +141,7 @@
         priority: u8,
         now: Time,
     ) -> Request<Running> {
-        self.with_stage(Running {
-            attempt,
-            last_progress: now,
-            priority,
-            resumes: 0,
-            sent: now,
-            tokens: Tokens::default(),
-            upstream,
-        })
+        self.with_stage(Running::new(upstream, attempt, priority, now))
     }
 }
 
@@ -153,15 +159,7 @@
             ..
         } = self.stage.clone();
         self.claimed_by = Some(attempt);
-        self.with_stage(Running {
-            attempt,
-            last_progress: now,
-            priority,
-            resumes: 0,
-            sent: now,
-            tokens: Tokens::default(),
-            upstream,
-        })
+        self.with_stage(Running::new(upstream, attempt, priority, now))
     }
 }
 
