Wait for the list before serving; judge leaving by when a request came

Two faults of the checker and one of the host were found: - The timeline told the engine to stay 20 s later, which some runs outlast; work after that was counted against it. - The stand-in logged when a request left the engine's own queue, not when it came. - A host took requests as soon as it had a configuration, before it had read the platform's list, and so did not know which engines were leaving.

Change: the checker knows spans of leaving and judges by the moment at which a request came; a starting host serves once it has read the list too, or 2 s after its configuration where the list is out of reach.

--- a/crates/operator/src/checks.rs
+++ b/crates/operator/src/checks.rs
@@ -157,10 +157,11 @@
             checked: 0,
             name: "leaving-gets-no-new-work".to_string(),
         };
-        for (upstream, leaving_ms) in &self.experiment.leaving_ms {
+        for (upstream, span) in &self.experiment.leaving {
             promise.checked += 1;
             let late = self.experiment.runs.iter().any(|run| {
-                run.upstream == upstream.as_str() && run.started_ms > leaving_ms + LEAVING_WITHIN_MS
+                run.upstream == upstream.as_str()
+                    && span.holds_at(run.received_ms, LEAVING_WITHIN_MS)
             });
             promise.broken += u64::from(late);
         }
--- /dev/null
+++ b/crates/operator/src/leaving_span.rs
@@ -0,0 +1,19 @@
+use super::*;
+
+/// When an upstream was told to leave, and when it was told to stay after all,
+/// by the run log's clock.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingSpan {
+    /// When it was told to leave.
+    pub from_ms: u64,
+    /// When it was told to stay.
+    pub until_ms: Option<u64>,
+}
+
+impl LeavingSpan {
+    /// Whether it was leaving at a moment, and had been for `longer_ms`.
+    pub fn holds_at(self, at_ms: u64, longer_ms: u64) -> bool {
+        let ended = self.until_ms.is_some_and(|until_ms| at_ms >= until_ms);
+        !ended && at_ms > self.from_ms + longer_ms
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -61,6 +61,7 @@
 mod flow;
 mod history_report;
 mod http_client;
+mod leaving_span;
 mod load_command;
 mod plan;
 mod record;
@@ -82,6 +83,7 @@
     flow::{Burst, Flow},
     history_report::history_report,
     http_client::HttpClient,
+    leaving_span::LeavingSpan,
     record::{Ending, Record},
     scenario::Scenario,
     scenario_class::ScenarioClass,
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -17,6 +17,9 @@
     pub seed: u64,
 }
 
+/// Longest wait of a starting host for the platform's list.
+const MAX_LIST_WAIT: Duration = Duration::from_secs(2);
+
 /// The lanes that an event concerns.
 enum Affected {
     All,
@@ -30,11 +33,15 @@
 #[derive(Debug)]
 pub struct Controller {
     pub(crate) configuration: Option<Arc<Numbered>>,
+    /// When the first configuration was read.
+    configured: Option<Time>,
     /// Queued requests by the last moment at which they may start.
     pub(crate) deadlines: BTreeSet<(Time, RequestId)>,
     pub(crate) lanes: BTreeMap<Target, Lane>,
     pub(crate) length: LengthEstimate,
     pub(crate) limits: TeamLimits,
+    /// Whether the platform's list was read.
+    listed: bool,
     pub(crate) next_attempt: u64,
     pub(crate) next_seq: u64,
     pub(crate) options: ControllerOptions,
@@ -58,10 +65,12 @@
         let peering = Peering::new(options.host.clone(), options.failure_domain.clone());
         Self {
             configuration: None,
+            configured: None,
             deadlines: BTreeSet::new(),
             lanes: BTreeMap::new(),
             length: LengthEstimate::default(),
             limits: TeamLimits::default(),
+            listed: false,
             next_attempt: 0,
             next_seq: 0,
             parked: BTreeSet::new(),
@@ -141,7 +150,11 @@
                 tokens,
             } => self.on_progress(now, request, attempt, tokens),
             Event::Ticked => self.on_tick(now, actions),
-            Event::UpstreamsListed { leaving } => self.pool.note_listed(leaving),
+            Event::UpstreamsListed { leaving } => {
+                self.pool.note_listed(leaving);
+                self.listed = true;
+                self.serve_if_ready(now);
+            }
         }
     }
 
@@ -210,9 +223,8 @@
         self.peering.follow(&numbered.document.scheduling);
         self.configuration = Some(numbered);
         self.apply_shares(now);
-        if self.phase == HostPhase::Starting {
-            self.phase = HostPhase::Serving;
-        }
+        self.configured.get_or_insert(now);
+        self.serve_if_ready(now);
     }
 
     /// Upstreams that get no new work, because some source says that they are
@@ -231,6 +243,17 @@
         self.pool.select(|state| !state.health.is_well())
     }
 
+    /// A host that has a configuration and not yet the list does not know which
+    /// upstreams are leaving, and would send them new work. It waits for the
+    /// list, but not for long: the list may be out of reach.
+    fn serve_if_ready(&mut self, now: Time) {
+        let waited = |configured: Time| now.since(configured) >= MAX_LIST_WAIT;
+        let ready = self.configured.is_some_and(|at| self.listed || waited(at));
+        if ready && self.phase == HostPhase::Starting {
+            self.phase = HostPhase::Serving;
+        }
+    }
+
     fn on_load_report(&mut self, now: Time, upstream: &UpstreamId, report: LoadReport) {
         let Some(state) = self.pool.get_mut(upstream) else {
             return;
@@ -250,6 +273,7 @@
             self.refuse_overdue(now, request, actions);
         }
         self.return_parked(now);
+        self.serve_if_ready(now);
         self.tick_peering(now, actions);
     }
 
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -7,6 +7,9 @@
     pub attempt: Option<String>,
     /// Whether the whole answer was computed.
     pub finished: bool,
+    /// When the request came, in milliseconds since the log began. It may have
+    /// waited in the engine's own queue until its start.
+    pub received_ms: u64,
     /// Start, in milliseconds since the log began.
     pub started_ms: u64,
     /// The caller's tag.
--- a/crates/standin/src/run_log.rs
+++ b/crates/standin/src/run_log.rs
@@ -32,12 +32,19 @@
         self.began.elapsed().as_millis() as u64
     }
 
-    pub(crate) fn start(&self, upstream: &str, tag: &str, attempt: Option<String>) -> usize {
+    pub(crate) fn start(
+        &self,
+        upstream: &str,
+        tag: &str,
+        attempt: Option<String>,
+        received_ms: u64,
+    ) -> usize {
         let started_ms = self.now_ms();
         let mut runs = lock(&self.runs);
         runs.push(Run {
             attempt,
             finished: false,
+            received_ms,
             started_ms,
             tag: tag.to_string(),
             tokens: 0,
