Drop derived and dead state, and work that each poll or event repeated

Cause: a read of the whole change found state that nothing read or that follows from other state, and work on paths that run all the time.

Change, behaviour as before: - The configuration watch copied the whole document on each look that found nothing new; the store now says that nothing is newer. - Membership keeps the hosts of its own domain and counts the others: it went through the whole fleet's list for each event that dispatches. - Floors are tried for the lanes that an event concerns, as the queues are. - A member's incarnation was written and never read. The kind of a request follows from its target; a placeholder target is gone with it. - A claim that finds its ring full goes the way of any other event. - Imports and one constant stand where the others of their kind do.

No timing was taken.

Conclusion: found and left: the settle and release loops of TableClaims differ in one call; HttpClient of the operator repeats the pool of upstream::Connections; a claim that finds its ring full is answered unknown and could be put aside.

--- a/crates/operator/src/config_command.rs
+++ b/crates/operator/src/config_command.rs
@@ -90,7 +90,7 @@
                 Ok(())
             }
             Self::Get { platform } => {
-                let newest = store(platform).read(None).await?;
+                let newest = store(platform).read().await?;
                 println!("{}", serde_json::to_string_pretty(&newest)?);
                 Ok(())
             }
@@ -160,7 +160,7 @@
 /// lost together with this process.
 async fn submit(store: &ConfigStore, patch: &config::Patch, dry_run: bool) -> eyre::Result<()> {
     if dry_run {
-        let current = store.read(None).await?;
+        let current = store.read().await?;
         if current.version != patch.base {
             return Err(ConfigStoreError::Stale {
                 current: current.version,
@@ -178,7 +178,7 @@
 }
 
 async fn rollback(store: &ConfigStore, author: String, to: ConfigVersion) -> eyre::Result<()> {
-    let current = store.read(None).await?;
+    let current = store.read().await?;
     if to > current.version {
         bail!(
             "there is no version {to}, the newest is {}",
--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -63,10 +63,23 @@
         self.head().await.map(|(head, _)| head.version)
     }
 
-    /// Reads the newest version, by the patches since `known` where possible.
-    pub async fn read(&self, known: Option<&Numbered>) -> Result<Numbered, ConfigStoreError> {
+    /// Reads the newest version.
+    pub async fn read(&self) -> Result<Numbered, ConfigStoreError> {
         let newest = self.newest().await?;
-        self.read_version(newest, known).await
+        self.read_version(newest, None).await
+    }
+
+    /// Reads the newest version if it is newer than `known`, by the patches
+    /// since then where possible.
+    pub async fn read_newer(
+        &self,
+        known: Option<&Numbered>,
+    ) -> Result<Option<Numbered>, ConfigStoreError> {
+        let newest = self.newest().await?;
+        if known.is_some_and(|known| known.version >= newest) {
+            return Ok(None);
+        }
+        self.read_version(newest, known).await.map(Some)
     }
 
     /// Reads one version.
@@ -75,9 +88,6 @@
         version: ConfigVersion,
         known: Option<&Numbered>,
     ) -> Result<Numbered, ConfigStoreError> {
-        if let Some(known) = known.filter(|known| known.version == version) {
-            return Ok(known.clone());
-        }
         let snapshot = last_snapshot(version);
         let (mut document, mut at) = match known {
             Some(known) if known.version < version && known.version >= snapshot => {
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -18,7 +18,7 @@
         if self.queued == 0 {
             return;
         }
-        self.dispatch_floors(now, actions);
+        self.dispatch_floors(now, only, actions);
         let mut full: BTreeSet<Target> = BTreeSet::new();
         for rank in Rank::all() {
             let targets: Vec<Target> = self
@@ -62,11 +62,12 @@
         true
     }
 
-    fn dispatch_floors(&mut self, now: Time, actions: &mut Vec<Action>) {
+    fn dispatch_floors(&mut self, now: Time, only: Option<&[Target]>, actions: &mut Vec<Action>) {
         let hosts = self.peering.members.domain_size();
         let targets: Vec<(Target, Rank)> = self
             .lanes
             .iter()
+            .filter(|(target, _)| only.is_none_or(|only| only.contains(target)))
             .filter_map(|(target, lane)| Some((target.clone(), lane.floor.due(now, hosts)?)))
             .collect();
         for (target, rank) in targets {
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -5,8 +5,6 @@
 pub(crate) struct Member {
     /// Calls in a row that got no answer.
     pub(crate) failures: u32,
-    /// Which start of it was heard last.
-    pub(crate) incarnation: Option<Incarnation>,
     pub(crate) listed: PeerHost,
     pub(crate) phase: PeerPhase,
     /// Until when it is taken for gone.
@@ -17,7 +15,6 @@
     pub(crate) const fn new(listed: PeerHost) -> Self {
         Self {
             failures: 0,
-            incarnation: None,
             listed,
             phase: PeerPhase::Serving,
             suspect_until: None,
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -13,6 +13,9 @@
 pub(crate) struct Membership {
     failure_domain: FailureDomainId,
     host: HostId,
+    /// Hosts of other failure domains.
+    foreign: u32,
+    /// The other hosts of this failure domain.
     members: BTreeMap<HostId, Member>,
 }
 
@@ -20,6 +23,7 @@
     pub(crate) const fn new(host: HostId, failure_domain: FailureDomainId) -> Self {
         Self {
             failure_domain,
+            foreign: 0,
             host,
             members: BTreeMap::new(),
         }
@@ -28,10 +32,15 @@
     /// Follows a new reading of the list; what was heard of a host is kept.
     pub(crate) fn note_listed(&mut self, hosts: Vec<PeerHost>) {
         let mut old = std::mem::take(&mut self.members);
+        self.foreign = 0;
         for listed in hosts {
             if listed.host == self.host {
                 continue;
             }
+            if listed.failure_domain != self.failure_domain {
+                self.foreign += 1;
+                continue;
+            }
             let known = old.remove(&listed.host);
             let member = match known {
                 Some(member) if member.listed.address == listed.address => {
@@ -43,12 +52,11 @@
         }
     }
 
-    /// Notes a direct sign of life. Another incarnation is another host on the
-    /// old one's address: nothing that was heard before holds for it.
-    pub(crate) fn note_heard(&mut self, host: &HostId, incarnation: Incarnation, phase: PeerPhase) {
+    /// Notes a direct sign of life, and forgets what was held against the host:
+    /// it may be another one on the old one's address.
+    pub(crate) fn note_heard(&mut self, host: &HostId, phase: PeerPhase) {
         if let Some(member) = self.members.get_mut(host) {
             member.failures = 0;
-            member.incarnation = Some(incarnation);
             member.phase = phase;
             member.suspect_until = None;
         }
@@ -68,21 +76,17 @@
     pub(crate) fn steward(&self, now: Time) -> Option<&Member> {
         let key = self.failure_domain.as_str();
         let best = self
-            .in_domain()
+            .members
+            .values()
             .filter(|member| member.is_askable(now))
             .max_by_key(|member| rendezvous_weight(key, &member.listed.host))?;
         let own = rendezvous_weight(key, &self.host);
         (rendezvous_weight(key, &best.listed.host) > own).then_some(best)
     }
 
-    fn in_domain(&self) -> impl Iterator<Item = &Member> {
-        let members = self.members.values();
-        members.filter(|member| member.listed.failure_domain == self.failure_domain)
-    }
-
     /// Other hosts that share this domain's upstreams.
     pub(crate) fn sharing(&self) -> impl Iterator<Item = &HostId> {
-        let sharing = self.in_domain().filter(|member| member.is_sharing());
+        let sharing = self.members.values().filter(|member| member.is_sharing());
         sharing.map(|member| &member.listed.host)
     }
 
@@ -98,6 +102,6 @@
 
     /// All hosts of the list, this one included.
     pub(crate) fn total_size(&self) -> u32 {
-        self.members.len() as u32 + 1
+        self.members.len() as u32 + self.foreign + 1
     }
 }
--- a/crates/policy/src/peering.rs
+++ b/crates/policy/src/peering.rs
@@ -132,7 +132,7 @@
         actions: &mut Vec<Action>,
     ) {
         let members = &mut self.peering.members;
-        members.note_heard(&heartbeat.host, heartbeat.incarnation, heartbeat.phase);
+        members.note_heard(&heartbeat.host, heartbeat.phase);
         self.note_told_leaving(now, &heartbeat.leaving);
         self.follow_version(heartbeat.version, actions);
         let same_domain = heartbeat.failure_domain == self.options.failure_domain;
@@ -167,7 +167,7 @@
             return;
         };
         let members = &mut self.peering.members;
-        members.note_heard(host, answer.incarnation, PeerPhase::Serving);
+        members.note_heard(host, PeerPhase::Serving);
         self.note_told_leaving(now, &answer.leaving);
         self.follow_version(answer.version, actions);
         let until = asked.plus_ms(answer.valid_ms);
--- /dev/null
+++ b/crates/router/src/asked.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+/// What a request asks for, by its path and body.
+#[derive(Debug)]
+pub(crate) struct Asked {
+    pub(crate) max_output: Option<Tokens>,
+    /// Path and query for the upstream.
+    pub(crate) path: String,
+    pub(crate) prefix: Option<PrefixHash>,
+    pub(crate) prompt: Tokens,
+    pub(crate) target: Target,
+}
--- a/crates/router/src/caller_request.rs
+++ b/crates/router/src/caller_request.rs
@@ -9,28 +9,16 @@
 /// Seeds of the hash of a prefix, fixed so that it is the same on each host.
 const PREFIX_SEEDS: [u64; 4] = [1, 2, 3, 4];
 
-/// What kind of upstream a request is for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum RequestKind {
-    Engine,
-    Service,
-}
-
 /// A request of a caller, read whole.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
+    pub(crate) asked: Asked,
     pub(crate) body: Bytes,
     pub(crate) class: Option<ClassId>,
     pub(crate) content_type: String,
     pub(crate) key_hash: KeyHash,
-    pub(crate) kind: RequestKind,
-    pub(crate) max_output: Option<Tokens>,
     pub(crate) method: Method,
-    pub(crate) path: String,
-    pub(crate) prefix: Option<PrefixHash>,
-    pub(crate) prompt: Tokens,
     pub(crate) repeatability: Repeatability,
-    pub(crate) target: Target,
 }
 
 /// The fields of an OpenAI-style body that a router needs.
@@ -68,16 +56,21 @@
 }
 
 impl CallerRequest {
+    /// Whether it is for an engine, which can resume and cancel.
+    pub(crate) const fn is_for_engine(&self) -> bool {
+        matches!(self.asked.target, Target::Model(_))
+    }
+
     pub(crate) fn arrival(&self, request: RequestId) -> Arrival {
         Arrival {
             class: self.class.clone(),
             key_hash: self.key_hash,
-            max_output: self.max_output,
-            prefix: self.prefix,
-            prompt: self.prompt,
+            max_output: self.asked.max_output,
+            prefix: self.asked.prefix,
+            prompt: self.asked.prompt,
             repeatability: self.repeatability.clone(),
             request,
-            target: self.target.clone(),
+            target: self.asked.target.clone(),
         }
     }
 
@@ -93,7 +86,7 @@
             body: self.body.clone(),
             content_type: self.content_type.clone(),
             method: self.method.clone(),
-            path: self.path.clone(),
+            path: self.asked.path.clone(),
             priority: order.priority,
         }
     }
--- a/crates/router/src/caller_service.rs
+++ b/crates/router/src/caller_service.rs
@@ -65,27 +65,20 @@
             None if forbidden => Repeatability::AtMostOnce,
             None => Repeatability::AsConfigured,
         };
-        let request = CallerRequest {
+        let asked = if engine {
+            ask_engine(path_and_query, &body)
+        } else {
+            ask_service(&path_and_query)
+        };
+        Ok(Some(CallerRequest {
+            asked: asked?,
             body,
             class,
             content_type,
             key_hash,
-            kind: RequestKind::Service,
-            max_output: None,
             method,
-            path: path_and_query,
-            prefix: None,
-            prompt: Tokens::default(),
             repeatability,
-            // Replaced below; a service's id is checked there.
-            target: Target::Service("unknown".parse().expect("a valid id")),
-        };
-        if engine {
-            engine_request(request)
-        } else {
-            service_request(request)
-        }
-        .map(Some)
+        }))
     }
 
     async fn read_body(&self, request: Request<Incoming>) -> Result<Bytes, Box<Answered>> {
@@ -229,34 +222,31 @@
     }
 }
 
-fn engine_request(mut request: CallerRequest) -> Result<CallerRequest, Box<Answered>> {
-    let body = request.body.clone();
-    let parsed: caller_request::EngineBody<'_> =
-        serde_json::from_slice(&body).map_err(|error| {
-            let message = format!("the body is not a completion request: {error}");
-            bad(StatusCode::BAD_REQUEST, "bad_body", &message)
-        })?;
-    request.kind = RequestKind::Engine;
-    request.max_output = parsed.max_output();
-    request.prefix = parsed.prefix();
-    request.prompt = parsed.prompt_tokens();
-    request.target = Target::Model(parsed.model.clone());
-    Ok(request)
+fn ask_engine(path: String, body: &[u8]) -> Result<Asked, Box<Answered>> {
+    let parsed: EngineBody<'_> = serde_json::from_slice(body).map_err(|error| {
+        let message = format!("the body is not a completion request: {error}");
+        bad(StatusCode::BAD_REQUEST, "bad_body", &message)
+    })?;
+    Ok(Asked {
+        max_output: parsed.max_output(),
+        path,
+        prefix: parsed.prefix(),
+        prompt: parsed.prompt_tokens(),
+        target: Target::Model(parsed.model),
+    })
 }
 
-fn service_request(mut request: CallerRequest) -> Result<CallerRequest, Box<Answered>> {
-    let rest = request.path.trim_start_matches("/services/").to_string();
-    let (service, path) = rest.split_once('/').unwrap_or((&rest, ""));
+fn ask_service(path: &str) -> Result<Asked, Box<Answered>> {
+    let rest = path.trim_start_matches("/services/");
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
     let service = service.parse().map_err(|error: types::ParseIdError| {
         bad(StatusCode::BAD_REQUEST, "bad_path", &error.to_string())
     })?;
-    request.target = Target::Service(service);
-    request.path = format!("/{path}");
-    Ok(request)
-}
-
-impl Instruction {
-    /// The controller has at most this many instructions under way for one
-    /// request: a send, a break and a refusal.
-    pub(crate) const RING: usize = 4;
+    Ok(Asked {
+        max_output: None,
+        path: format!("/{path}"),
+        prefix: None,
+        prompt: Tokens::default(),
+        target: Target::Service(service),
+    })
 }
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -189,13 +189,7 @@
         {
             // Nothing was written, and nothing is sent.
             let answer = ClaimAnswer::Unknown;
-            let event = Event::ClaimAnswered { answer, request };
-            let now = self.thread.clock.now();
-            let mut actions = Vec::new();
-            self.thread.controller.handle(now, event, &mut actions);
-            for action in actions {
-                self.carry_out(action);
-            }
+            self.handle(Event::ClaimAnswered { answer, request });
         }
     }
 
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -106,7 +106,7 @@
         let client = PlatformClient::new(settings.platform_address, platform_thread::CALL_TIMEOUT);
         let operators = OperatorThread {
             listener: operators,
-            service: operator_service::OperatorService {
+            service: OperatorService {
                 clock: shared.clock,
                 configuration: Arc::clone(&shared.configuration),
                 ledger: Arc::clone(&shared.ledger),
@@ -268,7 +268,7 @@
     let connections = Arc::new(AtomicUsize::new(0));
     (0..settings.caller_threads)
         .map(|number| {
-            caller_thread::CallerThread {
+            CallerThread {
                 connections: Arc::clone(&connections),
                 listener: listener.try_clone()?,
                 logger: logger.clone(),
@@ -302,8 +302,3 @@
     let ledger = ledger.lock().unwrap_or_else(PoisonError::into_inner);
     ledger.report(clock.now(), &numbered.document)
 }
-
-use {
-    controller_thread::ControllerThread, operator_thread::OperatorThread, peer_thread::PeerThread,
-    platform_thread::PlatformThread, upstream_thread::UpstreamThread,
-};
--- a/crates/router/src/instruction.rs
+++ b/crates/router/src/instruction.rs
@@ -12,3 +12,9 @@
     /// Send the request to an upstream.
     Send(SendOrder),
 }
+
+impl Instruction {
+    /// The controller has at most this many instructions under way for one
+    /// request: a send, a break and a refusal.
+    pub(crate) const RING: usize = 4;
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -64,6 +64,7 @@
 
 mod answer_sender;
 mod answers;
+mod asked;
 mod body_error;
 mod burn_window;
 mod caller_request;
@@ -108,16 +109,23 @@
 use {
     answer_sender::AnswerSender,
     answers::{AnswerBody, error_answer, text_answer},
+    asked::Asked,
     body_error::BodyError,
     burn_window::BurnWindow,
-    caller_request::{CallerRequest, RequestKind},
+    caller_request::{CallerRequest, EngineBody},
     caller_service::CallerService,
+    caller_thread::CallerThread,
     clock::Clock,
+    controller_thread::ControllerThread,
     instruction::Instruction,
     jitter::jittered,
     ledger::Ledger,
+    operator_service::OperatorService,
+    operator_thread::OperatorThread,
     peer_job::PeerJob,
+    peer_thread::PeerThread,
     platform_job::PlatformJob,
+    platform_thread::PlatformThread,
     probe_job::ProbeJob,
     pump::Pump,
     ring_event::RingEvent,
@@ -126,6 +134,7 @@
     shared::Shared,
     shutdown::Shutdown,
     table_claims::TableClaims,
+    upstream_thread::UpstreamThread,
 };
 
 /// Header by which a caller names its class.
--- a/crates/router/src/operator_thread.rs
+++ b/crates/router/src/operator_thread.rs
@@ -12,8 +12,6 @@
     pub(crate) shutdown: Shutdown,
 }
 
-use operator_service::OperatorService;
-
 impl OperatorThread {
     pub(crate) fn spawn(self) -> eyre::Result<JoinHandle<eyre::Result<()>>> {
         std::thread::Builder::new()
--- a/crates/router/src/platform_thread.rs
+++ b/crates/router/src/platform_thread.rs
@@ -80,14 +80,10 @@
     let mut known: Option<Arc<Numbered>> = None;
     let mut last_error = String::new();
     loop {
-        match store.read(known.as_deref()).await {
-            Ok(newest) => {
+        match store.read_newer(known.as_deref()).await {
+            Ok(newer) => {
                 last_error.clear();
-                let is_new = known
-                    .as_ref()
-                    .is_none_or(|known| newest.version > known.version);
-                if is_new {
-                    let newest = Arc::new(newest);
+                if let Some(newest) = newer.map(Arc::new) {
                     known = Some(Arc::clone(&newest));
                     let event = RingEvent::Happened(Event::ConfigurationRead(newest));
                     let _ = events.send_async(event).await;
--- a/crates/router/src/pump.rs
+++ b/crates/router/src/pump.rs
@@ -164,7 +164,7 @@
 
     async fn on_caller_gone(&mut self, order: &SendOrder) -> Next {
         self.tell(Event::CallerGone { request: self.id }).await;
-        if self.request.kind == RequestKind::Engine {
+        if self.request.is_for_engine() {
             let engine = EngineAdapter::new(self.connections.clone());
             engine.cancel(order.address, order.attempt).await;
         }
@@ -362,16 +362,16 @@
     order: &SendOrder,
 ) -> Result<Answer, CallFailure> {
     let call = request.call(order);
-    match (request.kind, order.resume) {
-        (RequestKind::Service, _) => {
+    match (request.is_for_engine(), order.resume) {
+        (false, _) => {
             let service = ServiceAdapter::new(connections.clone());
             service.start(order.address, &call, HEAD_TIMEOUT).await
         }
-        (RequestKind::Engine, None) => {
+        (true, None) => {
             let engine = EngineAdapter::new(connections.clone());
             engine.start(order.address, &call, HEAD_TIMEOUT).await
         }
-        (RequestKind::Engine, Some(attempt)) => {
+        (true, Some(attempt)) => {
             let engine = EngineAdapter::new(connections.clone());
             let resumed = engine.resume(order.address, attempt, last_event, HEAD_TIMEOUT);
             resumed.await
--- a/crates/router/tests/configuration.rs
+++ b/crates/router/tests/configuration.rs
@@ -48,7 +48,7 @@
     let current = ConfigVersion::new(2);
     let refused = store.submit(&patch("second", 1, 0.75)).await;
     assert_eq!(refused, Err(ConfigStoreError::Stale { current }));
-    let newest = store.read(None).await.unwrap();
+    let newest = store.read().await.unwrap();
     assert_eq!(newest.document.trial.max_slot_share, 0.25);
 }
 
