--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -324,14 +324,15 @@
 /// cannot hear each other.
 const RETRY_HOSTS: u32 = 14;
 
-/// Part of the bound for a removed key that a host uses: the rest is for the
-/// way of a request from the check to its upstream.
-const KEY_KNOWLEDGE_SHARE: f64 = 0.8;
+/// What a host stays below the bound for a removed key. Its knowledge counts
+/// from before the store answered, and a request was sent before it is checked,
+/// so only the steps of the clocks are left.
+const KEY_KNOWLEDGE_MARGIN: Duration = Duration::from_millis(100);
 
 fn relay_rules(relay: &RelaySettings) -> RelayRules {
     let limit = Duration::from_millis(relay.key_knowledge_limit_ms);
     RelayRules {
-        key_knowledge: limit.mul_f64(KEY_KNOWLEDGE_SHARE),
+        key_knowledge: limit.saturating_sub(KEY_KNOWLEDGE_MARGIN),
         retry_extra: (relay.retry_extra / RETRY_HOSTS).max(1),
         retry_ratio: relay.retry_ratio,
         retry_window: Duration::from_millis(relay.retry_window_ms),
