Log each decision, and explain a failed request from the log

Cause: an engineer with logs and metrics only could not tell why a request failed: logs told of the host's life, not of requests, and went to standard error.

Change: one JSON line on standard output for each send (with the load and the age of the figures that decided it), failed attempt and end of a request, each refusal before a decision, and each change of belief (phase, age of the configuration, upstreams ejected and leaving, hosts heard). Two budgets bound the lines: routine ones go first under load, what is dropped is counted and logged. Standard output that is blocked or closed holds nothing up. `rhubarbcovectl explain ID` tells what decided an end; `--since`, `--class`, `--reason` list failed requests. Counters of refusals by reason, a histogram of whole times, the age of the configuration.

Found on the way: the controller's thread kept the way back to each completed request for ever; it is dropped at the request's end now.

--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -13,6 +13,9 @@
     /// Run the whole router on embedded stand-ins and report
     #[bpaf(command)]
     Demo(#[bpaf(external(demo_command::demo_command))] DemoCommand),
+    /// Say from the hosts' logs what decided the end of a request
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_command::explain_command))] ExplainCommand),
     /// Run a scenario on embedded stand-ins and report
     #[bpaf(command)]
     Load(#[bpaf(external(load_command::load_command))] LoadCommand),
@@ -31,6 +34,7 @@
             Self::Compare(command) => command.run(),
             Self::Config(command) => command.run().await,
             Self::Demo(command) => command.run().await,
+            Self::Explain(command) => command.run(),
             Self::Load(command) => command.run().await,
             Self::Report(command) => command.run().await,
             Self::Standin(command) => command.run().await,
--- /dev/null
+++ b/crates/operator/src/explain_command.rs
@@ -0,0 +1,96 @@
+use super::*;
+
+/// Options of `explain`.
+#[derive(Bpaf, Clone, Debug)]
+pub struct ExplainCommand {
+    /// List failed requests in place of explaining one; those of this class
+    #[bpaf(argument("CLASS"))]
+    class: Option<String>,
+    /// List failed requests in place of explaining one; those of this reason
+    #[bpaf(argument("REASON"))]
+    reason: Option<String>,
+    /// List failed requests in place of explaining one; those from this time on,
+    /// as RFC 3339
+    #[bpaf(argument("TIME"))]
+    since: Option<String>,
+    /// Id of the request, and logs of hosts; standard input if none is named
+    #[bpaf(positional("ID or FILE"))]
+    words: Vec<String>,
+}
+
+impl ExplainCommand {
+    pub(crate) fn run(self) -> eyre::Result<()> {
+        if self.lists() {
+            return self.list(read_lines(&self.words)?);
+        }
+        let Some((id, files)) = self.words.split_first() else {
+            bail!("expected the id of a request, or --since, --class or --reason");
+        };
+        match Explanation::of(id, read_lines(files)?) {
+            Some(explanation) => print(&format!("{explanation}\n")),
+            None => bail!("no line of request {id} is in these logs"),
+        }
+    }
+
+    const fn lists(&self) -> bool {
+        self.class.is_some() || self.reason.is_some() || self.since.is_some()
+    }
+
+    fn list(&self, lines: Vec<LogLine>) -> eyre::Result<()> {
+        let fits =
+            |wanted: &Option<String>, found: &Option<String>| wanted.is_none() || wanted == found;
+        let mut failed: Vec<LogLine> = lines
+            .into_iter()
+            .filter(LogLine::is_failed_end)
+            .filter(|line| fits(&self.class, &line.class))
+            .filter(|line| fits(&self.reason, &line.reason))
+            .filter(|line| self.since.as_ref().is_none_or(|since| line.ts >= *since))
+            .collect();
+        failed.sort_by(|a, b| a.ts.cmp(&b.ts));
+        if failed.is_empty() {
+            bail!("no failed request in these logs fits");
+        }
+        print(&failed.iter().map(listed).collect::<String>())
+    }
+}
+
+/// A failed request as one line of the list.
+fn listed(line: &LogLine) -> String {
+    let text = |value: &Option<String>| match value.as_deref() {
+        None | Some("") => "-".to_string(),
+        Some(value) => value.to_string(),
+    };
+    let [class, end, reason] = [&line.class, &line.end, &line.reason].map(text);
+    let LogLine { host, id, ts, .. } = line;
+    format!("{ts} {host} {id} {class} {end} {reason}\n")
+}
+
+/// Prints, unless the reader has seen enough and closed the pipe.
+fn print(text: &str) -> eyre::Result<()> {
+    match std::io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() == std::io::ErrorKind::BrokenPipe => Ok(()),
+        result => Ok(result?),
+    }
+}
+
+/// Lines of the files, or of standard input; what is not of a host is passed
+/// over.
+fn read_lines(files: &[String]) -> eyre::Result<Vec<LogLine>> {
+    if files.is_empty() {
+        return parse_lines(std::io::stdin().lock());
+    }
+    let mut lines = Vec::new();
+    for file in files {
+        let opened = std::fs::File::open(file).wrap_err_with(|| format!("cannot read {file}"))?;
+        lines.extend(parse_lines(BufReader::new(opened))?);
+    }
+    Ok(lines)
+}
+
+fn parse_lines(reader: impl BufRead) -> eyre::Result<Vec<LogLine>> {
+    let mut lines = Vec::new();
+    for text in reader.lines() {
+        lines.extend(LogLine::parse(&text?));
+    }
+    Ok(lines)
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -33,6 +33,8 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
+        fmt::{self, Display, Formatter},
+        io::{BufRead, BufReader, Write},
         net::SocketAddr,
         path::{Path, PathBuf},
         sync::{Arc, Mutex, PoisonError},
@@ -55,6 +57,8 @@
 mod config_command;
 mod demo_command;
 mod experiment;
+mod explain_command;
+mod explanation;
 mod fault;
 mod fleet;
 mod fleet_options;
@@ -77,6 +81,7 @@
     checks::check_promises,
     command::{Command, command},
     experiment::{Experiment, run_experiment},
+    explanation::{Explanation, LogLine},
     fault::{Fault, FaultKind},
     fleet::Fleet,
     fleet_options::FleetOptions,
@@ -94,6 +99,7 @@
     compare_command::CompareCommand,
     config_command::ConfigCommand,
     demo_command::DemoCommand,
+    explain_command::ExplainCommand,
     load_command::LoadCommand,
     plan::{PlannedRequest, plan_requests},
     render::{render_svg, render_table},
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -7,6 +7,8 @@
     pub address: SocketAddr,
     /// Id of this attempt.
     pub attempt: AttemptId,
+    /// What decided it.
+    pub inputs: SendInputs,
     /// Priority for the engine, 0 the most urgent.
     pub priority: u8,
     /// Last moment at which the answer is of use, for a relayed request.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -38,7 +38,7 @@
         let request = arrival.request;
         if let Err(refusal) = self.admit(now, arrival, actions) {
             actions.push(Action::Refuse { refusal, request });
-            actions.push(Action::Record(refused_unknown(refusal)));
+            actions.push(Action::Record(refused_unknown(refusal, request)));
         }
     }
 
@@ -59,7 +59,8 @@
                 refusal,
                 request: arrival.request,
             });
-            actions.push(Action::Record(refused_known(refusal, &resolved)));
+            let outcome = refused_known(refusal, arrival.request, &resolved);
+            actions.push(Action::Record(outcome));
             return Ok(());
         }
         self.enqueue_new(now, arrival, resolved, rank);
@@ -330,13 +331,16 @@
     }
 }
 
-fn refused_unknown(refusal: Refusal) -> Outcome {
+fn refused_unknown(refusal: Refusal, request: RequestId) -> Outcome {
     Outcome {
         attempts: 0,
         class: None,
         end: refusal.reason.end(),
         first_token: None,
+        lasted: Duration::ZERO,
         met_target: false,
+        reason: Some(refusal.reason),
+        request,
         team: None,
         tier: None,
         tokens: Tokens::default(),
@@ -346,11 +350,11 @@
     }
 }
 
-fn refused_known(refusal: Refusal, resolved: &Resolved) -> Outcome {
+fn refused_known(refusal: Refusal, request: RequestId, resolved: &Resolved) -> Outcome {
     Outcome {
         class: Some(resolved.class_id.clone()),
         team: Some(resolved.team_id.clone()),
         tier: Some(resolved.tier),
-        ..refused_unknown(refusal)
+        ..refused_unknown(refusal, request)
     }
 }
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -179,7 +179,7 @@
         if resumes && worth_it && request.stage.resumes < MAX_RESUMES {
             request.stage.resumes += 1;
             let attempt = request.stage.attempt;
-            self.push_send(&request, Some(attempt), actions);
+            self.push_send(now, &request, Some(attempt), actions);
             self.requests.insert(request.id, Stage::Running(request));
             return;
         }
@@ -199,7 +199,10 @@
             request: request.id,
         });
         let upstream = Some(request.stage.upstream.clone());
-        let outcome = request.outcome(OutcomeEnd::Broken, request.verdict, upstream, now);
+        let outcome = Outcome {
+            reason: Some(RefusalReason::UpstreamFailed),
+            ..request.outcome(OutcomeEnd::Broken, request.verdict, upstream, now)
+        };
         actions.push(Action::Record(outcome));
     }
 
@@ -249,7 +252,7 @@
         );
         let mut request = request.moved(upstream, attempt, now);
         request.stage.prefill = prefill;
-        self.push_send(&request, Some(broken), actions);
+        self.push_send(now, &request, Some(broken), actions);
         self.requests.insert(request.id, Stage::Running(request));
         None
     }
@@ -320,7 +323,10 @@
             request: request.id,
         });
         let outcome = request.outcome(refusal.reason.end(), refusal.verdict, None, now);
-        actions.push(Action::Record(outcome));
+        actions.push(Action::Record(Outcome {
+            reason: Some(refusal.reason),
+            ..outcome
+        }));
     }
 
     pub(crate) fn on_caller_gone(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
--- a/crates/policy/src/claims.rs
+++ b/crates/policy/src/claims.rs
@@ -69,7 +69,7 @@
         let in_time = now <= request.facts.deadline;
         if open && in_time && !request.stage.caller_gone {
             let request = request.granted(now);
-            self.push_send(&request, None, actions);
+            self.push_send(now, &request, None, actions);
             self.requests.insert(request.id, Stage::Running(request));
             return;
         }
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -200,7 +200,7 @@
     /// Whether this host knows that its configuration is the newest, so that it
     /// can tell which keys are valid.
     pub fn is_current(&self, now: Time) -> bool {
-        self.knows_configuration(now)
+        self.configuration.is_some() && self.knows_configuration(now)
     }
 
     /// Whether no request is queued or running.
@@ -288,6 +288,16 @@
         self.pool.select(|state| state.home > 0)
     }
 
+    /// Other hosts that this one hears.
+    pub fn heard(&self, now: Time) -> Vec<HostId> {
+        self.neighbors.heard(now)
+    }
+
+    /// How long ago the configuration was known to be the newest.
+    pub fn config_age(&self, now: Time) -> Option<Duration> {
+        self.confirmed.map(|confirmed| now.since(confirmed))
+    }
+
     /// Upstreams that get no new work until a probe succeeds.
     pub fn ejected(&self) -> Vec<UpstreamId> {
         self.pool.select(|state| !state.health.is_well())
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -159,7 +159,7 @@
                 let prefill = self.note_prompt(&upstream, &request.facts.parts);
                 let mut request = request.send(upstream, attempt, priority, now);
                 request.stage.prefill = prefill;
-                self.push_send(&request, None, actions);
+                self.push_send(now, &request, None, actions);
                 Stage::Running(request)
             }
         };
@@ -175,6 +175,7 @@
     /// Orders the attempt of a running request to be sent.
     pub(crate) fn push_send(
         &self,
+        now: Time,
         request: &Request<Running>,
         resume: Option<AttemptId>,
         actions: &mut Vec<Action>,
@@ -188,6 +189,17 @@
                 address: state.definition.address(),
                 attempt: running.attempt,
                 due: request.facts.deadline,
+                inputs: SendInputs {
+                    attempt: request.attempts,
+                    backlog: state.backlog,
+                    class: request.facts.class.clone(),
+                    in_flight: state.in_flight,
+                    others_age: self.neighbors.oldest_age(now),
+                    others_backlog: state.others_backlog,
+                    others_in_flight: state.others,
+                    unread: running.prefill,
+                    waited: now.since(request.facts.arrived),
+                },
                 priority: running.priority,
                 resume,
                 team: (!request.facts.public).then(|| request.facts.team.clone()),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -60,6 +60,7 @@
 mod request;
 mod retry_budgets;
 mod room_rules;
+mod send_inputs;
 mod service_rate;
 mod settlement;
 mod share;
@@ -88,6 +89,7 @@
     refusal_reason::RefusalReason,
     relay_rules::RelayRules,
     room_rules::RoomRules,
+    send_inputs::SendInputs,
     settlement::Settlement,
     stored_answer::StoredAnswer,
     target::Target,
--- a/crates/policy/src/neighbors.rs
+++ b/crates/policy/src/neighbors.rs
@@ -75,6 +75,19 @@
             .map(|(_, note)| note)
     }
 
+    /// Age of the oldest note that counts.
+    pub(crate) fn oldest_age(&self, now: Time) -> Option<Duration> {
+        let heard = self.hosts.values();
+        let heard = heard.filter_map(|neighbor| neighbor.heard.as_ref());
+        let ages = heard.map(|(heard, _)| now.since(*heard));
+        ages.filter(|age| *age <= VALID).max()
+    }
+
+    /// Hosts whose notes count.
+    pub(crate) fn heard(&self, now: Time) -> Vec<HostId> {
+        self.fresh(now).map(|note| note.host.clone()).collect()
+    }
+
     /// The load of all other hosts on each upstream.
     fn loads(&self, now: Time) -> HashMap<UpstreamId, (u64, u32)> {
         let mut loads: HashMap<UpstreamId, (u64, u32)> = HashMap::default();
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -46,8 +46,14 @@
     pub end: OutcomeEnd,
     /// Time from arrival to the first token, where one came.
     pub first_token: Option<Duration>,
+    /// Time from arrival to the end.
+    pub lasted: Duration,
     /// Whether it finished within its class's targets.
     pub met_target: bool,
+    /// Why it was refused or cut.
+    pub reason: Option<RefusalReason>,
+    /// The request.
+    pub request: RequestId,
     /// Team, where known.
     pub team: Option<TeamId>,
     /// Tier, where known.
--- /dev/null
+++ b/crates/policy/src/send_inputs.rs
@@ -0,0 +1,24 @@
+use super::*;
+
+/// What decided where a request is sent, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SendInputs {
+    /// Number of the attempt, 1 for the first.
+    pub attempt: u32,
+    /// Prompt tokens of this host that wait there, this request's included.
+    pub backlog: u64,
+    /// Class of the request.
+    pub class: ClassId,
+    /// Requests of this host there, this one included.
+    pub in_flight: u32,
+    /// Age of the oldest note that the figures of other hosts rest on.
+    pub others_age: Option<Duration>,
+    /// Prompt tokens of other hosts that wait there.
+    pub others_backlog: u64,
+    /// Requests of other hosts there.
+    pub others_in_flight: u32,
+    /// Prompt tokens that the engine is believed to have to read.
+    pub unread: Tokens,
+    /// Time from its arrival.
+    pub waited: Duration,
+}
--- a/crates/router/src/caller_service.rs
+++ b/crates/router/src/caller_service.rs
@@ -113,7 +113,7 @@
         // here would hide an overload from every limit that is meant for it.
         if self
             .events
-            .try_send(RingEvent::Arrived(arrival, instructor))
+            .try_send(RingEvent::Arrived(arrival, id.to_string(), instructor))
             .is_err()
         {
             return host_busy();
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -32,10 +32,18 @@
     pub(crate) stop_limit: Option<Duration>,
 }
 
+/// A request that has not ended.
+struct Waiting {
+    caller: mpsc::Sender<Instruction>,
+    /// By which callers and logs name it.
+    id: String,
+}
+
 /// The thread's own state.
 struct Carrier {
     actions: Vec<Action>,
-    callers: HashMap<RequestId, mpsc::Sender<Instruction>>,
+    callers: HashMap<RequestId, Waiting>,
+    decisions: DecisionLog,
     /// Hosts that wait for the answer to their heartbeat.
     heartbeats: HashMap<u64, oneshot::Sender<HeartbeatAnswer>>,
     next_call: u64,
@@ -57,6 +65,7 @@
                 let carrier = Carrier {
                     actions: Vec::new(),
                     callers: HashMap::default(),
+                    decisions: DecisionLog::new(self.logger.clone()),
                     heartbeats: HashMap::default(),
                     next_call: 0,
                     settlements: VecDeque::new(),
@@ -107,8 +116,8 @@
 
     fn take(&mut self, event: RingEvent) {
         match event {
-            RingEvent::Arrived(arrival, caller) => {
-                self.callers.insert(arrival.request, caller);
+            RingEvent::Arrived(arrival, id, caller) => {
+                self.callers.insert(arrival.request, Waiting { caller, id });
                 self.handle(Event::Arrived(arrival));
             }
             RingEvent::HeartbeatAsked(heartbeat, answer) => {
@@ -118,11 +127,14 @@
                 self.handle(Event::HeartbeatAsked { call, heartbeat });
             }
             RingEvent::Happened(event) => {
-                if let Event::CallerGone { request } = &event {
-                    self.callers.remove(request);
-                }
+                self.log_failure(&event);
                 self.handle(event);
             }
+            RingEvent::TurnedAway { id, reason } => {
+                let now = self.thread.clock.now();
+                let known = self.knowledge(now);
+                self.decisions.turned_away(now, &id, &reason, &known);
+            }
             RingEvent::Stop => {
                 self.stopping = true;
                 self.stop_by = self.thread.stop_limit.map(|limit| Instant::now() + limit);
@@ -171,7 +183,7 @@
                 upstream,
             } => self.probe(address, path, upstream),
             Action::ReadConfiguration => self.thread.read_configuration.notify_one(),
-            Action::Record(outcome) => self.record(&outcome),
+            Action::Record(outcome) => self.end(&outcome),
             Action::Refuse { refusal, request } => {
                 self.instruct_last(request, Instruction::Refuse(refusal));
             }
@@ -179,8 +191,10 @@
                 self.instruct_last(request, Instruction::Replay(answer));
             }
             Action::Send { order, request } => {
-                if let Some(caller) = self.callers.get(&request) {
-                    let _ = caller.try_send(Instruction::Send(order));
+                let now = self.thread.clock.now();
+                if let Some(waiting) = self.callers.get(&request) {
+                    self.decisions.sent(now, &waiting.id, &order);
+                    let _ = waiting.caller.try_send(Instruction::Send(order));
                 }
             }
             Action::SendHeartbeat {
@@ -198,8 +212,37 @@
     }
 
     fn instruct_last(&mut self, request: RequestId, instruction: Instruction) {
-        if let Some(caller) = self.callers.remove(&request) {
-            let _ = caller.try_send(instruction);
+        if let Some(waiting) = self.callers.get(&request) {
+            let _ = waiting.caller.try_send(instruction);
+        }
+    }
+
+    fn log_failure(&mut self, event: &Event) {
+        if let Event::AttemptEnded { end, request, .. } = event
+            && let Some(waiting) = self.callers.get(request)
+        {
+            let now = self.thread.clock.now();
+            self.decisions.attempt_failed(now, &waiting.id, end);
+        }
+    }
+
+    /// Counts and logs how a request ended, and forgets it.
+    fn end(&mut self, outcome: &Outcome) {
+        self.record(outcome);
+        let Some(waiting) = self.callers.remove(&outcome.request) else {
+            return;
+        };
+        let now = self.thread.clock.now();
+        let known = self.knowledge(now);
+        self.decisions.ended(now, &waiting.id, outcome, &known);
+    }
+
+    fn knowledge(&self, now: Time) -> Knowledge {
+        let controller = &self.thread.controller;
+        Knowledge {
+            config_age: controller.config_age(now),
+            queued: controller.queued(),
+            version: controller.version(),
         }
     }
 
@@ -282,6 +325,13 @@
             counter!("rhubarbcove_upstream_requests_total", "upstream" => upstream.to_string())
                 .increment(1);
         }
+        if let Some(reason) = outcome.reason {
+            counter!("rhubarbcove_refusals_total",
+                "class" => class.clone(), "reason" => reason.code())
+            .increment(1);
+        }
+        histogram!("rhubarbcove_request_seconds", "class" => class.clone())
+            .record(outcome.lasted.as_secs_f64());
         if let Some(first_token) = outcome.first_token {
             histogram!("rhubarbcove_first_token_seconds", "class" => class)
                 .record(first_token.as_secs_f64());
@@ -298,14 +348,19 @@
         ledger.record(self.thread.clock.now(), outcome);
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
         let controller = &self.thread.controller;
         gauge!("rhubarbcove_queued").set(controller.queued() as f64);
         let now = self.thread.clock.now();
+        if let Some(age) = controller.config_age(now) {
+            gauge!("rhubarbcove_configuration_age_seconds").set(age.as_secs_f64());
+        }
+        self.decisions.tick(now);
         let before = self.thread.status.load();
         let after = HostStatus {
             current: controller.is_current(now),
             ejected: controller.ejected(),
+            heard: controller.heard(now),
             home: controller.home(),
             leaving: controller.leaving(now),
             steward: controller.steward(now).clone(),
@@ -315,6 +370,7 @@
             ..(**before).clone()
         };
         if after != **before {
+            self.decisions.changed(now, &before, &after);
             self.thread.status.store(Arc::new(after));
         }
     }
--- /dev/null
+++ b/crates/router/src/decision_log.rs
@@ -0,0 +1,190 @@
+//! One line for each decision that touches a request, and for each change of
+//! what the host believes.
+
+use super::*;
+
+/// Time between two lines that count what was dropped.
+const DROPPED_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What the host knew when it decided.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Knowledge {
+    /// How long ago the configuration was known to be the newest.
+    pub(crate) config_age: Option<Duration>,
+    pub(crate) queued: usize,
+    pub(crate) version: Option<ConfigVersion>,
+}
+
+/// Writes the lines, within a budget.
+pub(crate) struct DecisionLog {
+    budget: LogBudget,
+    logger: Logger,
+    next_dropped: Time,
+}
+
+impl DecisionLog {
+    pub(crate) fn new(logger: Logger) -> Self {
+        Self {
+            budget: LogBudget::default(),
+            logger,
+            next_dropped: Time::default(),
+        }
+    }
+
+    /// A request is sent to an upstream.
+    pub(crate) fn sent(&mut self, now: Time, id: &str, order: &SendOrder) {
+        if !self.budget.take(LineKind::Routine, now) {
+            return;
+        }
+        let inputs = &order.inputs;
+        let team = order.team.as_ref().map(ToString::to_string);
+        info!(self.logger, "request: sent";
+            "id" => id,
+            "attempt" => inputs.attempt,
+            "class" => %inputs.class,
+            "team" => team,
+            "upstream" => %order.upstream,
+            "address" => %order.address,
+            "priority" => order.priority,
+            "resumes" => order.resume.is_some(),
+            "waited_ms" => millis(inputs.waited),
+            "due_in_ms" => millis(order.due.since(now)),
+            "unread_tokens" => inputs.unread.get(),
+            "backlog_tokens" => inputs.backlog,
+            "in_flight" => inputs.in_flight,
+            "others_backlog_tokens" => inputs.others_backlog,
+            "others_in_flight" => inputs.others_in_flight,
+            "others_age_ms" => inputs.others_age.map(millis),
+        );
+    }
+
+    /// An attempt gave no answer.
+    pub(crate) fn attempt_failed(&mut self, now: Time, id: &str, failure: &AttemptEnd) {
+        let AttemptEnd::Failed {
+            cause,
+            delivered,
+            verdict,
+            ..
+        } = failure
+        else {
+            return;
+        };
+        if self.budget.take(LineKind::Important, now) {
+            warn!(self.logger, "request: attempt failed";
+                "id" => id,
+                "cause" => %cause,
+                "delivered" => *delivered,
+                "verdict" => %verdict,
+            );
+        }
+    }
+
+    /// A request ended.
+    pub(crate) fn ended(&mut self, now: Time, id: &str, outcome: &Outcome, known: &Knowledge) {
+        let as_it_should = matches!(outcome.end, OutcomeEnd::Finished | OutcomeEnd::Replayed);
+        let kind = if as_it_should {
+            LineKind::Routine
+        } else {
+            LineKind::Important
+        };
+        if !self.budget.take(kind, now) {
+            return;
+        }
+        let text = |value: Option<String>| value.unwrap_or_default();
+        info!(self.logger, "request: ended";
+            "id" => id,
+            "end" => outcome.end.as_str(),
+            "reason" => outcome.reason.map(|reason| reason.code()),
+            "verdict" => %outcome.verdict,
+            "class" => text(outcome.class.as_ref().map(ToString::to_string)),
+            "team" => text(outcome.team.as_ref().map(ToString::to_string)),
+            "tier" => outcome.tier.map(u8::from),
+            "upstream" => text(outcome.upstream.as_ref().map(ToString::to_string)),
+            "attempts" => outcome.attempts,
+            "lasted_ms" => millis(outcome.lasted),
+            "first_token_ms" => outcome.first_token.map(millis),
+            "in_target" => outcome.met_target,
+            "config_version" => known.version.map(ConfigVersion::get),
+            "config_age_ms" => known.config_age.map(millis),
+            "queued" => known.queued,
+        );
+    }
+
+    /// A request was refused before anything had to be decided.
+    pub(crate) fn turned_away(&mut self, now: Time, id: &str, reason: &str, known: &Knowledge) {
+        if !self.budget.take(LineKind::Important, now) {
+            return;
+        }
+        info!(self.logger, "request: turned away";
+            "id" => id,
+            "reason" => reason,
+            "verdict" => Verdict::NotRun.as_str(),
+            "config_version" => known.version.map(ConfigVersion::get),
+            "config_age_ms" => known.config_age.map(millis),
+        );
+    }
+
+    /// What the host believes has changed.
+    pub(crate) fn changed(&mut self, now: Time, before: &HostStatus, after: &HostStatus) {
+        if before.phase != after.phase && self.budget.take(LineKind::Important, now) {
+            info!(self.logger, "belief: phase"; "phase" => format!("{:?}", after.phase));
+        }
+        if before.current != after.current && self.budget.take(LineKind::Important, now) {
+            info!(self.logger, "belief: configuration known to be the newest";
+                "known" => after.current);
+        }
+        self.set_changed(
+            now,
+            "belief: upstreams ejected",
+            &before.ejected,
+            &after.ejected,
+        );
+        self.set_changed(
+            now,
+            "belief: upstreams leaving",
+            &before.leaving,
+            &after.leaving,
+        );
+        self.set_changed(now, "belief: hosts heard", &before.heard, &after.heard);
+    }
+
+    fn set_changed<T: Display + PartialEq>(
+        &mut self,
+        now: Time,
+        what: &'static str,
+        before: &[T],
+        after: &[T],
+    ) {
+        if before == after || !self.budget.take(LineKind::Important, now) {
+            return;
+        }
+        let only = |of: &[T], than: &[T]| {
+            let only = of.iter().filter(|id| !than.contains(id));
+            only.map(ToString::to_string).collect::<Vec<_>>().join(",")
+        };
+        info!(self.logger, "{}", what;
+            "added" => only(after, before),
+            "gone" => only(before, after),
+            "count" => after.len(),
+        );
+    }
+
+    /// Says now and then how many lines were dropped.
+    pub(crate) fn tick(&mut self, now: Time) {
+        if now < self.next_dropped {
+            return;
+        }
+        self.next_dropped = now + DROPPED_INTERVAL;
+        let (important, routine) = self.budget.take_dropped();
+        if important + routine == 0 {
+            return;
+        }
+        counter!("rhubarbcove_log_lines_dropped_total", "kind" => "important").increment(important);
+        counter!("rhubarbcove_log_lines_dropped_total", "kind" => "routine").increment(routine);
+        warn!(self.logger, "log: lines dropped"; "important" => important, "routine" => routine);
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    span.as_millis() as u64
+}
--- a/crates/router/src/host_status.rs
+++ b/crates/router/src/host_status.rs
@@ -9,6 +9,8 @@
     pub ejected: Vec<UpstreamId>,
     /// Failure domain it stands in.
     pub failure_domain: FailureDomainId,
+    /// Other hosts that it hears, in an installation.
+    pub heard: Vec<HostId>,
     /// Upstreams on which this host has slots of its own.
     pub home: Vec<UpstreamId>,
     /// Id.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
         Method, Request, Response, StatusCode,
         body::{Frame, Incoming},
         header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER},
+        http::request::Parts,
         server::conn::http1,
         service::service_fn,
     },
@@ -28,7 +29,9 @@
         Event, HostPhase, Outcome, OutcomeEnd, PrefixHash, Refusal, RefusalReason, RelayRules,
         Repeatability, RoomRules, Routed, SendOrder, Settlement, StoredAnswer, Target, WasteCause,
     },
-    ports::{Clock, Directory, DirectoryUpdate, Judgement, Passing, Protocol, RequestHead},
+    ports::{
+        Clock, Directory, DirectoryUpdate, HeadError, Judgement, Passing, Protocol, RequestHead,
+    },
     rand::Rng,
     serde::{Deserialize, Serialize},
     serde_json::{json, value::RawValue},
@@ -77,6 +80,7 @@
 mod caller_thread;
 mod class_report;
 mod controller_thread;
+mod decision_log;
 mod directory_thread;
 mod event_splitter;
 mod host;
@@ -85,6 +89,7 @@
 mod instruction;
 mod jitter;
 mod ledger;
+mod log_budget;
 mod logs;
 mod note_sender;
 mod note_thread;
@@ -114,7 +119,7 @@
     host::{Draining, Host, Serving},
     host_status::HostStatus,
     installation::Installation,
-    logs::{discard_logger, json_logger},
+    logs::{discard_logger, json_logger, json_logger_to},
     promise::Promise,
     report::Report,
 };
@@ -131,11 +136,13 @@
     caller_service::CallerService,
     caller_thread::CallerThread,
     controller_thread::ControllerThread,
+    decision_log::{DecisionLog, Knowledge},
     directory_thread::DirectoryThread,
     event_splitter::EventSplitter,
     instruction::Instruction,
     jitter::jittered,
     ledger::Ledger,
+    log_budget::{LineKind, LogBudget},
     note_sender::NoteSender,
     note_thread::NoteThread,
     operator_service::OperatorService,
--- a/crates/router/src/logs.rs
+++ b/crates/router/src/logs.rs
@@ -4,12 +4,22 @@
 /// counted: logging never holds a request up.
 const LOG_RING: usize = 4_096;
 
-/// A logger that writes one JSON object a line to standard error.
+/// A logger that writes one JSON object a line to standard output.
+///
+/// Writing is done by a thread of its own. While nobody reads standard output
+/// that thread stands still, the ring fills, and lines are dropped and counted;
+/// once nobody can read it any more, writing fails and is given up. Neither
+/// holds a request up or ends the host.
 pub fn json_logger(host: &HostId) -> Logger {
-    let drain = slog_json::Json::new(std::io::stderr())
+    json_logger_to(host, std::io::stdout())
+}
+
+/// The same to another place.
+pub fn json_logger_to(host: &HostId, output: impl std::io::Write + Send + 'static) -> Logger {
+    let drain = slog_json::Json::new(output)
         .add_default_keys()
         .build()
-        .fuse();
+        .ignore_res();
     let drain = slog_async::Async::new(drain)
         .chan_size(LOG_RING)
         .build()
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -11,9 +11,11 @@
         consts::{SIGINT, SIGTERM},
         iterator::Signals,
     },
+    slog::Logger,
     std::{
         path::{Path, PathBuf},
         sync::Arc,
+        time::Duration,
     },
 };
 
@@ -54,6 +56,21 @@
     Settings::from_toml(&text).wrap_err_with(|| format!("{} is not valid", file.display()))
 }
 
+/// Time for the last lines of the log to be written. Where nobody reads them the
+/// process must end all the same.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+
+/// Writes the last lines of the log, as far as that can be done in time.
+fn flush(logger: Logger) {
+    let (done, flushed) = std::sync::mpsc::channel::<()>();
+    std::thread::spawn(move || {
+        // Dropping the last logger waits for its thread.
+        drop(logger);
+        drop(done);
+    });
+    let _ = flushed.recv_timeout(FLUSH_LIMIT);
+}
+
 /// What the other hosts are told of this one.
 fn peer(settings: &Settings) -> PeerHost {
     PeerHost {
@@ -77,8 +94,9 @@
         )),
         protocol: Arc::new(WireProtocol),
     });
-    let host = Host::start_in(settings, installation, logger)?;
+    let host = Host::start_in(settings, installation, logger.clone())?;
     signals.forever().next();
     host.drain().stop()?;
+    flush(logger);
     Ok(())
 }
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -24,25 +24,37 @@
 
 impl RelayService {
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Answered {
-        match self.read(request).await {
+        let (parts, body) = request.into_parts();
+        let head = match self.protocol.read_head(&parts) {
+            Ok(head) => head,
+            Err(error) => return self.turn_away("", TurnedAway::bad_head(&error)),
+        };
+        let id = head.attempt.clone();
+        match self.read(parts, head, body).await {
             Ok(found) => self.serve(found).await,
-            Err(refused) => *refused,
+            Err(turned_away) => self.turn_away(&id, turned_away),
         }
     }
 
-    async fn read(&self, request: Request<Incoming>) -> Result<Found, Box<Answered>> {
-        let (parts, body) = request.into_parts();
-        let head = self.protocol.read_head(&parts).map_err(|error| {
-            let message = error.to_string();
-            Box::new(error_answer(
-                StatusCode::BAD_REQUEST,
-                "bad_header",
-                &message,
-                Verdict::NotRun,
-            ))
-        })?;
+    /// Logs a request that is refused before the controller has seen it.
+    fn turn_away(&self, id: &str, turned_away: TurnedAway) -> Answered {
+        let event = RingEvent::TurnedAway {
+            id: id.to_string(),
+            reason: turned_away.code.to_string(),
+        };
+        // A full ring drops the line: the log never holds a request up.
+        let _ = self.events.try_send(event);
+        *turned_away.answer
+    }
+
+    async fn read(
+        &self,
+        parts: Parts,
+        head: RequestHead,
+        body: Incoming,
+    ) -> Result<Found, TurnedAway> {
         let configuration = self.configuration.load_full();
-        let numbered = configuration.ok_or_else(|| refused(RefusalReason::NotReady))?;
+        let numbered = configuration.ok_or_else(|| TurnedAway::refused(RefusalReason::NotReady))?;
         let document = &numbered.document;
         let path = parts.uri.path_and_query();
         let path = path.map_or("/", |path| path.as_str()).to_string();
@@ -64,16 +76,16 @@
 
     /// A host whose configuration may be outdated must not deny a route: it may
     /// have been added since.
-    fn no_route(&self) -> Box<Answered> {
+    fn no_route(&self) -> TurnedAway {
         if self.status.load().current {
-            refused(RefusalReason::UnknownRoute)
+            TurnedAway::refused(RefusalReason::UnknownRoute)
         } else {
-            refused(RefusalReason::ConfigurationStale)
+            TurnedAway::refused(RefusalReason::ConfigurationStale)
         }
     }
 
     /// Reads the body whole: a request is sent again only if all of it is here.
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Box<Answered>> {
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, TurnedAway> {
         let max = self.limits.max_body_bytes;
         let limited = Limited::new(body, max.get() as usize);
         let limit = Duration::from_millis(self.limits.body_timeout_ms);
@@ -91,13 +103,7 @@
                 (StatusCode::REQUEST_TIMEOUT, "body_timeout", error)
             }
         };
-        let message = error.to_string();
-        Err(Box::new(error_answer(
-            status,
-            code,
-            &message,
-            Verdict::NotRun,
-        )))
+        Err(TurnedAway::new(status, code, &error.to_string()))
     }
 
     /// Hands the request to the controller and waits for the head of the
@@ -106,10 +112,10 @@
         let Found { arrival, request } = found;
         let id = arrival.request;
         let (instructor, instructions) = mpsc::channel(Instruction::RING);
-        let event = RingEvent::Arrived(arrival, instructor);
+        let event = RingEvent::Arrived(arrival, request.head.attempt.clone(), instructor);
         // A full ring is told to the caller at once and truthfully.
         if self.events.try_send(event).is_err() {
-            return *refused(RefusalReason::QueueFull);
+            return *TurnedAway::refused(RefusalReason::QueueFull).answer;
         }
         let (head, answer) = oneshot::channel();
         let relay = Relay::new(self, id, request, instructions, AnswerSender::new(head));
@@ -125,12 +131,34 @@
 /// Advice to return for a refusal that says nothing of its own.
 const RETURN: Duration = Duration::from_millis(300);
 
-fn refused(reason: RefusalReason) -> Box<Answered> {
-    let refusal = Refusal {
-        retry_after: Some(RETURN),
-        ..Refusal::not_run(reason)
-    };
-    Box::new(answers::relayed_refusal(&refusal))
+/// The answer to a request that is refused before the controller has seen it.
+struct TurnedAway {
+    answer: Box<Answered>,
+    code: &'static str,
+}
+
+impl TurnedAway {
+    fn new(status: StatusCode, code: &'static str, message: &str) -> Self {
+        Self {
+            answer: Box::new(error_answer(status, code, message, Verdict::NotRun)),
+            code,
+        }
+    }
+
+    fn bad_head(error: &HeadError) -> Self {
+        Self::new(StatusCode::BAD_REQUEST, "bad_header", &error.to_string())
+    }
+
+    fn refused(reason: RefusalReason) -> Self {
+        let refusal = Refusal {
+            retry_after: Some(RETURN),
+            ..Refusal::not_run(reason)
+        };
+        Self {
+            answer: Box::new(answers::relayed_refusal(&refusal)),
+            code: reason.code(),
+        }
+    }
 }
 
 /// The task that served the request ended without a word: nothing is known.
@@ -149,14 +177,14 @@
     document: &Document,
     route: &Route,
     head: &RequestHead,
-) -> Result<Arrival, Box<Answered>> {
+) -> Result<Arrival, TurnedAway> {
     let service = route.service(rand::rng().random());
-    let service = service.ok_or_else(|| refused(RefusalReason::NoUpstream))?;
+    let service = service.ok_or_else(|| TurnedAway::refused(RefusalReason::NoUpstream))?;
     let is_engine = document.services.get(service);
     let is_engine = is_engine.is_some_and(|service| service.engine);
     let target = if is_engine {
         let model = service.as_str().parse();
-        Target::Model(model.map_err(|_| refused(RefusalReason::UnknownModel))?)
+        Target::Model(model.map_err(|_| TurnedAway::refused(RefusalReason::UnknownModel))?)
     } else {
         Target::Service(service.clone())
     };
--- a/crates/router/src/ring_event.rs
+++ b/crates/router/src/ring_event.rs
@@ -3,12 +3,20 @@
 /// What the controller's ring carries.
 #[derive(Debug)]
 pub(crate) enum RingEvent {
-    /// A request, with the way back to the task that serves it.
-    Arrived(Arrival, mpsc::Sender<Instruction>),
+    /// A request, with the id by which callers and logs name it, and the way back
+    /// to the task that serves it.
+    Arrived(Arrival, String, mpsc::Sender<Instruction>),
     /// Another host's heartbeat, with the way back to it.
     HeartbeatAsked(Heartbeat, oneshot::Sender<HeartbeatAnswer>),
     /// Something else that happened.
     Happened(Event),
+    /// A request was refused before anything had to be decided.
+    TurnedAway {
+        /// By which callers and logs name it.
+        id: String,
+        /// Why, as a machine-readable code.
+        reason: String,
+    },
     /// Stop once no request is left.
     Stop,
 }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -15,6 +15,7 @@
             current: false,
             ejected: Vec::new(),
             failure_domain: settings.failure_domain.clone(),
+            heard: Vec::new(),
             home: Vec::new(),
             host: settings.host.clone(),
             leaving: Vec::new(),
--- a/crates/router/tests/processes.rs
+++ b/crates/router/tests/processes.rs
@@ -30,6 +30,10 @@
 
 impl Process {
     fn start(site: &Site, name: &str) -> Self {
+        Self::start_logging_to(site, name, Stdio::null())
+    }
+
+    fn start_logging_to(site: &Site, name: &str, output: Stdio) -> Self {
         let [callers, operators, peers] = free_addresses();
         let settings = settings(name, callers, operators, peers, site.platform.address());
         let file = settings_file(name, &settings);
@@ -37,6 +41,7 @@
             .arg("run")
             .arg(file)
             .stderr(Stdio::null())
+            .stdout(output)
             .spawn()
             .unwrap();
         Self {
@@ -274,3 +279,24 @@
         site::Answer::read(answer).await.assert_whole(&tag, 4);
     }
 }
+
+/// Symptom: a host stops serving, or cannot be stopped, because nobody reads its
+/// log. Events: standard output is a pipe that nobody empties; more is logged
+/// than it holds. Cause: a line is written by whoever serves the request, or the
+/// last lines are waited for without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_blocked_standard_output_holds_nothing_up() {
+    const REQUESTS: usize = 400;
+    let site = Site::with_engines(1).start().await;
+    let mut process = Process::start_logging_to(&site, "mute-0", Stdio::piped());
+    process.ready().await;
+    for number in 0..REQUESTS {
+        let tag = format!("mute-{number}");
+        let request = site.ask("question").tagged(&tag).request();
+        let answer = site::exchange(process.callers, request).await;
+        site::Answer::read(answer).await.assert_whole(&tag, 4);
+    }
+    process.signal(Signal::SIGTERM);
+    let status = tokio::task::spawn_blocking(move || process.child.wait().unwrap());
+    assert!(status.await.unwrap().success());
+}
