Let a host that the store turns away go on by its neighbors

Cause: a host that the store refused while it served the others refused every key from 4.9 s on. The notes told it how old its version is, but not what a newer one holds, and not which upstreams are leaving.

Change: a host whose knowledge is older than 2.2 s and that hears of a newer version fetches it from the host that has it, over TCP at the peer address and with the hosts' secret.

--- a/crates/peer/src/load_note.rs
+++ b/crates/peer/src/load_note.rs
@@ -13,6 +13,8 @@
     pub host: HostId,
     /// The sender's incarnation.
     pub incarnation: Incarnation,
+    /// Upstreams that are leaving.
+    pub leaving: Vec<UpstreamId>,
     /// Load by upstream; those without any are left out.
     pub loads: Vec<UpstreamLoad>,
     /// Version of this protocol.
@@ -69,6 +71,7 @@
         }
         let note: Self = postcard::from_bytes(body).map_err(|_| MessageError::NotANote)?;
         MessageError::check_protocol(note.protocol)?;
+        MessageError::check_size("leaving", note.leaving.len(), MAX_UPSTREAMS)?;
         MessageError::check_size("loads", note.loads.len(), MAX_UPSTREAMS)?;
         Ok(note)
     }
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -47,6 +47,11 @@
     },
     /// Claim an idempotency key in the platform's table.
     Claim(ClaimRequest),
+    /// Fetch the configuration of another host, which has a newer one.
+    FetchConfiguration {
+        /// Where the host listens.
+        address: SocketAddr,
+    },
     /// Ask an ejected upstream whether it is well.
     Probe {
         /// Where it listens.
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -166,7 +166,7 @@
             }
             Event::HostsListed { hosts } => self.on_hosts_listed(now, hosts),
             Event::LoadReported { report, upstream } => self.on_load_report(now, &upstream, report),
-            Event::NoteHeard { from, note } => self.on_note(now, from, note),
+            Event::NoteHeard { from, note } => self.on_note(now, from, note, actions),
             Event::PeersListed { peers } => self.neighbors.note_listed(peers),
             Event::ProbeAnswered { healthy, upstream } => {
                 if let Some(state) = self.pool.get_mut(&upstream) {
--- a/crates/policy/src/neighbors.rs
+++ b/crates/policy/src/neighbors.rs
@@ -21,6 +21,14 @@
 /// ended, and its load with it.
 const VALID: Duration = Duration::from_millis(2_500);
 
+/// Age of the configuration from which a newer one is fetched from another host.
+/// Before that the store is expected to bring it: it is asked every 1.8 s at the
+/// latest, and tells a change at once.
+const FETCH_AFTER: Duration = Duration::from_millis(2_200);
+
+/// Time between two fetches.
+const FETCH_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Another host.
 #[derive(Debug)]
 struct Neighbor {
@@ -33,6 +41,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Neighbors {
     hosts: BTreeMap<HostId, Neighbor>,
+    next_fetch: Time,
     next_idle: Time,
     next_note: Time,
     told: Vec<UpstreamLoad>,
@@ -106,11 +115,19 @@
 }
 
 impl Controller {
-    pub(crate) fn on_note(&mut self, now: Time, from: SocketAddr, note: LoadNote) {
+    pub(crate) fn on_note(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        note: LoadNote,
+        actions: &mut Vec<Action>,
+    ) {
         if note.host == self.options.host {
             return;
         }
         self.learn_confirmed(&note);
+        self.learn_leaving(now, &note);
+        self.fetch_newer(now, from, &note, actions);
         if self.neighbors.take(now, from, note) {
             self.apply_neighbors(now);
         }
@@ -133,6 +150,33 @@
         self.confirmed = self.confirmed.max(Some(as_of));
     }
 
+    /// Believes another host that upstreams are leaving, until its next notes
+    /// say otherwise.
+    fn learn_leaving(&mut self, now: Time, note: &LoadNote) {
+        for upstream in &note.leaving {
+            if let Some(state) = self.pool.get_mut(upstream) {
+                state.told_leaving_until = now + VALID;
+            }
+        }
+    }
+
+    /// Asks another host for its newer configuration, if the store does not
+    /// bring it.
+    fn fetch_newer(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        note: &LoadNote,
+        actions: &mut Vec<Action>,
+    ) {
+        let newer = note.version > self.version();
+        let waited = self.config_age(now).is_none_or(|age| age >= FETCH_AFTER);
+        if newer && waited && now >= self.neighbors.next_fetch {
+            self.neighbors.next_fetch = now + FETCH_INTERVAL;
+            actions.push(Action::FetchConfiguration { address: from });
+        }
+    }
+
     fn apply_neighbors(&mut self, now: Time) {
         let loads = self.neighbors.loads(now);
         for state in &mut self.pool.states {
@@ -183,6 +227,7 @@
         loads: &[UpstreamLoad],
         to_silent: bool,
     ) -> Vec<(SocketAddr, LoadNote)> {
+        let leaving = self.pool.select(UpstreamState::is_said_leaving);
         let confirmed_age = self.confirmed.map(|at| now.since(at).as_millis() as u32);
         let hosts = self.neighbors.hosts.iter();
         hosts
@@ -199,6 +244,7 @@
                         }),
                         host: self.options.host.clone(),
                         incarnation: self.options.incarnation,
+                        leaving: leaving.clone(),
                         loads: loads.to_vec(),
                         protocol: peer::PROTOCOL,
                         sent_us: now.as_us(),
--- a/crates/policy/tests/installation/decisions.rs
+++ b/crates/policy/tests/installation/decisions.rs
@@ -4,7 +4,7 @@
 use {
     crate::support::{self, Ask, Host, KEY_KNOWLEDGE, engines, refused, sent, upstreams},
     peer::{Echo, LoadNote},
-    policy::{Event, RefusalReason},
+    policy::{Action, Event, RefusalReason},
     std::time::Duration,
     types::prelude::*,
 };
@@ -54,6 +54,7 @@
             echo,
             host: "host-9".parse().unwrap(),
             incarnation: Incarnation::new(9),
+            leaving: Vec::new(),
             loads: Vec::new(),
             protocol: peer::PROTOCOL,
             sent_us: host.now.as_us(),
@@ -297,6 +298,7 @@
         echo: None,
         host: "host-9".parse().unwrap(),
         incarnation: Incarnation::new(9),
+        leaving: Vec::new(),
         loads: vec![peer::UpstreamLoad {
             backlog: Tokens::new(5_000_000),
             in_flight: 60,
@@ -330,3 +332,52 @@
     host.handle(Event::ConfigurationConfirmed { as_of });
     assert_eq!(home(&mut host), before);
 }
+
+/// Symptom: a host refuses every key although its neighbors know the newest
+/// configuration. Events: the store turns this host away, and the operator
+/// changes the configuration. Cause: only the store is asked for it.
+#[test]
+fn fetches_a_newer_configuration_from_another_host() {
+    let mut host = Host::new(0);
+    let fetch = |actions: &[Action]| {
+        actions
+            .iter()
+            .any(|action| matches!(action, Action::FetchConfiguration { .. }))
+    };
+    let event = note(&host, None, 2);
+    assert!(!fetch(&host.handle(event)), "the store may still bring it");
+    host.pass(2_500);
+    let event = note(&host, None, 1);
+    assert!(!fetch(&host.handle(event)), "it has this one");
+    let event = note(&host, None, 2);
+    assert!(fetch(&host.handle(event)));
+    let event = note(&host, None, 2);
+    assert!(!fetch(&host.handle(event)), "one at a time");
+
+    host.pass(2_600);
+    assert!(!host.controller.is_current(host.now));
+    host.read_version(2);
+    let echo = Some(Echo {
+        incarnation: Incarnation::new(0),
+        sent_us: host.now.as_us(),
+    });
+    let event = note(&host, echo, 2);
+    host.handle(event);
+    assert!(host.controller.is_current(host.now));
+}
+
+/// An upstream that another host knows to be leaving gets nothing new.
+#[test]
+fn believes_another_host_that_an_upstream_is_leaving() {
+    let mut host = Host::new(0);
+    let Event::NoteHeard { from, note } = note(&host, None, 1) else {
+        unreachable!("a note is a note");
+    };
+    let leaving = vec!["shop-0".parse().unwrap(), "shop-2".parse().unwrap()];
+    let note = LoadNote { leaving, ..note };
+    host.handle(Event::NoteHeard { from, note });
+    for _ in 0..6 {
+        let order = sent(&host.ask(lookup()).1).unwrap();
+        assert_eq!(order.upstream.as_str(), "shop-1");
+    }
+}
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -334,6 +334,7 @@
             }
             Action::Cancel { .. }
             | Action::AnswerHeartbeat { .. }
+            | Action::FetchConfiguration { .. }
             | Action::Probe { .. }
             | Action::ReadConfiguration
             | Action::SendHeartbeat { .. }
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -9,6 +9,7 @@
         Action::Break { refusal, request } => format!("break {request}: {}", refused(refusal)),
         Action::Cancel { request, .. } => format!("cancel {request}"),
         Action::Claim(claim) => format!("claim {} for {}", claim.key, claim.request),
+        Action::FetchConfiguration { address } => format!("fetch configuration of {address}"),
         Action::Probe { upstream, .. } => format!("probe {upstream}"),
         Action::ReadConfiguration => "read the configuration".to_string(),
         Action::Record(outcome) => record(outcome),
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -18,6 +18,7 @@
     pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
     pub(crate) controller: Controller,
     pub(crate) events: flume::Receiver<RingEvent>,
+    pub(crate) fetches: flume::Sender<SocketAddr>,
     pub(crate) ledger: Arc<Mutex<Ledger>>,
     pub(crate) logger: Logger,
     /// Where notes to other hosts are sent from; `None` outside an installation.
@@ -177,6 +178,10 @@
             // The task that found its caller gone has cut the stream itself.
             Action::Cancel { .. } => {}
             Action::Claim(claim) => self.claim(claim),
+            // Where the ring is full, one is under way.
+            Action::FetchConfiguration { address } => {
+                let _ = self.thread.fetches.try_send(address);
+            }
             Action::Probe {
                 address,
                 path,
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -10,6 +10,7 @@
     pub(crate) clock: Clock,
     pub(crate) directory: Box<dyn Directory>,
     pub(crate) events: flume::Sender<RingEvent>,
+    pub(crate) fetcher: ConfigurationFetcher,
     pub(crate) logger: Logger,
     pub(crate) shutdown: Shutdown,
 }
@@ -30,6 +31,7 @@
         tokio::select! {
             () = self.directory.follow(self.clock, sender) => {}
             () = pass_on(&updates, &self.events, &self.logger) => {}
+            () = self.fetcher.run() => {}
             () = self.shutdown.started() => {}
         }
     }
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -52,12 +52,11 @@
     ) -> eyre::Result<Self> {
         let callers = listen(settings.caller_address)?;
         let operators = listen(settings.operator_address)?;
-        let (peers, notes) = match installation {
-            Some(_) => (
-                None,
-                Some(std::net::UdpSocket::bind(settings.peer_address)?),
-            ),
-            None => (Some(listen(settings.peer_address)?), None),
+        let peers = listen(settings.peer_address)?;
+        let peer_address = peers.local_addr()?;
+        let notes = match installation {
+            Some(_) => Some(std::net::UdpSocket::bind(peer_address)?),
+            None => None,
         };
         let note_sender = match &notes {
             Some(socket) => Some(NoteSender {
@@ -67,10 +66,6 @@
             None => None,
         };
         let caller_address = callers.local_addr()?;
-        let peer_address = match &peers {
-            Some(peers) => peers.local_addr()?,
-            None => settings.peer_address,
-        };
         let operator_address = operators.local_addr()?;
         let rings = Rings::new();
         let shared = Shared::new(&settings);
@@ -91,6 +86,7 @@
             configuration: Arc::clone(&shared.configuration),
             controller: Controller::new(controller_options(&settings)),
             events: rings.events.1,
+            fetches: rings.fetches.0,
             ledger: Arc::clone(&shared.ledger),
             logger: logger.clone(),
             notes: note_sender,
@@ -113,6 +109,12 @@
                     clock: shared.clock,
                     directory,
                     events: rings.events.0.clone(),
+                    fetcher: ConfigurationFetcher {
+                        events: rings.events.0.clone(),
+                        jobs: rings.fetches.1,
+                        logger: logger.clone(),
+                        token: settings.peer_token.clone(),
+                    },
                     logger: logger.clone(),
                     shutdown: others_stop.clone(),
                 };
@@ -144,23 +146,31 @@
             status: Arc::clone(&shared.status),
         };
         others.push(thread.spawn()?);
-        if let Some(socket) = notes {
-            let thread = NoteThread {
+        let thread = match &notes {
+            Some(_) => PeerService {
+                configuration: Arc::clone(&shared.configuration),
+                listener: peers,
+                shutdown: others_stop.clone(),
+                token: settings.peer_token.clone(),
+            }
+            .spawn()?,
+            None => PeerThread {
                 events: rings.events.0.clone(),
+                jobs: rings.peers.1,
+                listener: peers,
                 logger: logger.clone(),
                 shutdown: others_stop.clone(),
-                socket,
                 token: settings.peer_token.clone(),
-            };
-            others.push(thread.spawn()?);
-        }
-        if let Some(listener) = peers {
-            let thread = PeerThread {
+            }
+            .spawn()?,
+        };
+        others.push(thread);
+        if let Some(socket) = notes {
+            let thread = NoteThread {
                 events: rings.events.0.clone(),
-                jobs: rings.peers.1,
-                listener,
                 logger: logger.clone(),
                 shutdown: others_stop.clone(),
+                socket,
                 token: settings.peer_token.clone(),
             };
             others.push(thread.spawn()?);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -79,6 +79,7 @@
 mod caller_service;
 mod caller_thread;
 mod class_report;
+mod configuration_fetcher;
 mod controller_thread;
 mod decision_log;
 mod directory_thread;
@@ -96,6 +97,7 @@
 mod operator_service;
 mod operator_thread;
 mod peer_job;
+mod peer_service;
 mod peer_thread;
 mod platform_job;
 mod platform_thread;
@@ -135,6 +137,7 @@
     caller_request::{CallerRequest, EngineBody},
     caller_service::CallerService,
     caller_thread::CallerThread,
+    configuration_fetcher::ConfigurationFetcher,
     controller_thread::ControllerThread,
     decision_log::{DecisionLog, Knowledge},
     directory_thread::DirectoryThread,
@@ -148,6 +151,7 @@
     operator_service::OperatorService,
     operator_thread::OperatorThread,
     peer_job::PeerJob,
+    peer_service::PeerService,
     peer_thread::PeerThread,
     platform_job::PlatformJob,
     platform_thread::PlatformThread,
--- a/crates/router/src/rings.rs
+++ b/crates/router/src/rings.rs
@@ -3,6 +3,9 @@
 /// Events that may wait for the controller.
 const EVENT_RING: usize = 65_536;
 
+/// Fetches that may wait; the controller asks for one at a time.
+const FETCH_RING: usize = 4;
+
 /// Heartbeats that may wait for the peers' thread.
 const PEER_RING: usize = 16;
 
@@ -15,6 +18,7 @@
 /// The bounded rings that join the threads of a host.
 pub(crate) struct Rings {
     pub(crate) events: (flume::Sender<RingEvent>, flume::Receiver<RingEvent>),
+    pub(crate) fetches: (flume::Sender<SocketAddr>, flume::Receiver<SocketAddr>),
     pub(crate) peers: (flume::Sender<PeerJob>, flume::Receiver<PeerJob>),
     pub(crate) platform: (flume::Sender<PlatformJob>, flume::Receiver<PlatformJob>),
     pub(crate) probes: (flume::Sender<ProbeJob>, flume::Receiver<ProbeJob>),
@@ -24,6 +28,7 @@
     pub(crate) fn new() -> Self {
         Self {
             events: flume::bounded(EVENT_RING),
+            fetches: flume::bounded(FETCH_RING),
             peers: flume::bounded(PEER_RING),
             platform: flume::bounded(PLATFORM_RING),
             probes: flume::bounded(PROBE_RING),
