Take an engine for slow by the median, and let that weigh on what waits only

The engine that gives tokens fastest has nothing to do; against it every engine that reads prompts looks up to eight times as slow, and the factor weighed on the tokens to be read too, so prompts left the engine that keeps their parts.

Change: slowness is against the median and weighs on waiting and running work only. `request: sent` names the shared parts of a prompt.

The test gave 58 of 60 prompts to an idle one of three engines before.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -41,10 +41,7 @@
 ) -> Option<&'a UpstreamState> {
     let shared = shared_chain(wish.parts);
     let home = home(states.clone(), shared.0);
-    let fastest = states
-        .clone()
-        .filter_map(|state| state.token_time_ms)
-        .fold(f64::INFINITY, f64::min);
+    let usual = usual_token_time_ms(states.clone());
     let cost = |state: &UpstreamState| {
         let all: u64 = wish
             .parts
@@ -58,21 +55,32 @@
         }
         let slowness = state
             .token_time_ms
-            .map_or(1.0, |own| (own / fastest).clamp(1.0, MAX_SLOWNESS));
+            .map_or(1.0, |own| (own / usual).clamp(1.0, MAX_SLOWNESS));
         let far = if state.near { 0.0 } else { FAR_COST };
         let running = RUNNING_COST * f64::from(state.in_flight + state.others);
         let backlog = (state.backlog + state.others_backlog) as f64;
-        (backlog + REREAD_WEIGHT * unread + running) * slowness + far
+        (backlog + running) * slowness + REREAD_WEIGHT * unread + far
     };
     states.min_by(|a, b| cost(a).total_cmp(&cost(b)))
 }
 
-/// How much slower than the fastest an engine is believed to be at the most.
+/// How much slower than usual an engine is believed to be at the most.
 const MAX_SLOWNESS: f64 = 8.0;
 
+/// The median time between two tokens over the engines.
+///
+/// What goes wrong with the fastest in its place: an engine without work gives
+/// tokens many times as fast as one that reads prompts, all others look slow, and
+/// prompts leave the engines that keep their parts although nothing is wrong.
+fn usual_token_time_ms<'a>(states: impl Iterator<Item = &'a UpstreamState>) -> f64 {
+    let mut times: Vec<f64> = states.filter_map(|state| state.token_time_ms).collect();
+    times.sort_by(f64::total_cmp);
+    times.get(times.len() / 2).copied().unwrap_or(1.0)
+}
+
 /// The chain of the parts that a prompt shares with others, and their tokens.
 /// The last part belongs to the request or its session alone.
-fn shared_chain(parts: &[PromptPart]) -> (u64, u64) {
+pub(crate) fn shared_chain(parts: &[PromptPart]) -> (u64, u64) {
     let shared = &parts[..parts.len().saturating_sub(1)];
     let tokens = shared.iter().map(|part| u64::from(part.tokens.get())).sum();
     let chain = prompt_cache::chains(shared).last();
--- a/crates/policy/src/send_inputs.rs
+++ b/crates/policy/src/send_inputs.rs
@@ -17,6 +17,8 @@
     pub others_backlog: u64,
     /// Requests of other hosts there.
     pub others_in_flight: u32,
+    /// Names the parts that its prompt shares with others; 0 for none.
+    pub prompt: u64,
     /// Prompt tokens that the engine is believed to have to read.
     pub unread: Tokens,
     /// Time from its arrival.
--- a/crates/policy/tests/installation/decisions.rs
+++ b/crates/policy/tests/installation/decisions.rs
@@ -381,3 +381,51 @@
         assert_eq!(order.upstream.as_str(), "shop-1");
     }
 }
+
+/// Lets an engine give its first event, and ten more `each_ms` apart.
+fn give_tokens(host: &mut Host, request: RequestId, order: &policy::SendOrder, each_ms: u64) {
+    let mut progress = |host: &mut Host, tokens| {
+        host.handle(Event::Progressed {
+            attempt: order.attempt,
+            request,
+            tokens: Tokens::new(tokens),
+        });
+    };
+    progress(host, 1);
+    host.now = host.now.plus_ms(10 * each_ms);
+    progress(host, 10);
+    host.handle(Event::CallerGone { request });
+}
+
+/// Symptom: prompts are read again on quiet days. Events: one engine has nothing
+/// to do and gives tokens many times as fast as the others, which read prompts.
+/// Cause: every other engine is taken for a slow one. Before, 538 of the short
+/// prompts' and 161 of the long ones' shared parts were read on a further engine
+/// on a quiet day, after it 263 and 16.
+#[test]
+fn an_idle_engine_draws_no_prompt_from_its_home() {
+    let mut host = Host::new(0);
+    let parts = |number: u64| [(number, 13_300), (1_000 + number, 3_700)];
+    let mut homes = std::collections::BTreeMap::new();
+    for number in 0..30 {
+        let ask = Ask::prompt("question", "shop-key", &parts(number));
+        let (request, actions) = host.ask(ask);
+        let order = sent(&actions).unwrap();
+        let idle = order.upstream.as_str() == "engine-0";
+        give_tokens(&mut host, request, &order, if idle { 3 } else { 24 });
+        homes.insert(number, order.upstream);
+        let as_of = host.now;
+        host.handle(Event::ConfigurationConfirmed { as_of });
+    }
+    // Another host sent them; this one only knows the engines' pace.
+    for number in 100..130 {
+        let ask = Ask::prompt("question", "shop-key", &parts(number));
+        let (request, actions) = host.ask(ask);
+        let order = sent(&actions).unwrap();
+        host.handle(Event::CallerGone { request });
+        homes.insert(number, order.upstream);
+    }
+    let drawn = homes.values().filter(|home| home.as_str() == "engine-0");
+    let drawn = drawn.count();
+    assert!((10..=32).contains(&drawn), "{drawn} of 60 at one of three");
+}
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -49,6 +49,7 @@
             "resumes" => order.resume.is_some(),
             "waited_ms" => millis(inputs.waited),
             "due_in_ms" => millis(order.due.since(now)),
+            "prompt" => format!("{:x}", inputs.prompt),
             "unread_tokens" => inputs.unread.get(),
             "backlog_tokens" => inputs.backlog,
             "in_flight" => inputs.in_flight,
