Follow changed settings, and live through SIGHUP

Cause: SIGHUP ended the process and cut every request it had.

Change: the settings file is read again at SIGHUP and when its text changes. The figures of an installation and the balancer's pause are followed; what needs a new start is logged; a file that cannot be used changes nothing and is told once. The test starts the real binary, and failed before: the process was gone.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -178,6 +178,10 @@
                 request,
                 tokens,
             } => self.on_progress(now, request, attempt, tokens),
+            Event::RulesChanged(rules) => {
+                self.retries.follow(&rules);
+                self.options.relay = Some(rules);
+            }
             Event::Ticked => self.on_tick(now, actions),
             Event::UpstreamsListed { leaving } => {
                 self.pool.note_listed(leaving);
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -100,6 +100,8 @@
         /// How many tokens.
         tokens: Tokens,
     },
+    /// The figures of the installation changed.
+    RulesChanged(RelayRules),
     /// Time passed.
     Ticked,
     /// The platform's list was read.
--- a/crates/policy/src/retry_budgets.rs
+++ b/crates/policy/src/retry_budgets.rs
@@ -52,6 +52,13 @@
         }
     }
 
+    /// Follows changed figures; what was spent stays spent.
+    pub(crate) fn follow(&mut self, rules: &RelayRules) {
+        self.extra = rules.retry_extra;
+        self.ratio = rules.retry_ratio;
+        self.window = rules.retry_window;
+    }
+
     /// Notes a request's first attempt.
     pub(crate) fn note_first_attempt(&mut self, target: &Target, now: Time) {
         self.current(target, now).firsts.push_back(now);
--- a/crates/policy/tests/installation/decisions.rs
+++ b/crates/policy/tests/installation/decisions.rs
@@ -384,7 +384,7 @@
 
 /// Lets an engine give its first event, and ten more `each_ms` apart.
 fn give_tokens(host: &mut Host, request: RequestId, order: &policy::SendOrder, each_ms: u64) {
-    let mut progress = |host: &mut Host, tokens| {
+    let progress = |host: &mut Host, tokens| {
         host.handle(Event::Progressed {
             attempt: order.attempt,
             request,
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -234,6 +234,25 @@
         true
     }
 
+    /// Follows changed settings. Those that only a new start can follow are
+    /// logged.
+    pub fn reload(&mut self, settings: Settings) {
+        let parts = &mut self.parts;
+        parts.settings.balancer_pause_ms = settings.balancer_pause_ms;
+        if let Some(relay) = settings
+            .relay
+            .as_ref()
+            .filter(|_| parts.settings.relay.is_some())
+        {
+            let event = Event::RulesChanged(relay_rules(relay));
+            // The controller outlives the host's other parts.
+            let _ = parts.events.send(RingEvent::Happened(event));
+            parts.settings.relay.clone_from(&settings.relay);
+        }
+        let all_followed = parts.settings == settings;
+        info!(parts.logger, "host: settings reloaded"; "needs_restart" => !all_followed);
+    }
+
     /// Begins a planned stop: the readiness check fails from now on, while
     /// requests are still answered.
     pub fn drain(self) -> Host<Draining> {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,20 +1,26 @@
 //! `rhubarbcove`: the program that runs on every entry host.
 
+mod settings_file;
+
 use {
     bpaf::Bpaf,
     config::Settings,
     eyre::WrapErr,
     peer::PeerHost,
     platform::{StoreDirectory, WireProtocol},
-    router::{Host, Installation, json_logger},
+    router::{Host, Installation, Serving, json_logger},
+    settings_file::SettingsFile,
     signal_hook::{
-        consts::{SIGINT, SIGTERM},
+        consts::{SIGHUP, SIGINT, SIGTERM},
         iterator::Signals,
     },
-    slog::Logger,
+    slog::{Logger, warn},
     std::{
         path::{Path, PathBuf},
-        sync::Arc,
+        sync::{
+            Arc,
+            mpsc::{Receiver, RecvTimeoutError},
+        },
         time::Duration,
     },
 };
@@ -42,7 +48,7 @@
 fn main() -> eyre::Result<()> {
     match command().run() {
         Command::Check { file } => {
-            let settings = read_settings(&file)?;
+            let (_, settings) = SettingsFile::open(&file)?;
             println!("settings of host {} are valid", settings.host);
             Ok(())
         }
@@ -50,12 +56,6 @@
     }
 }
 
-fn read_settings(file: &Path) -> eyre::Result<Settings> {
-    let text = std::fs::read_to_string(file)
-        .wrap_err_with(|| format!("cannot read {}", file.display()))?;
-    Settings::from_toml(&text).wrap_err_with(|| format!("{} is not valid", file.display()))
-}
-
 /// Time for the last lines of the log to be written. Where nobody reads them the
 /// process must end all the same.
 const FLUSH_LIMIT: Duration = Duration::from_millis(200);
@@ -81,11 +81,16 @@
     }
 }
 
+/// Time between two looks at the settings file, which may change without a
+/// signal.
+const LOOK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Registers the signals before the host starts, so that none is lost. A
-/// second signal changes nothing: the stop that is under way ends in order.
+/// second signal to stop changes nothing: the stop that is under way ends in
+/// order.
 fn run(file: &Path) -> eyre::Result<()> {
-    let settings = read_settings(file)?;
-    let mut signals = Signals::new([SIGINT, SIGTERM]).wrap_err("cannot watch for signals")?;
+    let (mut file, settings) = SettingsFile::open(file)?;
+    let signals = watch_signals()?;
     let logger = json_logger(&settings.host);
     let installation = settings.relay.is_some().then(|| Installation {
         directory: Box::new(StoreDirectory::new(
@@ -94,9 +99,41 @@
         )),
         protocol: Arc::new(WireProtocol),
     });
-    let host = Host::start_in(settings, installation, logger.clone())?;
-    signals.forever().next();
+    let mut host = Host::start_in(settings, installation, logger.clone())?;
+    while let Ok(SIGHUP) | Err(RecvTimeoutError::Timeout) = signals.recv_timeout(LOOK_INTERVAL) {
+        reload(&mut host, &mut file, &logger);
+    }
     host.drain().stop()?;
     flush(logger);
     Ok(())
 }
+
+/// Passes the signals on to the main thread. The thread lives as long as the
+/// process.
+fn watch_signals() -> eyre::Result<Receiver<i32>> {
+    let watched = [SIGHUP, SIGINT, SIGTERM];
+    let mut signals = Signals::new(watched).wrap_err("cannot watch for signals")?;
+    let (sender, receiver) = std::sync::mpsc::channel();
+    std::thread::Builder::new()
+        .name("signals".to_string())
+        .spawn(move || {
+            for signal in signals.forever() {
+                if sender.send(signal).is_err() {
+                    return;
+                }
+            }
+        })
+        .wrap_err("cannot start the signals' thread")?;
+    Ok(receiver)
+}
+
+/// Follows a changed settings file; one that cannot be used changes nothing.
+fn reload(host: &mut Host<Serving>, file: &mut SettingsFile, logger: &Logger) {
+    match file.changed() {
+        Ok(Some(settings)) => host.reload(settings),
+        Ok(None) => {}
+        Err(error) => {
+            warn!(logger, "host: settings not reloaded"; "error" => format!("{error:#}"));
+        }
+    }
+}
--- a/crates/router/tests/processes.rs
+++ b/crates/router/tests/processes.rs
@@ -11,7 +11,7 @@
     },
     site::Site,
     std::{
-        io::Write,
+        io::{BufRead, Write},
         net::{SocketAddr, TcpListener},
         process::{Child, Command, Output, Stdio},
         time::Duration,
@@ -23,6 +23,7 @@
 struct Process {
     callers: SocketAddr,
     child: Child,
+    file: std::path::PathBuf,
     name: String,
     operators: SocketAddr,
     peers: SocketAddr,
@@ -39,7 +40,7 @@
         let file = settings_file(name, &settings);
         let child = Command::new(env!("CARGO_BIN_EXE_rhubarbcove"))
             .arg("run")
-            .arg(file)
+            .arg(&file)
             .stderr(Stdio::null())
             .stdout(output)
             .spawn()
@@ -47,6 +48,7 @@
         Self {
             callers,
             child,
+            file,
             name: name.to_string(),
             operators,
             peers,
@@ -300,3 +302,46 @@
     let status = tokio::task::spawn_blocking(move || process.child.wait().unwrap());
     assert!(status.await.unwrap().success());
 }
+
+/// Symptom: all requests in flight are cut when the settings change. Events: the
+/// host gets SIGHUP while it answers; its settings file is changed, and spoiled.
+/// Cause: the signal ends a process that does not expect it.
+#[tokio::test(flavor = "multi_thread")]
+async fn follows_changed_settings_without_cutting_a_request() {
+    let site = Site::with_engines(1).start().await;
+    let mut process = Process::start_logging_to(&site, "hup-0", Stdio::piped());
+    let mut log = std::io::BufReader::new(process.child.stdout.take().unwrap());
+    process.ready().await;
+    let request = site.ask("question").tagged("long").of(400).request();
+    let callers = process.callers;
+    let ask =
+        tokio::spawn(
+            async move { site::Answer::read(site::exchange(callers, request).await).await },
+        );
+    site.until("it runs", |site| site.log.count("long") == 1)
+        .await;
+    let good = std::fs::read_to_string(&process.file).unwrap();
+    std::fs::write(&process.file, good.clone() + "unknown = 1\n").unwrap();
+    process.signal(Signal::SIGHUP);
+    assert!(read_until(&mut log, "host: settings not reloaded"));
+    let changed = good.replace("balancer_pause_ms = 100", "balancer_pause_ms = 50");
+    std::fs::write(&process.file, changed).unwrap();
+    // Without a signal, too.
+    assert!(read_until(&mut log, "host: settings reloaded"));
+    ask.await.unwrap().assert_whole("long", 400);
+    process.signal(Signal::SIGTERM);
+    let status = tokio::task::spawn_blocking(move || process.child.wait().unwrap());
+    assert!(status.await.unwrap().success());
+}
+
+/// Reads lines of a log up to one that holds a text; false if it ends before.
+fn read_until(log: &mut impl BufRead, text: &str) -> bool {
+    let mut line = String::new();
+    while log.read_line(&mut line).is_ok_and(|count| count > 0) {
+        if line.contains(text) {
+            return true;
+        }
+        line.clear();
+    }
+    false
+}
