Start a host's threads in a module of their own

Cause: `Host::start_in` had grown to 190 lines, and three threads accepted connections by the same loop.

Behaviour stays.

Found on the way: a first version kept the rings alive while it joined the threads, and the platform's thread waited for its ring to close for ever; the operator's experiments showed it by not ending. The rings are dropped before the join.

--- /dev/null
+++ b/crates/router/src/http_listener.rs
@@ -0,0 +1,61 @@
+use super::*;
+
+/// A small HTTP server: it takes connections until the host stops, and then drops
+/// those that are open. For operators and other hosts, whose requests are short.
+pub(crate) struct HttpListener {
+    /// Time to send a request's head.
+    pub(crate) head_timeout: Duration,
+    pub(crate) listener: std::net::TcpListener,
+    pub(crate) shutdown: Shutdown,
+}
+
+impl HttpListener {
+    /// Serves in a thread of its own.
+    pub(crate) fn spawn<A, F>(
+        self,
+        name: &str,
+        answer: A,
+    ) -> eyre::Result<JoinHandle<eyre::Result<()>>>
+    where
+        A: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        std::thread::Builder::new()
+            .name(name.to_string())
+            .spawn(move || single_thread_runtime()?.block_on(self.run(answer)))
+            .wrap_err("cannot start an HTTP thread")
+    }
+
+    async fn run<A, F>(self, answer: A) -> eyre::Result<()>
+    where
+        A: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        let listener = TcpListener::from_std(self.listener)?;
+        let mut connections = JoinSet::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                Some(_) = connections.join_next() => continue,
+                () = self.shutdown.started() => break,
+            };
+            let Ok((stream, _)) = accepted else { continue };
+            let answer = answer.clone();
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(self.head_timeout)
+                .serve_connection(
+                    TokioIo::new(stream),
+                    service_fn(move |request| {
+                        let answer = answer(request);
+                        async move { Ok::<_, Infallible>(answer.await) }
+                    }),
+                );
+            connections.spawn(async move {
+                let _ = connection.await;
+            });
+        }
+        connections.shutdown().await;
+        Ok(())
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -86,6 +86,7 @@
 mod event_splitter;
 mod host;
 mod host_status;
+mod http_listener;
 mod installation;
 mod instruction;
 mod jitter;
@@ -95,7 +96,6 @@
 mod note_sender;
 mod note_thread;
 mod operator_service;
-mod operator_thread;
 mod peer_job;
 mod peer_service;
 mod peer_thread;
@@ -105,6 +105,7 @@
 mod promise;
 mod pump;
 mod relay;
+mod relay_rules;
 mod relay_service;
 mod relayed_request;
 mod report;
@@ -115,6 +116,7 @@
 mod shutdown;
 mod table_claims;
 mod upstream_thread;
+mod wiring;
 
 pub use {
     class_report::ClassReport,
@@ -142,6 +144,7 @@
     decision_log::{DecisionLog, Knowledge},
     directory_thread::DirectoryThread,
     event_splitter::EventSplitter,
+    http_listener::HttpListener,
     instruction::Instruction,
     jitter::jittered,
     ledger::Ledger,
@@ -149,7 +152,6 @@
     note_sender::NoteSender,
     note_thread::NoteThread,
     operator_service::OperatorService,
-    operator_thread::OperatorThread,
     peer_job::PeerJob,
     peer_service::PeerService,
     peer_thread::PeerThread,
@@ -167,6 +169,7 @@
     shutdown::Shutdown,
     table_claims::TableClaims,
     upstream_thread::UpstreamThread,
+    wiring::{Thread, Wiring, listen},
 };
 
 /// Header by which a caller names its class.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -32,4 +32,13 @@
             status: Arc::new(ArcSwap::from_pointee(status)),
         }
     }
+
+    /// The host's report on service-level burn.
+    pub(crate) fn report(&self) -> Report {
+        let Some(numbered) = self.configuration.load_full() else {
+            return Report::default();
+        };
+        let ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        ledger.report(self.clock.now(), &numbered.document)
+    }
 }
--- /dev/null
+++ b/crates/router/src/wiring.rs
@@ -0,0 +1,304 @@
+//! Starts the threads of a host and joins them by rings.
+
+use super::*;
+
+/// Time that an operator or another host may take to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Limits of the buckets in which times are counted, in seconds.
+const TIME_BUCKETS_S: [f64; 9] = [0.01, 0.03, 0.1, 0.3, 0.66, 1.0, 3.0, 10.0, 30.0];
+
+/// Part of the reserve for the end of a stop that the controller waits for
+/// requests that cannot be served any more.
+const CONTROLLER_PART: u32 = 3;
+
+pub(crate) type Thread = JoinHandle<eyre::Result<()>>;
+
+/// What the threads of a host are given, and those that have been started.
+pub(crate) struct Wiring {
+    pub(crate) callers_stop: Shutdown,
+    pub(crate) logger: Logger,
+    pub(crate) others_stop: Shutdown,
+    pub(crate) rings: Rings,
+    pub(crate) settings: Settings,
+    pub(crate) shared: Shared,
+    /// Threads that stop after the callers' and the controller's.
+    pub(crate) threads: Vec<Thread>,
+}
+
+impl Wiring {
+    pub(crate) fn new(settings: Settings, logger: Logger) -> Self {
+        Self {
+            callers_stop: Shutdown::new(),
+            logger,
+            others_stop: Shutdown::new(),
+            rings: Rings::new(),
+            shared: Shared::new(&settings),
+            settings,
+            threads: Vec::new(),
+        }
+    }
+
+    fn events(&self) -> flume::Sender<RingEvent> {
+        self.rings.events.0.clone()
+    }
+
+    /// The thread that decides, and the metrics that it counts.
+    pub(crate) fn start_controller(
+        &self,
+        notes: Option<NoteSender>,
+    ) -> eyre::Result<(Thread, PrometheusHandle)> {
+        let recorder = PrometheusBuilder::new()
+            .set_buckets_for_metric(Matcher::Suffix("_seconds".to_string()), &TIME_BUCKETS_S)
+            .wrap_err("cannot set the metrics up")?
+            .build_recorder();
+        let recorder = Arc::new(recorder);
+        let metrics = recorder.handle();
+        let relays = self.settings.relay.is_some();
+        let thread = ControllerThread {
+            clock: self.shared.clock,
+            configuration: Arc::clone(&self.shared.configuration),
+            controller: Controller::new(controller_options(&self.settings)),
+            events: self.rings.events.1.clone(),
+            fetches: self.rings.fetches.0.clone(),
+            ledger: Arc::clone(&self.shared.ledger),
+            logger: self.logger.clone(),
+            notes,
+            peers: self.rings.peers.0.clone(),
+            platform: self.rings.platform.0.clone(),
+            probes: self.rings.probes.0.clone(),
+            read_configuration: Arc::clone(&self.shared.read_configuration),
+            recorder,
+            status: Arc::clone(&self.shared.status),
+            stop_limit: relays.then_some(relay_rules::STOP_RESERVE / CONTROLLER_PART),
+        };
+        Ok((thread.spawn()?, metrics))
+    }
+
+    /// Follows an installation's directory.
+    pub(crate) fn follow_directory(&mut self, directory: Box<dyn Directory>) -> eyre::Result<()> {
+        let thread = DirectoryThread {
+            clock: self.shared.clock,
+            directory,
+            events: self.events(),
+            fetcher: ConfigurationFetcher {
+                events: self.events(),
+                jobs: self.rings.fetches.1.clone(),
+                logger: self.logger.clone(),
+                token: self.settings.peer_token.clone(),
+            },
+            logger: self.logger.clone(),
+            shutdown: self.others_stop.clone(),
+        };
+        self.threads.push(thread.spawn()?);
+        Ok(())
+    }
+
+    /// Follows the store of the product's own protocol; gives the client through
+    /// which operators submit patches.
+    pub(crate) fn follow_store(&mut self) -> eyre::Result<ConfigStore> {
+        let address = self.settings.platform_address;
+        let thread = PlatformThread {
+            address,
+            events: self.events(),
+            jobs: self.rings.platform.1.clone(),
+            logger: self.logger.clone(),
+            read_configuration: Arc::clone(&self.shared.read_configuration),
+            shutdown: self.others_stop.clone(),
+            status: Arc::clone(&self.shared.status),
+        };
+        self.threads.push(thread.spawn()?);
+        let client = PlatformClient::new(address, platform_thread::CALL_TIMEOUT);
+        Ok(ConfigStore::new(Arc::new(client)))
+    }
+
+    /// Polls and probes the upstreams.
+    pub(crate) fn watch_upstreams(&mut self) -> eyre::Result<()> {
+        let thread = UpstreamThread {
+            configuration: Arc::clone(&self.shared.configuration),
+            events: self.events(),
+            logger: self.logger.clone(),
+            probes: self.rings.probes.1.clone(),
+            shutdown: self.others_stop.clone(),
+            status: Arc::clone(&self.shared.status),
+        };
+        self.threads.push(thread.spawn()?);
+        Ok(())
+    }
+
+    /// Exchanges heartbeats with the other hosts, outside an installation.
+    pub(crate) fn exchange_heartbeats(
+        &mut self,
+        listener: std::net::TcpListener,
+    ) -> eyre::Result<()> {
+        let thread = PeerThread {
+            events: self.events(),
+            jobs: self.rings.peers.1.clone(),
+            listener,
+            logger: self.logger.clone(),
+            shutdown: self.others_stop.clone(),
+            token: self.settings.peer_token.clone(),
+        };
+        self.threads.push(thread.spawn()?);
+        Ok(())
+    }
+
+    /// Takes notes of the other hosts of an installation, and serves them the
+    /// configuration; gives the sender of own notes.
+    pub(crate) fn exchange_notes(
+        &mut self,
+        listener: std::net::TcpListener,
+    ) -> eyre::Result<NoteSender> {
+        let token = self.settings.peer_token.clone();
+        let socket = std::net::UdpSocket::bind(listener.local_addr()?)
+            .wrap_err("cannot open the socket for notes")?;
+        let sender = NoteSender {
+            socket: socket.try_clone()?,
+            token: token.clone(),
+        };
+        let thread = NoteThread {
+            events: self.events(),
+            logger: self.logger.clone(),
+            shutdown: self.others_stop.clone(),
+            socket,
+            token: token.clone(),
+        };
+        self.threads.push(thread.spawn()?);
+        let service = PeerService {
+            configuration: Arc::clone(&self.shared.configuration),
+            token,
+        };
+        self.serve("peers", listener, move |request| {
+            std::future::ready(service.answer(&request))
+        })?;
+        Ok(sender)
+    }
+
+    /// Answers operators, and whoever reads the metrics.
+    pub(crate) fn answer_operators(
+        &mut self,
+        listener: std::net::TcpListener,
+        metrics: PrometheusHandle,
+        store: Option<ConfigStore>,
+    ) -> eyre::Result<()> {
+        let service = OperatorService {
+            clock: self.shared.clock,
+            configuration: Arc::clone(&self.shared.configuration),
+            ledger: Arc::clone(&self.shared.ledger),
+            metrics,
+            only_metrics: false,
+            status: Arc::clone(&self.shared.status),
+            store,
+            token: Arc::new(self.settings.operator_token.clone()),
+        };
+        if let Some(address) = self.settings.metrics_address {
+            let service = OperatorService {
+                only_metrics: true,
+                ..service.clone()
+            };
+            self.serve("metrics", listen(address)?, move |request| {
+                let service = service.clone();
+                async move { service.answer(request).await }
+            })?;
+        }
+        self.serve("operators", listener, move |request| {
+            let service = service.clone();
+            async move { service.answer(request).await }
+        })
+    }
+
+    fn serve<A, F>(
+        &mut self,
+        name: &str,
+        listener: std::net::TcpListener,
+        answer: A,
+    ) -> eyre::Result<()>
+    where
+        A: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        let http = HttpListener {
+            head_timeout: HEAD_TIMEOUT,
+            listener,
+            shutdown: self.others_stop.clone(),
+        };
+        self.threads.push(http.spawn(name, answer)?);
+        Ok(())
+    }
+
+    /// Starts the threads that serve callers, by an installation's protocol or
+    /// by the product's own.
+    pub(crate) fn answer_callers(
+        &self,
+        listener: &std::net::TcpListener,
+        protocol: Option<&Arc<dyn Protocol>>,
+    ) -> eyre::Result<Vec<Thread>> {
+        let next_request = Arc::new(AtomicU64::new(0));
+        let connections = Arc::new(AtomicUsize::new(0));
+        (0..self.settings.caller_threads)
+            .map(|number| {
+                CallerThread {
+                    connections: Arc::clone(&connections),
+                    drain_limit: relay_rules::drain_limit(&self.settings),
+                    listener: listener.try_clone()?,
+                    logger: self.logger.clone(),
+                    service: self.caller_interface(protocol, &next_request),
+                    shutdown: self.callers_stop.clone(),
+                }
+                .spawn(number)
+            })
+            .collect()
+    }
+
+    fn caller_interface(
+        &self,
+        protocol: Option<&Arc<dyn Protocol>>,
+        next_request: &Arc<AtomicU64>,
+    ) -> CallerInterface {
+        let configuration = Arc::clone(&self.shared.configuration);
+        let limits = Arc::new(self.settings.limits.clone());
+        let next_request = Arc::clone(next_request);
+        match protocol {
+            Some(protocol) => CallerInterface::Relay(RelayService {
+                clock: self.shared.clock,
+                configuration,
+                connections: Connections::default(),
+                events: self.events(),
+                limits,
+                next_request,
+                protocol: Arc::clone(protocol),
+                pumps: Arc::default(),
+                status: Arc::clone(&self.shared.status),
+            }),
+            None => CallerInterface::Own(CallerService {
+                configuration,
+                connections: Connections::default(),
+                events: self.events(),
+                limits,
+                next_request,
+                pumps: Arc::default(),
+            }),
+        }
+    }
+}
+
+/// Opens a listener.
+pub(crate) fn listen(address: SocketAddr) -> eyre::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)
+        .wrap_err_with(|| format!("cannot listen on {address}"))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+fn controller_options(settings: &Settings) -> ControllerOptions {
+    let mut rng = rand::rng();
+    ControllerOptions {
+        failure_domain: settings.failure_domain.clone(),
+        host: settings.host.clone(),
+        incarnation: Incarnation::new(rng.random()),
+        max_queued: settings.limits.max_queued,
+        relay: settings.relay.as_ref().map(relay_rules::relay_rules),
+        room: RoomRules::default(),
+        seed: rng.random(),
+    }
+}
