--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -19,6 +19,11 @@
     Peers(Vec<PeerHost>),
     /// The store answers again.
     Regained,
+    /// The store answered with something that cannot be used; it is passed over.
+    Unusable {
+        /// What is wrong with it.
+        error: String,
+    },
     /// All upstreams that the store lists.
     Upstreams {
         /// Those that are leaving, among them.
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -55,6 +55,10 @@
                 info!(logger, "directory: regained");
                 Event::DirectoryReached(true)
             }
+            DirectoryUpdate::Unusable { error } => {
+                warn!(logger, "directory: answer not used"; "error" => error);
+                continue;
+            }
             DirectoryUpdate::Upstreams { leaving, upstreams } => {
                 info!(logger, "directory: upstreams read";
                     "leaving" => leaving.len(), "upstreams" => upstreams.len());
