--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -171,10 +171,9 @@
             Some(state) => matches!(&state.definition, Upstream::Engine(engine) if engine.resumes),
             None => false,
         };
-        let Some(request) = self.move_stream(now, request, failure, actions) else {
+        let Some(mut request) = self.move_stream(now, request, failure, actions) else {
             return;
         };
-        let mut request = request;
         let worth_it = failure.cause != FailureCause::ErrorStatus;
         if resumes && worth_it && request.stage.resumes < MAX_RESUMES {
             request.stage.resumes += 1;
