Read a caller's body, sum a prompt's tokens and judge a note's age in one place

Both caller services read and judged a body by the same lines; the tokens of a prompt were added up in three places, once for each engine of a placement; whether a note still counts was asked in three places.

Change: `body_error::read_body` with status and code at `BodyError`, `prompt_cache::tokens` taken once a placement, `Neighbor::fresh`. Behaviour stays; no test was changed.

--- a/crates/policy/src/neighbors.rs
+++ b/crates/policy/src/neighbors.rs
@@ -43,6 +43,14 @@
     heard: Option<(Time, LoadNote)>,
 }
 
+impl Neighbor {
+    /// Its last note, while that counts.
+    fn fresh(&self, now: Time) -> Option<&(Time, LoadNote)> {
+        let heard = self.heard.as_ref();
+        heard.filter(|(heard, _)| now.since(*heard) <= VALID)
+    }
+}
+
 /// The other hosts and what they said last.
 #[derive(Debug, Default)]
 pub(crate) struct Neighbors {
@@ -82,31 +90,27 @@
         true
     }
 
-    fn fresh(&self, now: Time) -> impl Iterator<Item = &LoadNote> {
+    /// The notes that count, and when they were heard.
+    fn fresh(&self, now: Time) -> impl Iterator<Item = &(Time, LoadNote)> {
         let hosts = self.hosts.values();
-        hosts
-            .filter_map(|neighbor| neighbor.heard.as_ref())
-            .filter(move |(heard, _)| now.since(*heard) <= VALID)
-            .map(|(_, note)| note)
+        hosts.filter_map(move |neighbor| neighbor.fresh(now))
     }
 
     /// Age of the oldest note that counts.
     pub(crate) fn oldest_age(&self, now: Time) -> Option<Duration> {
-        let heard = self.hosts.values();
-        let heard = heard.filter_map(|neighbor| neighbor.heard.as_ref());
-        let ages = heard.map(|(heard, _)| now.since(*heard));
-        ages.filter(|age| *age <= VALID).max()
+        self.fresh(now).map(|(heard, _)| now.since(*heard)).max()
     }
 
     /// Hosts whose notes count.
     pub(crate) fn heard(&self, now: Time) -> Vec<HostId> {
-        self.fresh(now).map(|note| note.host.clone()).collect()
+        let notes = self.fresh(now).map(|(_, note)| note);
+        notes.map(|note| note.host.clone()).collect()
     }
 
     /// The load of all other hosts on each upstream.
     fn loads(&self, now: Time) -> HashMap<UpstreamId, (u64, u32)> {
         let mut loads: HashMap<UpstreamId, (u64, u32)> = HashMap::default();
-        for load in self.fresh(now).flat_map(|note| &note.loads) {
+        for load in self.fresh(now).flat_map(|(_, note)| &note.loads) {
             let sum = loads.entry(load.upstream.clone()).or_default();
             sum.0 += u64::from(load.backlog.get());
             sum.1 += load.in_flight;
@@ -242,8 +246,7 @@
             .filter(|(host, _)| **host != self.options.host)
             .filter_map(|(_, neighbor)| {
                 let heard = neighbor.heard.as_ref();
-                let fresh = heard.is_some_and(|(heard, _)| now.since(*heard) <= VALID);
-                (fresh || to_silent).then(|| {
+                (to_silent || neighbor.fresh(now).is_some()).then(|| {
                     let note = LoadNote {
                         confirmed_age_ms: confirmed_age,
                         echo: heard.map(|(_, note)| Echo {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -42,12 +42,8 @@
     let shared = shared_chain(wish.parts);
     let home = home(states.clone(), shared.0);
     let usual = usual_token_time_ms(states.clone());
+    let all = prompt_cache::tokens(wish.parts);
     let cost = |state: &UpstreamState| {
-        let all: u64 = wish
-            .parts
-            .iter()
-            .map(|part| u64::from(part.tokens.get()))
-            .sum();
         let mut unread = (all - state.cache.kept(wish.parts)) as f64;
         if home.is_some_and(|home| home.id == state.id) {
             // Other hosts sent the shared parts there, if any was asked for them.
@@ -82,9 +78,9 @@
 /// The last part belongs to the request or its session alone.
 pub(crate) fn shared_chain(parts: &[PromptPart]) -> (u64, u64) {
     let shared = &parts[..parts.len().saturating_sub(1)];
-    let tokens = shared.iter().map(|part| u64::from(part.tokens.get())).sum();
     let chain = prompt_cache::chains(shared).last();
-    (chain.map_or(0, |(chain, _)| chain), tokens)
+    let chain = chain.map_or(0, |(chain, _)| chain);
+    (chain, prompt_cache::tokens(shared))
 }
 
 /// The engine on which all hosts place a prompt if nothing speaks against it,
--- a/crates/policy/src/prompt_cache.rs
+++ b/crates/policy/src/prompt_cache.rs
@@ -71,6 +71,11 @@
     }
 }
 
+/// Tokens of some parts together.
+pub(crate) fn tokens(parts: &[PromptPart]) -> u64 {
+    parts.iter().map(|part| u64::from(part.tokens.get())).sum()
+}
+
 /// The parts of a prompt, each with a hash over all parts up to it.
 pub(crate) fn chains(parts: &[PromptPart]) -> impl Iterator<Item = (u64, &PromptPart)> {
     parts.iter().scan(0_u64, |chain, part| {
--- a/crates/policy/src/upstream_state.rs
+++ b/crates/policy/src/upstream_state.rs
@@ -100,8 +100,7 @@
 
     /// Notes a prompt that is sent there; returns the tokens to be read.
     pub(crate) fn note_prompt(&mut self, parts: &[PromptPart]) -> Tokens {
-        let all: u64 = parts.iter().map(|part| u64::from(part.tokens.get())).sum();
-        let prefill = all - self.cache.kept(parts);
+        let prefill = prompt_cache::tokens(parts) - self.cache.kept(parts);
         self.cache.note(parts);
         self.backlog += prefill;
         Tokens::new(prefill.min(u64::from(u32::MAX)) as u32)
--- a/crates/router/src/caller_service.rs
+++ b/crates/router/src/caller_service.rs
@@ -56,7 +56,8 @@
             }
             _ => return Err(bad(StatusCode::NOT_FOUND, "not_found", "no such path")),
         };
-        let body = self.read_body(request).await?;
+        let body = body_error::read_body(request.into_body(), &self.limits).await;
+        let body = body.map_err(|error| bad(error.status(), error.code(), &error.to_string()))?;
         let repeatability = match key {
             Some(key) => Repeatability::AtMostOncePerKey {
                 fingerprint: Fingerprint::of_request(method.as_str(), &path_and_query, &body),
@@ -81,27 +82,6 @@
         }))
     }
 
-    async fn read_body(&self, request: Request<Incoming>) -> Result<Bytes, Box<Answered>> {
-        let max = self.limits.max_body_bytes;
-        let timeout_ms = self.limits.body_timeout_ms;
-        let limited = Limited::new(request.into_body(), max.get() as usize);
-        let error = match timeout(Duration::from_millis(timeout_ms), limited.collect()).await {
-            Ok(Ok(body)) => return Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => (
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_large",
-                BodyError::TooLarge { max },
-            ),
-            Ok(Err(_)) => (StatusCode::BAD_REQUEST, "body_broken", BodyError::Broken),
-            Err(_) => {
-                let error = BodyError::TooSlow { timeout_ms };
-                (StatusCode::REQUEST_TIMEOUT, "body_timeout", error)
-            }
-        };
-        let (status, code, error) = error;
-        Err(bad(status, code, &error.to_string()))
-    }
-
     /// Hands the request to the controller and waits for the head of the
     /// answer. The rest is done by a task of its own, which outlives the
     /// caller where a claimed key must be carried to its end.
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -61,7 +61,8 @@
         let hostname = without_port(&head.hostname);
         let route = document.route(hostname, parts.uri.path());
         let route = route.ok_or_else(|| self.no_route())?;
-        let body = self.read_body(body).await?;
+        let body = body_error::read_body(body, &self.limits).await;
+        let body = body.map_err(|error| TurnedAway::bad_body(&error))?;
         let id = RequestId::new(self.next_request.fetch_add(1, Ordering::Relaxed));
         let arrival = arrival(id, document, route, &head)?;
         let request = RelayedRequest {
@@ -84,28 +85,6 @@
         }
     }
 
-    /// Reads the body whole: a request is sent again only if all of it is here.
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, TurnedAway> {
-        let max = self.limits.max_body_bytes;
-        let limited = Limited::new(body, max.get() as usize);
-        let limit = Duration::from_millis(self.limits.body_timeout_ms);
-        let (status, code, error) = match timeout(limit, limited.collect()).await {
-            Ok(Ok(body)) => return Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => (
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_large",
-                BodyError::TooLarge { max },
-            ),
-            Ok(Err(_)) => (StatusCode::BAD_REQUEST, "body_broken", BodyError::Broken),
-            Err(_) => {
-                let timeout_ms = self.limits.body_timeout_ms;
-                let error = BodyError::TooSlow { timeout_ms };
-                (StatusCode::REQUEST_TIMEOUT, "body_timeout", error)
-            }
-        };
-        Err(TurnedAway::new(status, code, &error.to_string()))
-    }
-
     /// Hands the request to the controller and waits for the head of the
     /// answer; a task of its own does the rest.
     async fn serve(&self, found: Found) -> Answered {
@@ -145,6 +124,10 @@
         Self::new(StatusCode::BAD_REQUEST, "bad_header", &error.to_string())
     }
 
+    fn bad_body(error: &BodyError) -> Self {
+        Self::new(error.status(), error.code(), &error.to_string())
+    }
+
     fn refused(reason: RefusalReason) -> Self {
         let refusal = Refusal {
             retry_after: Some(RETURN),
