Choose upstreams by how their requests ended lately

Cause: only three failures in a row, and requests in flight, spoke against an upstream. Change: a record of each upstream's failures and of plain services' answer times, compared with the median of those that serve the same, fading with a half-life of 3 s, counts as slots taken in the choice, and as prompt tokens in the placement.

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -102,7 +102,7 @@
     ) {
         self.leave_upstream(now, &request);
         if let Some(state) = self.pool.get_mut(&request.stage.upstream) {
-            state.health.note_success();
+            state.note_success(now.since(request.stage.sent), now);
         }
         let facts = &request.facts;
         if let Some(lane) = self.lanes.get_mut(&facts.target) {
@@ -149,6 +149,9 @@
 
     fn note_failure(&mut self, now: Time, request: &Request<Running>, cause: FailureCause) {
         let upstream = &request.stage.upstream;
+        if let Some(state) = self.pool.get_mut(upstream) {
+            state.record.note_failure(now);
+        }
         if cause.counts_against_health() {
             self.pool.note_failure(upstream, &request.facts.target, now);
             return;
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -37,9 +37,9 @@
         let queue =
             |state: &&UpstreamState| state.is_queueable(now) && self.may_queue(state, wish.rank);
         let best = self
-            .best(in_pace().filter(home), wish, rng)
-            .or_else(|| self.best(in_pace().filter(free), wish, rng))
-            .or_else(|| pick(in_pace().filter(queue), wish, rng))?;
+            .best(in_pace().filter(home), wish, now, rng)
+            .or_else(|| self.best(in_pace().filter(free), wish, now, rng))
+            .or_else(|| pick(in_pace().filter(queue), wish, now, rng))?;
         Some(best.id.clone())
     }
 
@@ -49,12 +49,13 @@
         &'a self,
         states: impl Iterator<Item = &'a UpstreamState> + Clone,
         wish: &Wish<'_>,
+        now: Time,
         rng: &mut SmallRng,
     ) -> Option<&'a UpstreamState> {
         if !wish.parts.is_empty() {
-            return self.place(states, wish);
+            return self.place(states, wish, now);
         }
-        let best = pick(states.clone(), wish, rng)?;
+        let best = pick(states.clone(), wish, now, rng)?;
         let cached = self
             .cached(wish)
             .filter(|cached| states.clone().any(|state| state.id == cached.id))
@@ -136,25 +137,28 @@
 fn pick<'a>(
     states: impl Iterator<Item = &'a UpstreamState> + Clone,
     wish: &Wish<'_>,
+    now: Time,
     rng: &mut SmallRng,
 ) -> Option<&'a UpstreamState> {
     let fresh = states
         .clone()
         .filter(|state| !wish.avoid.contains(&state.id));
-    least_full(fresh, rng).or_else(|| least_full(states, rng))
+    least_full(fresh, now, rng).or_else(|| least_full(states, now, rng))
 }
 
-/// The least full upstream; ties are broken at random, so that several hosts
+/// The least full upstream, counting what speaks against it as slots; ties are broken at random, so that several hosts
 /// do not all choose the same one.
 fn least_full<'a>(
-    states: impl Iterator<Item = &'a UpstreamState>,
+    states: impl Iterator<Item = &'a UpstreamState> + Clone,
+    now: Time,
     rng: &mut SmallRng,
 ) -> Option<&'a UpstreamState> {
+    let usual = Usual::of(states.clone().map(|state| &state.record));
     let mut best: Option<(&UpstreamState, f64)> = None;
     let mut ties = 0;
     for state in states {
         let far = if state.near { 0.0 } else { FAR_COST };
-        let fullness = state.fullness() + far;
+        let fullness = state.fullness() + far + state.record.cost(&usual, now);
         match best {
             Some((_, least)) if fullness > least => continue,
             Some((_, least)) if fullness == least => {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -69,6 +69,7 @@
 mod stored_answer;
 mod target;
 mod team_limits;
+mod track_record;
 mod upstream_state;
 mod urgency;
 mod waste;
@@ -123,6 +124,7 @@
     shares::Shares,
     steward::{Divided, Steward},
     team_limits::TeamLimits,
+    track_record::{TrackRecord, Usual},
     upstream_state::UpstreamState,
     urgency::Urgency,
     wish::Wish,
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -20,6 +20,11 @@
 /// between domains and a longer way. About 2 ms of an engine's time.
 const FAR_COST: f64 = 200.0;
 
+/// Cost of an engine against which everything speaks that [`TrackRecord`] can
+/// hold, in prompt tokens: as much as reading a prompt of 20,000 tokens again, so
+/// a prompt leaves an engine that fails half of its requests.
+const DISTRUST_COST: f64 = 400_000.0;
+
 impl Pool {
     /// The engine with the least expected work before a prompt's first token,
     /// one that the request has not failed on if there is one.
@@ -27,21 +32,24 @@
         &'a self,
         states: impl Iterator<Item = &'a UpstreamState> + Clone,
         wish: &Wish<'_>,
+        now: Time,
     ) -> Option<&'a UpstreamState> {
         let fresh = states
             .clone()
             .filter(|state| !wish.avoid.contains(&state.id));
-        least_work(fresh, wish).or_else(|| least_work(states, wish))
+        least_work(fresh, wish, now).or_else(|| least_work(states, wish, now))
     }
 }
 
 fn least_work<'a>(
     states: impl Iterator<Item = &'a UpstreamState> + Clone,
     wish: &Wish<'_>,
+    now: Time,
 ) -> Option<&'a UpstreamState> {
     let shared = shared_chain(wish.parts);
     let home = home(states.clone(), shared.0);
     let usual = usual_token_time_ms(states.clone());
+    let usual_record = Usual::of(states.clone().map(|state| &state.record));
     let all = prompt_cache::tokens(wish.parts);
     let cost = |state: &UpstreamState| {
         let mut unread = (all - state.cache.kept(wish.parts)) as f64;
@@ -55,7 +63,8 @@
         let far = if state.near { 0.0 } else { FAR_COST };
         let running = RUNNING_COST * f64::from(state.in_flight + state.others);
         let backlog = (state.backlog + state.others_backlog) as f64;
-        (backlog + running) * slowness + REREAD_WEIGHT * unread + far
+        let distrust = DISTRUST_COST * state.record.cost(&usual_record, now);
+        (backlog + running) * slowness + REREAD_WEIGHT * unread + far + distrust
     };
     states.min_by(|a, b| cost(a).total_cmp(&cost(b)))
 }
--- a/crates/policy/src/upstream_state.rs
+++ b/crates/policy/src/upstream_state.rs
@@ -30,6 +30,8 @@
     pub(crate) foreign_share: u32,
     /// Whether it stands in this host's failure domain.
     pub(crate) near: bool,
+    /// How this host's requests there ended lately.
+    pub(crate) record: TrackRecord,
     /// Not configured any more.
     pub(crate) removed: bool,
     /// Until when a peer's word that it is leaving is believed.
@@ -69,6 +71,7 @@
             near: false,
             others: 0,
             others_backlog: 0,
+            record: TrackRecord::default(),
             removed: false,
             reported_leaving: false,
             told_leaving_until: Time::default(),
@@ -111,6 +114,17 @@
         self.backlog = self.backlog.saturating_sub(u64::from(prefill.get()));
     }
 
+    /// Notes a request that was answered whole after `span`. Only the time of a
+    /// plain service says something of it: that of an engine is as long as the
+    /// answer.
+    pub(crate) fn note_success(&mut self, span: Duration, now: Time) {
+        self.health.note_success();
+        self.record.note_success(now);
+        if matches!(self.definition, Upstream::Service(_)) {
+            self.record.note_time(span);
+        }
+    }
+
     pub(crate) fn note_busy(&mut self, now: Time) {
         self.busy_until = now + BUSY_PAUSE;
     }
--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod knowledge;
 mod placement;
+mod sick;
 mod support;
 mod upstreams;
 mod urgency;
