Give a failure domain up as a whole once it has fallen silent

Ruled out: time-outs alone (shorter ones end answers that are only slow); knowledge of the configuration, which binds only after 4.9 s. Change: streams that wait for tokens and upstreams that cannot be connected speak for their domain together; after 0.5 s without a sign of any upstream there all of them are ejected, and come back by the usual probes. Not while this host stood still or hears nobody.

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -41,8 +41,11 @@
         let lead = now.since(request.stage.sent);
         let target = request.facts.target.clone();
         let prefill = std::mem::take(&mut request.stage.prefill);
+        let begins = !std::mem::replace(&mut request.stage.streams, true);
+        self.pool.note_heard(&upstream, now);
         if let Some(state) = self.pool.get_mut(&upstream) {
             state.end_prefill(prefill);
+            state.streams += u32::from(begins);
         }
         if !is_first {
             if let Some(state) = self.pool.get_mut(&upstream) {
@@ -101,6 +104,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.leave_upstream(now, &request);
+        self.pool.note_heard(&request.stage.upstream, now);
         if let Some(state) = self.pool.get_mut(&request.stage.upstream) {
             state.note_success(now.since(request.stage.sent), now);
         }
@@ -127,6 +131,7 @@
         actions: &mut Vec<Action>,
     ) {
         request.verdict = request.verdict.join(failure.verdict);
+        request.runs += u32::from(failure.verdict != Verdict::NotRun);
         self.note_failure(now, &request, failure.cause);
         if failure.delivered || request.first_token.is_some() {
             self.resume_or_break(now, request, failure, actions);
@@ -152,6 +157,16 @@
         if let Some(state) = self.pool.get_mut(upstream) {
             state.record.note_failure(now);
         }
+        match cause {
+            FailureCause::Connect => self.pool.note_unreachable(upstream),
+            FailureCause::Busy | FailureCause::ErrorStatus | FailureCause::WrongInstance => {
+                self.pool.note_heard(upstream, now);
+            }
+            FailureCause::Reset
+            | FailureCause::Silent
+            | FailureCause::TimedOut
+            | FailureCause::Truncated => {}
+        }
         if cause.counts_against_health() {
             self.pool.note_failure(upstream, &request.facts.target, now);
             return;
@@ -218,11 +233,10 @@
         actions: &mut Vec<Action>,
     ) -> Option<Request<Running>> {
         let facts = &request.facts;
-        let most = facts.max_attempts as usize;
         let allowed = facts.resumable
             && now < facts.deadline
             && failure.cause != FailureCause::TimedOut
-            && request.tried.len() + 1 < most;
+            && self.has_attempts_left(&request);
         if !allowed {
             return Some(request);
         }
@@ -276,8 +290,19 @@
         if failure.cause == FailureCause::Busy {
             return true;
         }
-        let most = request.facts.max_attempts as usize;
-        request.tried.len() + 1 < most && self.retries.take(target, now)
+        self.has_attempts_left(request) && self.retries.take(target, now)
+    }
+
+    /// Whether the class allows one more attempt, after the one that has just
+    /// failed. In an installation only attempts on which the request may have run
+    /// count: the others are bounded by [`MAX_NOT_RUN`].
+    fn has_attempts_left(&self, request: &Request<Running>) -> bool {
+        let used = if self.options.relay.is_some() {
+            request.runs
+        } else {
+            request.tried.len() as u32 + 1
+        };
+        used < request.facts.max_attempts
     }
 
     fn refuse_failed(&mut self, now: Time, request: Request<Running>, actions: &mut Vec<Action>) {
@@ -385,6 +410,7 @@
     fn leave_upstream(&mut self, now: Time, request: &Request<Running>) {
         if let Some(state) = self.pool.get_mut(&request.stage.upstream) {
             state.end_prefill(request.stage.prefill);
+            state.streams -= u32::from(request.stage.streams).min(state.streams);
         }
         self.pool
             .end(&request.stage.upstream, request.facts.rank.plan, now);
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -172,6 +172,9 @@
                 self.neighbors.note_listed(peers);
             }
             Event::ProbeAnswered { healthy, upstream } => {
+                if healthy {
+                    self.pool.note_heard(&upstream, now);
+                }
                 if let Some(state) = self.pool.get_mut(&upstream) {
                     state.health.note_probe(healthy, now);
                 }
@@ -329,6 +332,7 @@
     }
 
     fn on_tick(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.pool.eject_silent(now);
         for (upstream, address) in self.pool.take_probes(now) {
             let path = self.pool.get(&upstream);
             let path = path.map_or("/health", |state| state.definition.health_path());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -65,6 +65,7 @@
 mod settlement;
 mod share;
 mod shares;
+mod silent_domains;
 mod steward;
 mod stored_answer;
 mod target;
@@ -122,6 +123,7 @@
     service_rate::ServiceRate,
     share::Share,
     shares::Shares,
+    silent_domains::SilentDomains,
     steward::{Divided, Steward},
     team_limits::TeamLimits,
     track_record::{TrackRecord, Usual},
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -14,6 +14,7 @@
     /// the configuration that names them, so it is kept apart from the states.
     pub(crate) listed_leaving: BTreeSet<UpstreamId>,
     pub(crate) room: RoomRules,
+    silent: SilentDomains,
     /// Whether the upstreams of all failure domains are used alike.
     spread: bool,
     pub(crate) states: Vec<UpstreamState>,
@@ -252,6 +253,40 @@
         }
     }
 
+    /// Notes that an upstream was heard: its whole failure domain is in reach.
+    pub(crate) fn note_heard(&mut self, id: &UpstreamId, now: Time) {
+        if let Some(place) = self.index.get(id) {
+            let domain = self.states[*place].definition.failure_domain();
+            self.silent.note_heard(domain, now);
+        }
+    }
+
+    /// Notes that no connection to an upstream could be made.
+    pub(crate) fn note_unreachable(&mut self, id: &UpstreamId) {
+        if let Some(place) = self.index.get(id) {
+            let domain = self.states[*place].definition.failure_domain();
+            self.silent.note_unreachable(domain, id);
+        }
+    }
+
+    /// Ejects the upstreams of failure domains that have fallen silent. However
+    /// many they are: those of a domain that is heard remain.
+    pub(crate) fn eject_silent(&mut self, now: Time) {
+        let states = &self.states;
+        let streams = |domain: &FailureDomainId| {
+            let there = states
+                .iter()
+                .filter(|state| state.definition.failure_domain() == domain);
+            there.map(|state| state.streams as usize).sum()
+        };
+        let silent = self.silent.take_silent(streams, now);
+        for state in &mut self.states {
+            if silent.contains(state.definition.failure_domain()) && state.health.is_well() {
+                state.health.eject(now);
+            }
+        }
+    }
+
     /// What goes wrong without the cap: a fault of the network or of this host
     /// makes every upstream fail, all are ejected, and nothing is served even
     /// where something still could be.
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -40,6 +40,8 @@
     pub(crate) first_token: Option<Duration>,
     pub(crate) id: RequestId,
     pub(crate) item: QueuedItem,
+    /// Ended attempts on which it may have run.
+    pub(crate) runs: u32,
     pub(crate) stage: S,
     /// Tokens delivered to the caller.
     pub(crate) tokens: Tokens,
@@ -77,6 +79,9 @@
     pub(crate) priority: u8,
     pub(crate) resumes: u32,
     pub(crate) sent: Time,
+    /// Whether this attempt has brought tokens, and counts as a stream of its
+    /// upstream.
+    pub(crate) streams: bool,
     /// Tokens of this attempt.
     pub(crate) tokens: Tokens,
     pub(crate) upstream: UpstreamId,
@@ -109,6 +114,7 @@
             priority,
             resumes: 0,
             sent: now,
+            streams: false,
             tokens: Tokens::default(),
             upstream,
         }
@@ -124,6 +130,7 @@
             first_token: None,
             id,
             item,
+            runs: 0,
             stage: Queued { parked: false },
             tokens: Tokens::default(),
             tried: Vec::new(),
@@ -190,6 +197,7 @@
         self.stage.last_progress = now;
         self.stage.resumes += 1;
         self.stage.sent = now;
+        self.stage.streams = false;
         self
     }
 
@@ -209,6 +217,7 @@
             first_token: self.first_token,
             id: self.id,
             item: self.item,
+            runs: self.runs,
             stage,
             tokens: self.tokens,
             tried: self.tried,
--- a/crates/policy/src/upstream_state.rs
+++ b/crates/policy/src/upstream_state.rs
@@ -34,6 +34,8 @@
     pub(crate) record: TrackRecord,
     /// Not configured any more.
     pub(crate) removed: bool,
+    /// This host's requests there that have brought tokens and not ended.
+    pub(crate) streams: u32,
     /// Until when a peer's word that it is leaving is believed.
     pub(crate) told_leaving_until: Time,
     /// Moving average of the time between two tokens.
@@ -74,6 +76,7 @@
             record: TrackRecord::default(),
             removed: false,
             reported_leaving: false,
+            streams: 0,
             told_leaving_until: Time::default(),
             token_time_ms: None,
             definition,
--- a/crates/policy/tests/installation/attempts.rs
+++ b/crates/policy/tests/installation/attempts.rs
@@ -44,6 +44,25 @@
     assert!(refused(&actions).is_some());
 }
 
+/// Symptom: a lookup fails after one answer with an error, though its class allows
+/// two attempts. Events: the first upstream cannot be connected, the second one
+/// fails. Cause: an attempt that never left counts.
+#[test]
+fn an_unsent_attempt_does_not_count() {
+    let mut host = Host::new(0);
+    let (id, actions) = host.ask(lookup());
+    let first = sent(&actions).unwrap();
+    let actions = host.fail(&first, id, FailureCause::Connect, Verdict::NotRun, false);
+    let second = sent(&actions).unwrap();
+    let failed = FailureCause::ErrorStatus;
+    let actions = host.fail(&second, id, failed, Verdict::MayHaveRun, false);
+    let third = sent(&actions).unwrap();
+    assert_ne!(third.upstream, first.upstream);
+    assert_ne!(third.upstream, second.upstream);
+    let actions = host.fail(&third, id, failed, Verdict::MayHaveRun, false);
+    assert_eq!(sent(&actions), None);
+}
+
 /// Repeats that some hosts make which list so many hosts, while every attempt of
 /// each of their requests fails.
 fn repeats(hosts: u64, listed: usize, requests: usize) -> usize {
--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -7,5 +7,6 @@
 mod placement;
 mod sick;
 mod support;
+mod unreachable;
 mod upstreams;
 mod urgency;
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -209,12 +209,19 @@
     format!("10.0.{high}.{low}:80").parse().unwrap()
 }
 
+/// Engines of one failure domain.
 pub fn engines(count: usize) -> BTreeMap<UpstreamId, Upstream> {
-    let engines = (0..count).map(|number| {
+    engines_of(&["north-a"], count)
+}
+
+/// So many engines in each of some failure domains, numbered one domain after the
+/// other.
+pub fn engines_of(domains: &[&str], each: usize) -> BTreeMap<UpstreamId, Upstream> {
+    let engines = (0..domains.len() * each).map(|number| {
         let engine = Engine {
             address: address(number),
             checks_fence: false,
-            failure_domain: "north-a".parse().unwrap(),
+            failure_domain: domains[number / each].parse().unwrap(),
             health_path: "/health".to_string(),
             memory: Some(Tokens::new(900_000)),
             models: BTreeSet::from(["pool".parse().unwrap()]),
--- /dev/null
+++ b/crates/policy/tests/installation/unreachable.rs
@@ -0,0 +1,133 @@
+//! Failure domains that are cut off, with all upstreams in them.
+
+use {
+    crate::support::{Ask, Host, engines_of, sent},
+    policy::{Event, SendOrder},
+    std::collections::BTreeSet,
+    types::prelude::*,
+};
+
+/// Domains of the tests; the host stands in the first one.
+const DOMAINS: [&str; 3] = ["north-a", "north-b", "north-c"];
+
+/// Engines in each of them.
+const ENGINES: usize = 3;
+
+/// A host with engines in three domains, and the streams that it carries.
+struct Scene {
+    host: Host,
+    streams: Vec<(RequestId, SendOrder)>,
+    /// Part of the next prompt that no other one shares.
+    next_part: u64,
+}
+
+impl Scene {
+    /// Twelve streams run, some of them in each domain.
+    fn new() -> Self {
+        let mut host = Host::new(0);
+        host.read_directory(engines_of(&DOMAINS, ENGINES), &[]);
+        let mut scene = Self {
+            host,
+            next_part: 0,
+            streams: Vec::new(),
+        };
+        for _ in 0..12 {
+            scene.start_stream();
+        }
+        scene.pass(1_000, &DOMAINS);
+        scene
+    }
+
+    fn start_stream(&mut self) -> Option<SendOrder> {
+        self.next_part += 2;
+        let parts = [(self.next_part, 500), (self.next_part + 1, 100)];
+        let (request, actions) = self.host.ask(Ask::prompt("question", "shop-key", &parts));
+        let order = sent(&actions)?;
+        self.streams.push((request, order.clone()));
+        Some(order)
+    }
+
+    /// Lets time pass while streams in some domains bring tokens.
+    fn pass(&mut self, ms: u64, heard: &[&str]) {
+        for _ in 0..ms / 50 {
+            self.host.pass(50);
+            let as_of = self.host.now;
+            self.host.handle(Event::ConfigurationConfirmed { as_of });
+            for (request, order) in self.streams.clone() {
+                if heard.contains(&domain_of(&order)) {
+                    self.host.handle(Event::Progressed {
+                        attempt: order.attempt,
+                        request,
+                        tokens: Tokens::new(5),
+                    });
+                }
+            }
+        }
+    }
+
+    /// Domains to which the next requests go.
+    fn next_domains(&mut self) -> BTreeSet<&'static str> {
+        let orders: Vec<SendOrder> = (0..12).filter_map(|_| self.start_stream()).collect();
+        orders.iter().map(domain_of).collect()
+    }
+}
+
+fn domain_of(order: &SendOrder) -> &'static str {
+    let id = order.upstream.as_str();
+    let number: usize = id.rsplit('-').next().unwrap().parse().unwrap();
+    DOMAINS[number / ENGINES]
+}
+
+/// Symptom: in a failure domain that is cut off, most requests are lost for
+/// seconds. Events: the streams of two of three domains fall silent at once, and
+/// nothing has failed yet. Cause: each upstream there is believed until three
+/// requests to it have failed, and half of all are never given up.
+#[test]
+fn a_host_that_is_cut_off_uses_its_own_domain_only() {
+    let mut scene = Scene::new();
+    scene.pass(600, &["north-a"]);
+    assert_eq!(scene.next_domains(), BTreeSet::from(["north-a"]));
+}
+
+#[test]
+fn a_domain_that_is_cut_off_gets_nothing_new() {
+    let mut scene = Scene::new();
+    scene.pass(600, &["north-a", "north-c"]);
+    assert_eq!(scene.next_domains(), BTreeSet::from(["north-a", "north-c"]));
+}
+
+/// What is ejected comes back by a probe.
+#[test]
+fn a_domain_comes_back_when_its_upstreams_answer() {
+    let mut scene = Scene::new();
+    scene.pass(600, &["north-a", "north-c"]);
+    scene.pass(1_100, &DOMAINS);
+    for number in ENGINES..2 * ENGINES {
+        scene.host.handle(Event::ProbeAnswered {
+            healthy: true,
+            upstream: format!("engine-{number}").parse().unwrap(),
+        });
+    }
+    assert_eq!(scene.next_domains(), BTreeSet::from(DOMAINS));
+}
+
+/// Symptom: a host that woke up gives up upstreams that are well. Events: it is
+/// suspended for two seconds. Cause: it takes its own pause for theirs.
+#[test]
+fn a_host_that_stood_still_believes_in_all_domains() {
+    let mut scene = Scene::new();
+    scene.host.now = scene.host.now.plus_ms(2_000);
+    let as_of = scene.host.now;
+    scene.host.handle(Event::ConfigurationConfirmed { as_of });
+    scene.host.handle(Event::Ticked);
+    assert_eq!(scene.next_domains(), BTreeSet::from(DOMAINS));
+}
+
+/// A host that hears nobody is more likely to be cut off itself, and goes on
+/// trying.
+#[test]
+fn a_host_that_hears_nobody_gives_nobody_up() {
+    let mut scene = Scene::new();
+    scene.pass(600, &[]);
+    assert_eq!(scene.next_domains(), BTreeSet::from(DOMAINS));
+}
