Follow the operator's limits of callers, and bound the memory for bodies

Cause: the operator's document names the largest head and body, and the time-outs of connections; hosts went by their own settings, which only a new start read again. Bodies are read whole, and nothing bounded them together: with 4 MB each, 60 at once are more than the memory of a host. Ruled out: streaming bodies through; a request could then not be sent again. Change: `caller_limits` in the shared configuration; LimitsInForce joins them with the settings, which are followed when the file changes. BodyBudget counts bodies in memory and refuses truthfully beyond 64 MiB. Answers have a limit of their own: they were bound by the largest body of a request.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -7,6 +7,9 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
+    /// What callers may send; without it each host goes by its settings.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub caller_limits: Option<CallerLimits>,
     /// Request classes.
     pub classes: BTreeMap<ClassId, Class>,
     /// Format of this document; 1 today.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,7 @@
     types::prelude::*,
 };
 
+mod caller_limits;
 mod class;
 mod config_error;
 mod document;
@@ -34,9 +35,9 @@
 mod weighted_service;
 
 pub use {
-    class::Class, config_error::ConfigError, document::Document, engine::Engine, limits::Limits,
-    numbered::Numbered, patch::Patch, plan::Plan, relay_settings::RelaySettings, route::Route,
-    scheduling::Scheduling, service::Service, service_replica::ServiceReplica, settings::Settings,
-    settings_error::SettingsError, team::Team, trial_rules::TrialRules, upstream::Upstream,
-    weighted_service::WeightedService,
+    caller_limits::CallerLimits, class::Class, config_error::ConfigError, document::Document,
+    engine::Engine, limits::Limits, numbered::Numbered, patch::Patch, plan::Plan,
+    relay_settings::RelaySettings, route::Route, scheduling::Scheduling, service::Service,
+    service_replica::ServiceReplica, settings::Settings, settings_error::SettingsError, team::Team,
+    trial_rules::TrialRules, upstream::Upstream, weighted_service::WeightedService,
 };
--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -12,10 +12,16 @@
     pub max_answer_bytes: ByteSize,
     /// Largest body of a request.
     pub max_body_bytes: ByteSize,
+    /// Bodies of requests that are held in memory at one moment, all together.
+    pub max_buffered_bytes: ByteSize,
     /// Caller connections at one moment.
     pub max_connections: usize,
+    /// Largest head of a request.
+    pub max_head_bytes: ByteSize,
     /// Requests queued at one moment.
     pub max_queued: usize,
+    /// Largest answer that is passed on as a whole.
+    pub max_whole_answer_bytes: ByteSize,
     /// Time that a caller may leave a stream unread.
     pub slow_reader_timeout_ms: u64,
     /// Time that an upstream may stay silent within an answer.
@@ -29,8 +35,11 @@
             head_timeout_ms: 10_000,
             max_answer_bytes: ByteSize::new(64 * 1024),
             max_body_bytes: ByteSize::new(4 * 1024 * 1024),
+            max_buffered_bytes: ByteSize::new(64 * 1024 * 1024),
             max_connections: 10_000,
+            max_head_bytes: ByteSize::new(400 * 1024),
             max_queued: 4_000,
+            max_whole_answer_bytes: ByteSize::new(16 * 1024 * 1024),
             slow_reader_timeout_ms: 30_000,
             upstream_idle_timeout_ms: 30_000,
         }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -122,8 +122,14 @@
             ("limits.body_timeout_ms", limits.body_timeout_ms),
             ("limits.head_timeout_ms", limits.head_timeout_ms),
             ("limits.max_body_bytes", limits.max_body_bytes.get()),
+            ("limits.max_buffered_bytes", limits.max_buffered_bytes.get()),
             ("limits.max_connections", limits.max_connections as u64),
+            ("limits.max_head_bytes", limits.max_head_bytes.get()),
             ("limits.max_queued", limits.max_queued as u64),
+            (
+                "limits.max_whole_answer_bytes",
+                limits.max_whole_answer_bytes.get(),
+            ),
             (
                 "limits.slow_reader_timeout_ms",
                 limits.slow_reader_timeout_ms,
--- a/crates/config/src/validation.rs
+++ b/crates/config/src/validation.rs
@@ -12,6 +12,9 @@
 pub(crate) fn check(document: &Document) -> Result<(), ConfigError> {
     check_trial(&document.trial)?;
     check_scheduling(&document.scheduling)?;
+    if let Some(limits) = &document.caller_limits {
+        check_caller_limits(limits)?;
+    }
     for (id, class) in &document.classes {
         check_class(id, class)?;
     }
@@ -35,6 +38,19 @@
     })
 }
 
+fn check_caller_limits(limits: &CallerLimits) -> Result<(), ConfigError> {
+    let fields = [
+        ("head_timeout_ms", limits.head_timeout_ms),
+        ("idle_timeout_ms", limits.idle_timeout_ms),
+        ("max_body_bytes", limits.max_body_bytes.get()),
+        ("max_head_bytes", limits.max_head_bytes.get()),
+    ];
+    for (name, value) in fields {
+        in_range(value > 0, format!("caller_limits.{name}"), "1 or more")?;
+    }
+    Ok(())
+}
+
 fn check_trial(trial: &TrialRules) -> Result<(), ConfigError> {
     let share = trial.max_slot_share;
     in_range(
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -200,6 +200,7 @@
         upstreams.insert(id.clone(), Upstream::Service(replica));
     }
     let document = Document {
+        caller_limits: None,
         classes: scenario.classes.iter().map(class_entry).collect(),
         format: 1,
         routes: BTreeMap::new(),
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -184,6 +184,7 @@
                 request,
                 tokens,
             } => self.on_progress(now, request, attempt, tokens),
+            Event::QueueLimitChanged(max_queued) => self.options.max_queued = max_queued,
             Event::RulesChanged(rules) => {
                 self.retries.follow(&rules);
                 self.options.relay = Some(rules);
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -100,6 +100,8 @@
         /// How many tokens.
         tokens: Tokens,
     },
+    /// So many requests may be queued from now on.
+    QueueLimitChanged(usize),
     /// The figures of the installation changed.
     RulesChanged(RelayRules),
     /// Time passed.
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -8,6 +8,10 @@
 /// Most spread that is written into `Retry-After`, in seconds.
 const MAX_RETRY_AFTER_S: u64 = 3_600;
 
+/// Advice to return for a body that found no memory, in seconds: about the time in
+/// which requests with large bodies end.
+const BODY_RETRY_AFTER_S: &str = "1";
+
 /// A whole answer.
 pub(crate) fn text_answer(
     status: StatusCode,
@@ -52,6 +56,17 @@
     json!({ "error": error }).to_string()
 }
 
+/// The answer to a request whose body cannot be used.
+pub(crate) fn body_refused(error: &BodyError) -> Response<AnswerBody> {
+    let status = error.status();
+    let mut response = error_answer(status, error.code(), &error.to_string(), Verdict::NotRun);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let soon = HeaderValue::from_static(BODY_RETRY_AFTER_S);
+        response.headers_mut().insert(RETRY_AFTER, soon);
+    }
+    response
+}
+
 /// The answer to a refused request.
 pub(crate) fn refusal_answer(refusal: &Refusal) -> Response<AnswerBody> {
     let reason = refusal.reason;
--- a/crates/router/src/body_error.rs
+++ b/crates/router/src/body_error.rs
@@ -4,6 +4,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum BodyError {
     Broken,
+    NoMemory,
     TooLarge { max: ByteSize },
     TooSlow { timeout_ms: u64 },
 }
@@ -13,6 +14,7 @@
     pub(crate) const fn code(&self) -> &'static str {
         match self {
             Self::Broken => "body_broken",
+            Self::NoMemory => "no_memory",
             Self::TooLarge { .. } => "body_too_large",
             Self::TooSlow { .. } => "body_timeout",
         }
@@ -22,32 +24,18 @@
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
             Self::Broken => StatusCode::BAD_REQUEST,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
         }
     }
 }
 
-/// Reads a caller's body whole: a request is sent again only if all of it is
-/// here.
-pub(crate) async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, BodyError> {
-    let max = limits.max_body_bytes;
-    let timeout_ms = limits.body_timeout_ms;
-    let limited = Limited::new(body, max.get() as usize);
-    match timeout(Duration::from_millis(timeout_ms), limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(BodyError::TooLarge { max })
-        }
-        Ok(Err(_)) => Err(BodyError::Broken),
-        Err(_) => Err(BodyError::TooSlow { timeout_ms }),
-    }
-}
-
 impl Display for BodyError {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self {
             Self::Broken => write!(f, "the body broke off"),
+            Self::NoMemory => write!(f, "the host holds as many bodies as it has memory for"),
             Self::TooLarge { max } => write!(f, "the body is larger than {max} bytes"),
             Self::TooSlow { timeout_ms } => {
                 write!(f, "the body took longer than {timeout_ms} ms")
--- a/crates/router/src/caller_interface.rs
+++ b/crates/router/src/caller_interface.rs
@@ -18,7 +18,7 @@
         }
     }
 
-    pub(crate) fn limits(&self) -> &Limits {
+    pub(crate) const fn limits(&self) -> &LimitsInForce {
         match self {
             Self::Own(service) => &service.limits,
             Self::Relay(service) => &service.limits,
--- a/crates/router/src/caller_request.rs
+++ b/crates/router/src/caller_request.rs
@@ -13,7 +13,7 @@
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
     pub(crate) asked: Asked,
-    pub(crate) body: Bytes,
+    pub(crate) body: WholeBody,
     pub(crate) class: Option<ClassId>,
     pub(crate) content_type: String,
     pub(crate) key_hash: KeyHash,
@@ -84,7 +84,7 @@
     pub(crate) fn call(&self, order: &SendOrder) -> Call {
         Call {
             attempt: order.attempt,
-            body: self.body.clone(),
+            body: self.body.bytes.clone(),
             content_type: self.content_type.clone(),
             method: self.method.clone(),
             path: self.asked.path.clone(),
--- a/crates/router/src/caller_service.rs
+++ b/crates/router/src/caller_service.rs
@@ -3,10 +3,11 @@
 /// Requests of one caller thread, from HTTP to the controller and back.
 #[derive(Clone)]
 pub(crate) struct CallerService {
+    pub(crate) bodies: BodyBudget,
     pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
     pub(crate) connections: Connections,
     pub(crate) events: flume::Sender<RingEvent>,
-    pub(crate) limits: Arc<Limits>,
+    pub(crate) limits: LimitsInForce,
     pub(crate) next_request: Arc<AtomicU64>,
     pub(crate) pumps: Pumps,
 }
@@ -56,18 +57,18 @@
             }
             _ => return Err(bad(StatusCode::NOT_FOUND, "not_found", "no such path")),
         };
-        let body = body_error::read_body(request.into_body(), &self.limits).await;
-        let body = body.map_err(|error| bad(error.status(), error.code(), &error.to_string()))?;
+        let body = WholeBody::read(request.into_body(), &self.limits, &self.bodies).await;
+        let body = body.map_err(|error| Box::new(answers::body_refused(&error)))?;
         let repeatability = match key {
             Some(key) => Repeatability::AtMostOncePerKey {
-                fingerprint: Fingerprint::of_request(method.as_str(), &path_and_query, &body),
+                fingerprint: Fingerprint::of_request(method.as_str(), &path_and_query, &body.bytes),
                 key,
             },
             None if forbidden => Repeatability::AtMostOnce,
             None => Repeatability::AsConfigured,
         };
         let asked = if engine {
-            ask_engine(path_and_query, &body)
+            ask_engine(path_and_query, &body.bytes)
         } else {
             ask_service(&path_and_query)
         };
--- a/crates/router/src/caller_thread.rs
+++ b/crates/router/src/caller_thread.rs
@@ -59,16 +59,17 @@
     ) {
         let open = self.connections.fetch_add(1, Ordering::Relaxed);
         let guard = ConnectionGuard(Arc::clone(&self.connections));
-        if open >= self.service.limits().max_connections {
+        if open >= self.service.limits().own().max_connections {
             // Closing is the only answer that costs nothing.
             return;
         }
         let _ = stream.set_nodelay(true);
         let service = self.service.clone();
-        let head_timeout = Duration::from_millis(service.limits().head_timeout_ms);
+        let limits = service.limits();
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(head_timeout)
+            .header_read_timeout(limits.head_timeout())
+            .max_buf_size(limits.max_head_bytes())
             .serve_connection(
                 TokioIo::new(stream),
                 service_fn(move |request| {
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -99,7 +99,13 @@
     /// Follows changed settings. Those that only a new start can follow are
     /// logged.
     pub fn reload(&mut self, settings: Settings) {
+        let limits = settings.limits.clone();
+        self.parts.wiring.shared.limits.store(Arc::new(limits));
+        let max_queued = settings.limits.max_queued;
+        self.parts
+            .tell(RingEvent::Happened(Event::QueueLimitChanged(max_queued)));
         let current = &mut self.parts.wiring.settings;
+        current.limits.clone_from(&settings.limits);
         current.balancer_pause_ms = settings.balancer_pause_ms;
         if current.relay.is_some() && settings.relay.is_some() {
             current.relay.clone_from(&settings.relay);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,8 +4,8 @@
 
 use {
     arc_swap::{ArcSwap, ArcSwapOption},
-    bytes::Bytes,
-    config::{Document, Limits, Numbered, Patch, RelaySettings, Route, Settings},
+    bytes::{Bytes, BytesMut},
+    config::{CallerLimits, Document, Limits, Numbered, Patch, RelaySettings, Route, Settings},
     eyre::{Context, eyre},
     futures::future::{Either, select},
     http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody},
@@ -71,6 +71,7 @@
 mod answer_sender;
 mod answers;
 mod asked;
+mod body_budget;
 mod body_error;
 mod broken_answer;
 mod burn_window;
@@ -92,6 +93,7 @@
 mod instruction;
 mod jitter;
 mod ledger;
+mod limits_in_force;
 mod log_budget;
 mod logs;
 mod note_sender;
@@ -118,6 +120,7 @@
 mod shutdown;
 mod table_claims;
 mod upstream_thread;
+mod whole_body;
 mod wiring;
 
 pub use {
@@ -134,6 +137,7 @@
     answer_sender::AnswerSender,
     answers::{AnswerBody, error_answer, text_answer},
     asked::Asked,
+    body_budget::{BodyBudget, HeldBytes},
     body_error::BodyError,
     broken_answer::BrokenAnswer,
     burn_window::BurnWindow,
@@ -150,6 +154,7 @@
     instruction::Instruction,
     jitter::jittered,
     ledger::Ledger,
+    limits_in_force::LimitsInForce,
     log_budget::{LineKind, LogBudget},
     note_sender::NoteSender,
     note_thread::NoteThread,
@@ -172,6 +177,7 @@
     shutdown::Shutdown,
     table_claims::TableClaims,
     upstream_thread::UpstreamThread,
+    whole_body::WholeBody,
     wiring::{Thread, Wiring, listen},
 };
 
--- a/crates/router/src/pump.rs
+++ b/crates/router/src/pump.rs
@@ -66,7 +66,7 @@
             kept: request.is_keyed().then(String::new),
             last_event: String::new(),
             last_progress: Instant::now(),
-            limits: Arc::clone(&service.limits),
+            limits: service.limits.own(),
             request,
             unreported: 0,
         }
@@ -207,7 +207,9 @@
         let status = answer.status();
         let content_type = answer.content_type().to_string();
         let idle = Duration::from_millis(self.limits.upstream_idle_timeout_ms);
-        let collected = answer.collect(self.limits.max_body_bytes, idle).await;
+        let collected = answer
+            .collect(self.limits.max_whole_answer_bytes, idle)
+            .await;
         let body = match collected {
             Ok(body) => body,
             Err(failure) => return self.on_failure(order, failure).await,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -78,7 +78,7 @@
             instructions,
             last_event: None,
             last_progress: Instant::now(),
-            limits: Arc::clone(&service.limits),
+            limits: service.limits.own(),
             protocol: Arc::clone(&service.protocol),
             request,
             unreported: 0,
@@ -265,7 +265,7 @@
     ) -> Result<Response<Bytes>, Stopped> {
         let keep_for = connection_reuse::keep_time(&response);
         let (parts, body) = response.into_parts();
-        let max = self.limits.max_body_bytes.get() as usize;
+        let max = self.limits.max_whole_answer_bytes.get() as usize;
         let collected = self
             .in_time(order, Limited::new(body, max).collect())
             .await?;
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -5,9 +5,10 @@
 pub(crate) struct RelayService {
     pub(crate) clock: Clock,
     pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
+    pub(crate) bodies: BodyBudget,
     pub(crate) connections: Connections,
     pub(crate) events: flume::Sender<RingEvent>,
-    pub(crate) limits: Arc<Limits>,
+    pub(crate) limits: LimitsInForce,
     pub(crate) next_request: Arc<AtomicU64>,
     pub(crate) protocol: Arc<dyn Protocol>,
     pub(crate) pumps: Pumps,
@@ -61,7 +62,7 @@
         let hostname = without_port(&head.hostname);
         let route = document.route(hostname, parts.uri.path());
         let route = route.ok_or_else(|| self.no_route())?;
-        let body = body_error::read_body(body, &self.limits).await;
+        let body = WholeBody::read(body, &self.limits, &self.bodies).await;
         let body = body.map_err(|error| TurnedAway::bad_body(&error))?;
         let id = RequestId::new(self.next_request.fetch_add(1, Ordering::Relaxed));
         let arrival = arrival(id, document, route, &head)?;
@@ -113,19 +114,21 @@
 }
 
 impl TurnedAway {
-    fn new(status: StatusCode, code: &'static str, message: &str) -> Self {
+    fn bad_head(error: &HeadError) -> Self {
+        let code = "bad_header";
+        let message = error.to_string();
+        let answer = error_answer(StatusCode::BAD_REQUEST, code, &message, Verdict::NotRun);
         Self {
-            answer: Box::new(error_answer(status, code, message, Verdict::NotRun)),
+            answer: Box::new(answer),
             code,
         }
     }
 
-    fn bad_head(error: &HeadError) -> Self {
-        Self::new(StatusCode::BAD_REQUEST, "bad_header", &error.to_string())
-    }
-
     fn bad_body(error: &BodyError) -> Self {
-        Self::new(error.status(), error.code(), &error.to_string())
+        Self {
+            answer: Box::new(answers::body_refused(error)),
+            code: error.code(),
+        }
     }
 
     fn refused(reason: RefusalReason) -> Self {
--- a/crates/router/src/relayed_request.rs
+++ b/crates/router/src/relayed_request.rs
@@ -3,7 +3,7 @@
 /// A caller's request that is relayed unchanged, read whole.
 #[derive(Debug)]
 pub(crate) struct RelayedRequest {
-    pub(crate) body: Bytes,
+    pub(crate) body: WholeBody,
     pub(crate) head: RequestHead,
     pub(crate) headers: hyper::HeaderMap,
     pub(crate) method: Method,
@@ -21,7 +21,7 @@
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(&self.path)
-            .body(Full::new(self.body.clone()))?;
+            .body(Full::new(self.body.bytes.clone()))?;
         *request.headers_mut() = protocol.upstream_headers(&self.headers, passing);
         Ok(request)
     }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -5,6 +5,8 @@
     pub(crate) clock: Clock,
     pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
     pub(crate) ledger: Arc<Mutex<Ledger>>,
+    /// Limits of the settings, as they are now.
+    pub(crate) limits: Arc<ArcSwap<Limits>>,
     pub(crate) read_configuration: Arc<Notify>,
     pub(crate) status: Arc<ArcSwap<HostStatus>>,
 }
@@ -28,6 +30,7 @@
             clock: Clock::start(),
             configuration: Arc::default(),
             ledger: Arc::default(),
+            limits: Arc::new(ArcSwap::from_pointee(settings.limits.clone())),
             read_configuration: Arc::default(),
             status: Arc::new(ArcSwap::from_pointee(status)),
         }
--- a/crates/router/src/wiring.rs
+++ b/crates/router/src/wiring.rs
@@ -256,10 +256,14 @@
         next_request: &Arc<AtomicU64>,
     ) -> CallerInterface {
         let configuration = Arc::clone(&self.shared.configuration);
-        let limits = Arc::new(self.settings.limits.clone());
+        let limits = LimitsInForce::new(
+            Arc::clone(&self.shared.configuration),
+            Arc::clone(&self.shared.limits),
+        );
         let next_request = Arc::clone(next_request);
         match protocol {
             Some(protocol) => CallerInterface::Relay(RelayService {
+                bodies: BodyBudget::default(),
                 clock: self.shared.clock,
                 configuration,
                 connections: Connections::default(),
@@ -271,6 +275,7 @@
                 status: Arc::clone(&self.shared.status),
             }),
             None => CallerInterface::Own(CallerService {
+                bodies: BodyBudget::default(),
                 configuration,
                 connections: Connections::default(),
                 events: self.events(),
