--- a/crates/router/tests/processes.rs
+++ b/crates/router/tests/processes.rs
@@ -12,7 +12,7 @@
     site::Site,
     std::{
         io::{BufRead, Write},
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         process::{Child, Command, Output, Stdio},
         time::Duration,
     },
@@ -105,8 +105,7 @@
 }
 
 fn free_addresses() -> [SocketAddr; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
-    listeners.map(|listener| listener.local_addr().unwrap())
+    [(); 3].map(|()| standin::free_address())
 }
 
 fn settings(
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,7 +20,11 @@
         convert::Infallible,
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        ops::Range,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU32, Ordering},
+        },
         time::Duration,
     },
     store::{
@@ -43,6 +47,7 @@
 mod engine_faults;
 mod engine_options;
 mod engine_request;
+mod free_address;
 mod generation;
 mod http;
 mod platform_faults;
@@ -58,8 +63,9 @@
 
 pub use {
     engine::EngineStandin, engine_faults::EngineFaults, engine_options::EngineOptions,
-    platform_faults::PlatformFaults, platform_standin::PlatformStandin, run::Run, run_log::RunLog,
-    server::Server, service::ServiceStandin, service_faults::ServiceFaults,
+    free_address::free_address, platform_faults::PlatformFaults, platform_standin::PlatformStandin,
+    run::Run, run_log::RunLog, server::Server, service::ServiceStandin,
+    service_faults::ServiceFaults,
 };
 
 use {
