Count store calls, connections and retries left; one way of calling a store

Cause: on-call could not see from metrics whether the store was slow, connections were opened anew for each request, or retries had run out. Two clients each had their own connections, time limits and handling of lost answers, with tasks that nobody joined. Requests were counted by team and class together: at 870 teams and 8 classes the series alone exceed the memory for control. Change: HostMetrics gives each thread its host's recorder; request_metrics.rs has what the controller's thread counted, by class and by team apart. HttpCalls in `store` makes the calls of both clients and owns its connections' tasks, as `upstream::Connections` does now. One table interface for both protocols was weighed and not built (docs/design/installation.md).

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -309,6 +309,12 @@
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
+    /// Retries that this host may make now, for each target that was asked for.
+    pub fn retries_left(&self, now: Time) -> Vec<(Target, f64)> {
+        let left = self.retries.left(now);
+        left.map(|(target, left)| (target.clone(), left)).collect()
+    }
+
     /// Upstreams that get no new work until a probe succeeds.
     pub fn ejected(&self) -> Vec<UpstreamId> {
         self.pool.select(|state| !state.health.is_well())
--- a/crates/policy/src/retry_budgets.rs
+++ b/crates/policy/src/retry_budgets.rs
@@ -109,6 +109,20 @@
         true
     }
 
+    /// Retries that may be made now, for each target that was asked for.
+    pub(crate) fn left(&self, now: Time) -> impl Iterator<Item = (&Target, f64)> {
+        let recent = move |times: &VecDeque<Time>| {
+            let times = times.iter().rev();
+            times
+                .take_while(|time| now.since(**time) < self.window)
+                .count() as f64
+        };
+        self.targets.iter().map(move |(target, window)| {
+            let allowed = self.ratio * recent(&window.firsts) + self.extra;
+            (target, (allowed - recent(&window.retries)).max(0.0))
+        })
+    }
+
     fn current(&mut self, target: &Target, now: Time) -> &mut Window {
         let span = self.window;
         if !self.targets.contains_key(target) {
--- a/crates/router/benches/control/main.rs
+++ b/crates/router/benches/control/main.rs
@@ -12,7 +12,6 @@
     serde_json::{Map, Value, json},
     standin::{EngineOptions, EngineStandin, PlatformStandin, RunLog},
     std::{
-        collections::BTreeMap,
         net::SocketAddr,
         sync::{
             Arc,
@@ -29,11 +28,14 @@
 };
 
 mod process;
+#[path = "../common/processor.rs"]
+mod processor;
 mod relay;
 mod site;
 
 use {
-    process::{processor_s_by_duty, resident_bytes},
+    process::resident_bytes,
+    processor::processor_s_by_duty,
     relay::{Counter, relay},
     site::{ControlSite, Size},
 };
--- a/crates/router/benches/serving/main.rs
+++ b/crates/router/benches/serving/main.rs
@@ -1,8 +1,9 @@
 //! What a host adds to the first token and between tokens, against the engine
 //! stand-in directly, and how many requests and tokens a second one host passes
-//! on. Both ways are measured in one run, in turns.
+//! on. Both ways are measured in one run, in turns. With `LOGGING`: the processor
+//! time of a request with logs and without.
 //!
-//! `cargo bench -p rhubarbcove-router --bench serving`
+//! `cargo bench -p rhubarbcove-router --bench serving [-- LOGGING]`
 
 #![allow(missing_docs, clippy::unwrap_used)]
 
@@ -12,8 +13,9 @@
     http_body_util::{BodyDataStream, Full},
     hyper::{Request, client::conn::http1::handshake},
     hyper_util::rt::TokioIo,
-    router::{Host, Serving},
+    router::{Host, Serving, discard_logger, json_logger_to},
     serde_json::{Map, json},
+    slog::Logger,
     standin::{EngineOptions, EngineStandin, PlatformStandin, RunLog},
     std::{
         net::SocketAddr,
@@ -26,10 +28,14 @@
 };
 
 mod load;
+mod logging;
+#[path = "../common/processor.rs"]
+mod processor;
 mod setup;
 
 use {
     load::{Timing, passed, percentile, timed},
+    processor::processor_s_by_duty,
     setup::{start_engines, start_host},
 };
 
@@ -44,6 +50,9 @@
         .enable_all()
         .build()
         .unwrap();
+    if std::env::args().any(|arg| arg == "LOGGING") {
+        return runtime.block_on(logging::logging());
+    }
     runtime.block_on(added_time());
     for caller_threads in [1, 2, 4] {
         runtime.block_on(greatest_rate(caller_threads));
@@ -59,7 +68,7 @@
         ..EngineOptions::default()
     };
     let engines = start_engines(2, &options).await;
-    let host = start_host(&engines, &options, 1).await;
+    let host = start_host(&engines, &options, 1, discard_logger()).await;
     let mut direct = Vec::new();
     let mut through = Vec::new();
     for number in 0..TIMED {
@@ -100,7 +109,7 @@
         ..EngineOptions::default()
     };
     let engines = start_engines(4, &options).await;
-    let host = start_host(&engines, &options, caller_threads).await;
+    let host = start_host(&engines, &options, caller_threads, discard_logger()).await;
     for at_once in AT_ONCE {
         let direct: Vec<SocketAddr> = engines.iter().map(EngineStandin::address).collect();
         let direct = passed(&direct, at_once, 240).await;
--- a/crates/router/benches/serving/setup.rs
+++ b/crates/router/benches/serving/setup.rs
@@ -15,6 +15,7 @@
     engines: &[EngineStandin],
     options: &EngineOptions,
     caller_threads: usize,
+    logger: Logger,
 ) -> Host<Serving> {
     let platform = PlatformStandin::start("127.0.0.1:0".parse().unwrap())
         .await
@@ -32,7 +33,7 @@
     );
     let settings = Settings::from_toml(&text).unwrap();
     let started = tokio::task::spawn_blocking(move || {
-        let host = Host::start(settings, router::discard_logger()).unwrap();
+        let host = Host::start(settings, logger).unwrap();
         assert!(host.wait_ready(Duration::from_secs(10)));
         host
     });
--- a/crates/router/src/caller_thread.rs
+++ b/crates/router/src/caller_thread.rs
@@ -11,6 +11,7 @@
     pub(crate) connections: Arc<AtomicUsize>,
     pub(crate) listener: std::net::TcpListener,
     pub(crate) logger: Logger,
+    pub(crate) metrics: HostMetrics,
     pub(crate) service: CallerInterface,
     /// Longest time from the stop of new connections to the end of all.
     pub(crate) drain_limit: Option<Duration>,
@@ -23,7 +24,8 @@
             .name(format!("callers-{number}"))
             .spawn(move || {
                 let runtime = single_thread_runtime()?;
-                runtime.block_on(self.run())
+                let metrics = self.metrics.clone();
+                metrics.count(|| runtime.block_on(self.run()))
             })
             .wrap_err("cannot start a caller thread")
     }
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -21,13 +21,13 @@
     pub(crate) fetches: flume::Sender<SocketAddr>,
     pub(crate) ledger: Arc<Mutex<Ledger>>,
     pub(crate) logger: Logger,
+    pub(crate) metrics: HostMetrics,
     /// Where notes to other hosts are sent from; `None` outside an installation.
     pub(crate) notes: Option<NoteSender>,
     pub(crate) peers: flume::Sender<PeerJob>,
     pub(crate) platform: flume::Sender<PlatformJob>,
     pub(crate) probes: flume::Sender<ProbeJob>,
     pub(crate) read_configuration: Arc<Notify>,
-    pub(crate) recorder: Arc<metrics_exporter_prometheus::PrometheusRecorder>,
     pub(crate) status: Arc<ArcSwap<HostStatus>>,
     /// Longest time from the order to stop to the end.
     pub(crate) stop_limit: Option<Duration>,
@@ -62,7 +62,7 @@
         std::thread::Builder::new()
             .name("controller".to_string())
             .spawn(move || {
-                let recorder = Arc::clone(&self.recorder);
+                let metrics = self.metrics.clone();
                 let carrier = Carrier {
                     actions: Vec::new(),
                     callers: HashMap::default(),
@@ -74,7 +74,7 @@
                     stopping: false,
                     thread: self,
                 };
-                metrics::with_local_recorder(&*recorder, || carrier.run());
+                metrics.count(|| carrier.run());
                 Ok(())
             })
             .wrap_err("cannot start the controller's thread")
@@ -306,45 +306,7 @@
     }
 
     fn record(&mut self, outcome: &Outcome) {
-        let class = outcome
-            .class
-            .as_ref()
-            .map(ToString::to_string)
-            .unwrap_or_default();
-        let team = outcome
-            .team
-            .as_ref()
-            .map(ToString::to_string)
-            .unwrap_or_default();
-        let tier = outcome
-            .tier
-            .map(|tier| tier.to_string())
-            .unwrap_or_default();
-        counter!(
-            "rhubarbcove_requests_total",
-            "class" => class.clone(), "tier" => tier, "team" => team,
-            "end" => outcome.end.as_str(), "verdict" => outcome.verdict.as_str(),
-        )
-        .increment(1);
-        if let Some(upstream) = &outcome.upstream {
-            counter!("rhubarbcove_upstream_requests_total", "upstream" => upstream.to_string())
-                .increment(1);
-        }
-        if let Some(reason) = outcome.reason {
-            counter!("rhubarbcove_refusals_total",
-                "class" => class.clone(), "reason" => reason.code())
-            .increment(1);
-        }
-        histogram!("rhubarbcove_request_seconds", "class" => class.clone())
-            .record(outcome.lasted.as_secs_f64());
-        if let Some(first_token) = outcome.first_token {
-            histogram!("rhubarbcove_first_token_seconds", "class" => class)
-                .record(first_token.as_secs_f64());
-        }
-        if let Some((cause, tokens)) = outcome.wasted {
-            counter!("rhubarbcove_wasted_tokens_total", "cause" => cause.as_str())
-                .increment(u64::from(tokens.get()));
-        }
+        request_metrics::record(outcome);
         let mut ledger = self
             .thread
             .ledger
@@ -360,6 +322,9 @@
         if let Some(age) = controller.config_age(now) {
             gauge!("rhubarbcove_configuration_age_seconds").set(age.as_secs_f64());
         }
+        for (target, left) in controller.retries_left(now) {
+            gauge!("rhubarbcove_retries_left", "target" => target.to_string()).set(left);
+        }
         self.decisions.tick(now);
         let before = self.thread.status.load();
         let after = HostStatus {
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -12,6 +12,7 @@
     pub(crate) events: flume::Sender<RingEvent>,
     pub(crate) fetcher: ConfigurationFetcher,
     pub(crate) logger: Logger,
+    pub(crate) metrics: HostMetrics,
     pub(crate) shutdown: Shutdown,
 }
 
@@ -20,7 +21,9 @@
         std::thread::Builder::new()
             .name("directory".to_string())
             .spawn(move || {
-                single_thread_runtime()?.block_on(self.run());
+                let metrics = self.metrics.clone();
+                let runtime = single_thread_runtime()?;
+                metrics.count(|| runtime.block_on(self.run()));
                 Ok(())
             })
             .wrap_err("cannot start the directory's thread")
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -52,7 +52,7 @@
         let caller_address = callers.local_addr()?;
         let operator_address = operators.local_addr()?;
         let peer_address = peers.local_addr()?;
-        let mut wiring = Wiring::new(settings, logger);
+        let mut wiring = Wiring::new(settings, logger)?;
         let (protocol, store, notes) = match installation {
             Some(installation) => {
                 wiring.follow_directory(installation.directory)?;
@@ -64,9 +64,9 @@
                 (None, Some(wiring.follow_store()?), None)
             }
         };
-        let (controller, metrics) = wiring.start_controller(notes)?;
+        let controller = wiring.start_controller(notes)?;
         wiring.watch_upstreams()?;
-        wiring.answer_operators(operators, metrics, store)?;
+        wiring.answer_operators(operators, store)?;
         let callers = wiring.answer_callers(&callers, protocol.as_ref())?;
         info!(wiring.logger, "host: started";
             "callers" => %caller_address, "operators" => %operator_address);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,7 +22,9 @@
         server::graceful::GracefulShutdown,
     },
     metrics::{counter, gauge, histogram},
-    metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle},
+    metrics_exporter_prometheus::{
+        Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
+    },
     peer::{Heartbeat, HeartbeatAnswer, LoadNote, PeerClient, PeerHandler, PeerHost, PeerServer},
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
@@ -87,6 +89,7 @@
 mod directory_thread;
 mod event_splitter;
 mod host;
+mod host_metrics;
 mod host_status;
 mod http_listener;
 mod installation;
@@ -113,6 +116,7 @@
 mod relay_service;
 mod relayed_request;
 mod report;
+mod request_metrics;
 mod ring_event;
 mod rings;
 mod runtime;
@@ -150,6 +154,7 @@
     decision_log::{DecisionLog, Knowledge},
     directory_thread::DirectoryThread,
     event_splitter::EventSplitter,
+    host_metrics::HostMetrics,
     http_listener::HttpListener,
     instruction::Instruction,
     jitter::jittered,
--- /dev/null
+++ b/crates/router/src/request_metrics.rs
@@ -0,0 +1,45 @@
+//! How requests ended, as metrics.
+//!
+//! No metric is named by team and class together: with 870 teams and 8 classes
+//! their series would take more memory than the 32 MB that control may have.
+
+use super::*;
+
+/// Counts a request that has ended.
+pub(crate) fn record(outcome: &Outcome) {
+    let class = text(outcome.class.as_ref());
+    let end = outcome.end.as_str();
+    counter!(
+        "rhubarbcove_requests_total",
+        "class" => class.clone(), "tier" => text(outcome.tier.as_ref()),
+        "end" => end, "verdict" => outcome.verdict.as_str(),
+    )
+    .increment(1);
+    if let Some(team) = &outcome.team {
+        counter!("rhubarbcove_team_requests_total", "team" => team.to_string(), "end" => end)
+            .increment(1);
+    }
+    if let Some(upstream) = &outcome.upstream {
+        counter!("rhubarbcove_upstream_requests_total", "upstream" => upstream.to_string())
+            .increment(1);
+    }
+    if let Some(reason) = outcome.reason {
+        counter!("rhubarbcove_refusals_total", "class" => class.clone(), "reason" => reason.code())
+            .increment(1);
+    }
+    histogram!("rhubarbcove_request_seconds", "class" => class.clone())
+        .record(outcome.lasted.as_secs_f64());
+    if let Some(first_token) = outcome.first_token {
+        histogram!("rhubarbcove_first_token_seconds", "class" => class)
+            .record(first_token.as_secs_f64());
+    }
+    if let Some((cause, tokens)) = outcome.wasted {
+        counter!("rhubarbcove_wasted_tokens_total", "cause" => cause.as_str())
+            .increment(u64::from(tokens.get()));
+    }
+}
+
+/// A label; empty where nothing is known.
+fn text(value: Option<&impl ToString>) -> String {
+    value.map(ToString::to_string).unwrap_or_default()
+}
--- a/crates/router/src/wiring.rs
+++ b/crates/router/src/wiring.rs
@@ -5,9 +5,6 @@
 /// Time that an operator or another host may take to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Limits of the buckets in which times are counted, in seconds.
-const TIME_BUCKETS_S: [f64; 9] = [0.01, 0.03, 0.1, 0.3, 0.66, 1.0, 3.0, 10.0, 30.0];
-
 /// Part of the reserve for the end of a stop that the controller waits for
 /// requests that cannot be served any more.
 const CONTROLLER_PART: u32 = 3;
@@ -18,6 +15,7 @@
 pub(crate) struct Wiring {
     pub(crate) callers_stop: Shutdown,
     pub(crate) logger: Logger,
+    pub(crate) metrics: HostMetrics,
     pub(crate) others_stop: Shutdown,
     pub(crate) rings: Rings,
     pub(crate) settings: Settings,
@@ -27,33 +25,25 @@
 }
 
 impl Wiring {
-    pub(crate) fn new(settings: Settings, logger: Logger) -> Self {
-        Self {
+    pub(crate) fn new(settings: Settings, logger: Logger) -> eyre::Result<Self> {
+        Ok(Self {
             callers_stop: Shutdown::new(),
             logger,
+            metrics: HostMetrics::new()?,
             others_stop: Shutdown::new(),
             rings: Rings::new(),
             shared: Shared::new(&settings),
             settings,
             threads: Vec::new(),
-        }
+        })
     }
 
     fn events(&self) -> flume::Sender<RingEvent> {
         self.rings.events.0.clone()
     }
 
-    /// The thread that decides, and the metrics that it counts.
-    pub(crate) fn start_controller(
-        &self,
-        notes: Option<NoteSender>,
-    ) -> eyre::Result<(Thread, PrometheusHandle)> {
-        let recorder = PrometheusBuilder::new()
-            .set_buckets_for_metric(Matcher::Suffix("_seconds".to_string()), &TIME_BUCKETS_S)
-            .wrap_err("cannot set the metrics up")?
-            .build_recorder();
-        let recorder = Arc::new(recorder);
-        let metrics = recorder.handle();
+    /// The thread that decides.
+    pub(crate) fn start_controller(&self, notes: Option<NoteSender>) -> eyre::Result<Thread> {
         let relays = self.settings.relay.is_some();
         let thread = ControllerThread {
             clock: self.shared.clock,
@@ -63,16 +53,16 @@
             fetches: self.rings.fetches.0.clone(),
             ledger: Arc::clone(&self.shared.ledger),
             logger: self.logger.clone(),
+            metrics: self.metrics.clone(),
             notes,
             peers: self.rings.peers.0.clone(),
             platform: self.rings.platform.0.clone(),
             probes: self.rings.probes.0.clone(),
             read_configuration: Arc::clone(&self.shared.read_configuration),
-            recorder,
             status: Arc::clone(&self.shared.status),
             stop_limit: relays.then_some(relay_rules::STOP_RESERVE / CONTROLLER_PART),
         };
-        Ok((thread.spawn()?, metrics))
+        thread.spawn()
     }
 
     /// Follows an installation's directory.
@@ -88,6 +78,7 @@
                 token: self.settings.peer_token.clone(),
             },
             logger: self.logger.clone(),
+            metrics: self.metrics.clone(),
             shutdown: self.others_stop.clone(),
         };
         self.threads.push(thread.spawn()?);
@@ -178,14 +169,13 @@
     pub(crate) fn answer_operators(
         &mut self,
         listener: std::net::TcpListener,
-        metrics: PrometheusHandle,
         store: Option<ConfigStore>,
     ) -> eyre::Result<()> {
         let service = OperatorService {
             clock: self.shared.clock,
             configuration: Arc::clone(&self.shared.configuration),
             ledger: Arc::clone(&self.shared.ledger),
-            metrics,
+            metrics: self.metrics.handle(),
             only_metrics: false,
             status: Arc::clone(&self.shared.status),
             store,
@@ -242,6 +232,7 @@
                     drain_limit: relay_rules::drain_limit(&self.settings),
                     listener: listener.try_clone()?,
                     logger: self.logger.clone(),
+                    metrics: self.metrics.clone(),
                     service: self.caller_interface(protocol, &next_request),
                     shutdown: self.callers_stop.clone(),
                 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -9,7 +9,7 @@
     hyper::{
         Method, Request, StatusCode,
         client::conn::http1::{SendRequest, handshake},
-        header::{ETAG, HeaderValue, IF_NONE_MATCH},
+        header::{CONTENT_TYPE, ETAG, HOST, HeaderValue, IF_NONE_MATCH},
         http::response::Parts,
     },
     hyper_util::rt::TokioIo,
@@ -19,13 +19,13 @@
     std::{
         fmt::{self, Display, Formatter},
         net::SocketAddr,
-        sync::Arc,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
     tokio::{
         net::TcpStream,
-        sync::Mutex,
-        time::{Instant, timeout_at},
+        task::JoinSet,
+        time::{Instant, timeout, timeout_at},
     },
     types::prelude::*,
 };
@@ -36,6 +36,7 @@
 mod config_store;
 mod config_store_error;
 mod host_list;
+mod http_calls;
 mod listed_state;
 mod logged_patch;
 mod platform_client;
@@ -54,6 +55,7 @@
     config_store::ConfigStore,
     config_store_error::ConfigStoreError,
     host_list::{HostList, ListedHost, ListedUpstream},
+    http_calls::HttpCalls,
     listed_state::ListedState,
     logged_patch::LoggedPatch,
     platform_client::PlatformClient,
@@ -65,3 +67,5 @@
     table_result::{TableResult, TableResults},
     tagged_list::TaggedList,
 };
+
+use http_calls::not_done;
--- a/crates/store/src/platform_client.rs
+++ b/crates/store/src/platform_client.rs
@@ -6,8 +6,7 @@
 /// A client of the platform's services.
 #[derive(Debug)]
 pub struct PlatformClient {
-    address: SocketAddr,
-    idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
+    calls: HttpCalls,
     timeout: Duration,
 }
 
@@ -15,8 +14,7 @@
     /// A client that gives each call at most `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
         Self {
-            address,
-            idle: Mutex::default(),
+            calls: HttpCalls::new(address, MAX_IDLE),
             timeout,
         }
     }
@@ -49,13 +47,13 @@
     /// the tag `known`: then the answer is `None` and a hundred bytes long,
     /// where the list of a large fleet has tens of thousands.
     pub async fn hosts(&self, known: &str) -> Result<Option<TaggedList>, PlatformError> {
-        let request = self.request(Method::GET, "/hosts", Bytes::new());
+        let request = request(Method::GET, "/hosts", Bytes::new());
         let request = request.and_then(|mut request| {
             let tag = HeaderValue::from_str(known).map_err(not_done)?;
             request.headers_mut().insert(IF_NONE_MATCH, tag);
             Ok(request)
         })?;
-        let (head, body) = self.send(request).await?;
+        let (head, body) = self.calls.exchange(request, self.timeout).await?;
         if head.status == StatusCode::NOT_MODIFIED {
             return Ok(None);
         }
@@ -67,19 +65,6 @@
         }))
     }
 
-    /// Stores an object under a name, or replaces it.
-    pub async fn put_object(&self, name: &str, body: Bytes) -> Result<(), PlatformError> {
-        self.exchange(Method::PUT, &format!("/objects/{name}"), body)
-            .await
-            .map(|_| ())
-    }
-
-    /// Reads an object.
-    pub async fn get_object(&self, name: &str) -> Result<Bytes, PlatformError> {
-        self.exchange(Method::GET, &format!("/objects/{name}"), Bytes::new())
-            .await
-    }
-
     async fn call<B: Serialize, A: DeserializeOwned>(
         &self,
         method: Method,
@@ -89,72 +74,20 @@
         let body = serde_json::to_vec(body).map_err(|error| PlatformError::NotDone {
             message: error.to_string(),
         })?;
-        parse(&self.exchange(method, path, body.into()).await?)
-    }
-
-    async fn exchange(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-    ) -> Result<Bytes, PlatformError> {
-        let request = self.request(method, path, body)?;
-        let (head, body) = self.send(request).await?;
+        let request = request(method, path, body.into())?;
+        let (head, body) = self.calls.exchange(request, self.timeout).await?;
         check_status(head.status)?;
-        Ok(body)
-    }
-
-    fn request(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-    ) -> Result<Request<Full<Bytes>>, PlatformError> {
-        Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", self.address.to_string())
-            .header("content-type", "application/json")
-            .body(Full::new(body))
-            .map_err(not_done)
-    }
-
-    async fn send(&self, request: Request<Full<Bytes>>) -> Result<(Parts, Bytes), PlatformError> {
-        let deadline = Instant::now() + self.timeout;
-        let mut sender = timeout_at(deadline, self.connection())
-            .await
-            .map_err(not_done)??;
-        let exchange = async {
-            let response = sender.send_request(request).await.map_err(lost)?;
-            let (head, body) = response.into_parts();
-            let body = body.collect().await.map_err(lost)?;
-            Ok::<_, PlatformError>((head, body.to_bytes()))
-        };
-        let answer = timeout_at(deadline, exchange).await.map_err(lost)??;
-        self.keep(sender).await;
-        Ok(answer)
-    }
-
-    async fn connection(&self) -> Result<SendRequest<Full<Bytes>>, PlatformError> {
-        while let Some(mut sender) = self.idle.lock().await.pop() {
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
-            }
-        }
-        let stream = TcpStream::connect(self.address).await.map_err(not_done)?;
-        let _ = stream.set_nodelay(true);
-        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(not_done)?;
-        // Ends by itself when the sender is dropped or the platform closes.
-        tokio::spawn(connection);
-        Ok(sender)
+        parse(&body)
     }
+}
 
-    async fn keep(&self, sender: SendRequest<Full<Bytes>>) {
-        let mut idle = self.idle.lock().await;
-        if idle.len() < MAX_IDLE {
-            idle.push(sender);
-        }
-    }
+fn request(method: Method, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>, PlatformError> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(not_done)
 }
 
 fn parse<A: DeserializeOwned>(body: &[u8]) -> Result<A, PlatformError> {
@@ -171,15 +104,3 @@
         }),
     }
 }
-
-fn not_done(error: impl Display) -> PlatformError {
-    PlatformError::NotDone {
-        message: error.to_string(),
-    }
-}
-
-fn lost(error: impl Display) -> PlatformError {
-    PlatformError::AnswerLost {
-        message: error.to_string(),
-    }
-}
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Connections {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    /// The tasks that drive the connections; they end with the last clone.
+    tasks: Arc<Mutex<JoinSet<()>>>,
 }
 
 impl Connections {
@@ -50,13 +52,20 @@
         let mut request = request;
         while let Some(mut sender) = self.take_idle(address) {
             match Self::try_send(&mut sender, request, head_timeout).await {
-                Ok(response) => return Ok((response, sender)),
+                Ok(response) => {
+                    count("reused");
+                    return Ok((response, sender));
+                }
                 // The connection had been closed: nothing was written.
                 Err((_, Some(unsent))) => request = unsent,
                 Err((failure, None)) => return Err(failure),
             }
         }
-        let mut sender = Self::connect(address).await?;
+        let mut sender = self
+            .connect(address)
+            .await
+            .inspect_err(|_| count("failed"))?;
+        count("opened");
         match Self::try_send(&mut sender, request, head_timeout).await {
             Ok(response) => Ok((response, sender)),
             Err((failure, _)) => Err(failure),
@@ -81,7 +90,7 @@
         }
     }
 
-    async fn connect(address: SocketAddr) -> Result<Sender, CallFailure> {
+    async fn connect(&self, address: SocketAddr) -> Result<Sender, CallFailure> {
         let failure = CallFailure::not_run(FailureCause::Connect);
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
@@ -89,16 +98,21 @@
             .map_err(|_| failure)?;
         watch_peer(&stream).map_err(|_| failure)?;
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| failure)?;
-        // Ends by itself when the sender is dropped or the upstream closes.
-        tokio::spawn(connection);
+        let mut tasks = lock(&self.tasks);
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn(async move {
+            // Whatever ends it, the request that uses it is told.
+            let _ = connection.await;
+        });
         Ok(sender)
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.idle);
         let senders = idle.get_mut(&address)?;
         let now = Instant::now();
         while let Some(Idle { expires, sender }) = senders.pop() {
+            idle_gauge().decrement(1);
             if now < expires && sender.is_ready() && !sender.is_closed() {
                 return Some(sender);
             }
@@ -110,16 +124,32 @@
     /// which the upstream is not expected to close it.
     pub fn keep(&self, address: SocketAddr, sender: Sender, keep_for: Duration) {
         let now = Instant::now();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.idle);
         let senders = idle.entry(address).or_default();
+        let before = senders.len() as f64;
         senders.retain(|idle| now < idle.expires && !idle.sender.is_closed());
         if senders.len() < MAX_IDLE {
             let expires = now + keep_for;
             senders.push(Idle { expires, sender });
         }
+        idle_gauge().increment(senders.len() as f64 - before);
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts what became of a connection that was wanted.
+fn count(event: &'static str) {
+    counter!("rhubarbcove_upstream_connections_total", "event" => event).increment(1);
+}
+
+/// Connections that are kept for later requests.
+fn idle_gauge() -> Gauge {
+    gauge!("rhubarbcove_upstream_connections_idle")
+}
+
 /// Sends small writes at once, and notices a peer that is gone without a word.
 fn watch_peer(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -12,15 +12,16 @@
         client::conn::http1::{SendRequest, handshake},
     },
     hyper_util::rt::TokioIo,
+    metrics::{Gauge, counter, gauge},
     socket2::{SockRef, TcpKeepalive},
     std::{
         fmt::{self, Display, Formatter},
         net::SocketAddr,
         pin::Pin,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
-    tokio::{net::TcpStream, time::timeout},
+    tokio::{net::TcpStream, task::JoinSet, time::timeout},
     types::prelude::*,
 };
 
