Share what a request's task has between relays and pumps

Cause: `relay.rs` and `pump.rs` each had their own instructions, progress, ends of attempts and watch for callers that leave, 80 lines alike. Change: RequestTask holds them once; both own one. No behavior changes.

--- a/crates/router/src/caller_service.rs
+++ b/crates/router/src/caller_service.rs
@@ -100,8 +100,9 @@
             return host_busy();
         }
         let (head, answer) = oneshot::channel();
-        let pump = Pump::new(self, id, request, instructions, AnswerSender::new(head));
-        self.pumps.spawn(pump.run());
+        let answer_sender = AnswerSender::new(head);
+        let task = RequestTask::new(id, self.events.clone(), instructions, answer_sender);
+        self.pumps.spawn(Pump::new(self, request, task).run());
         answer.await.unwrap_or_else(|_| host_busy())
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -117,6 +117,7 @@
 mod relayed_request;
 mod report;
 mod request_metrics;
+mod request_task;
 mod ring_event;
 mod rings;
 mod runtime;
@@ -175,6 +176,7 @@
     relay::Relay,
     relay_service::RelayService,
     relayed_request::RelayedRequest,
+    request_task::{Next, RequestTask},
     ring_event::RingEvent,
     rings::Rings,
     runtime::single_thread_runtime,
--- a/crates/router/src/pump.rs
+++ b/crates/router/src/pump.rs
@@ -4,24 +4,12 @@
 /// engine too, so this is generous; the idle limit holds from then on.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(120);
 
-/// A progress event is sent at least after so many tokens …
-const PROGRESS_TOKENS: u32 = 32;
-
-/// … or after this time.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Events of a stream that are passed on together when they came together.
 const MAX_TOGETHER: usize = 64;
 
 /// Event that ends a whole stream.
 const END_EVENT: &str = "data: [DONE]\n\n";
 
-/// What to do after an instruction.
-enum Next {
-    End,
-    Wait,
-}
-
 /// How the stream of one attempt went.
 enum Streamed {
     CallerGone,
@@ -32,65 +20,34 @@
 /// The task that serves one request: it does what the controller says, and
 /// passes the answer from the upstream to the caller on one thread.
 pub(crate) struct Pump {
-    answer: AnswerSender,
     connections: Connections,
-    delivered: bool,
-    events: flume::Sender<RingEvent>,
-    id: RequestId,
-    instructions: mpsc::Receiver<Instruction>,
     /// Stream so far, where it is to be kept for a repeated key.
     kept: Option<String>,
     last_event: String,
-    last_progress: Instant,
     limits: Arc<Limits>,
     request: CallerRequest,
-    /// Tokens since the last progress event.
-    unreported: u32,
+    task: RequestTask,
 }
 
 impl Pump {
-    pub(crate) fn new(
-        service: &CallerService,
-        id: RequestId,
-        request: CallerRequest,
-        instructions: mpsc::Receiver<Instruction>,
-        answer: AnswerSender,
-    ) -> Self {
+    pub(crate) fn new(service: &CallerService, request: CallerRequest, task: RequestTask) -> Self {
         Self {
-            answer,
             connections: service.connections.clone(),
-            delivered: false,
-            events: service.events.clone(),
-            id,
-            instructions,
             kept: request.is_keyed().then(String::new),
             last_event: String::new(),
-            last_progress: Instant::now(),
             limits: service.limits.own(),
             request,
-            unreported: 0,
+            task,
         }
     }
 
     pub(crate) async fn run(mut self) {
-        loop {
-            let instruction = {
-                let next = pin!(self.instructions.recv());
-                let gone = pin!(self.answer.gone());
-                match select(next, gone).await {
-                    Either::Left((instruction, _)) => Some(instruction),
-                    Either::Right(_) => None,
-                }
-            };
-            let Some(instruction) = instruction else {
-                return self.tell(Event::CallerGone { request: self.id }).await;
-            };
+        while let Some(instruction) = self.task.next_instruction().await {
             let next = match instruction {
-                Some(Instruction::Send(order)) => self.attempt(order).await,
-                Some(Instruction::Refuse(refusal)) => self.refuse(&refusal),
-                Some(Instruction::Replay(answer)) => self.replay(answer),
-                Some(Instruction::Break(refusal)) => self.break_off(&refusal).await,
-                None => Next::End,
+                Instruction::Send(order) => self.attempt(order).await,
+                Instruction::Refuse(refusal) => self.refuse(&refusal),
+                Instruction::Replay(answer) => self.replay(answer),
+                Instruction::Break(refusal) => self.break_off(&refusal).await,
             };
             if matches!(next, Next::End) {
                 return;
@@ -98,14 +55,10 @@
         }
     }
 
-    async fn tell(&self, event: Event) {
-        // Waits while the ring is full: an end of an attempt is never lost.
-        // The controller outlives every pump.
-        let _ = self.events.send_async(RingEvent::Happened(event)).await;
-    }
-
     fn refuse(&mut self, refusal: &Refusal) -> Next {
-        self.answer.send_whole(answers::refusal_answer(refusal));
+        self.task
+            .answer
+            .send_whole(answers::refusal_answer(refusal));
         Next::End
     }
 
@@ -117,7 +70,7 @@
             HeaderName::from_static(REPLAYED_HEADER),
             HeaderValue::from_static("true"),
         );
-        self.answer.send_whole(response);
+        self.task.answer.send_whole(response);
         Next::End
     }
 
@@ -133,12 +86,12 @@
 
     async fn send_part(&mut self, part: String) -> bool {
         let slow_reader = Duration::from_millis(self.limits.slow_reader_timeout_ms);
-        self.answer.send_part(part.into(), slow_reader).await
+        self.task.answer.send_part(part.into(), slow_reader).await
     }
 
     async fn finish(&mut self) {
         let slow_reader = Duration::from_millis(self.limits.slow_reader_timeout_ms);
-        self.answer.finish(slow_reader).await;
+        self.task.answer.finish(slow_reader).await;
     }
 
     async fn attempt(&mut self, order: SendOrder) -> Next {
@@ -148,7 +101,7 @@
                 Some(start.await)
             } else {
                 let start = pin!(start);
-                let gone = pin!(self.answer.gone());
+                let gone = pin!(self.task.answer.gone());
                 match select(start, gone).await {
                     Either::Left((started, _)) => Some(started),
                     Either::Right(_) => None,
@@ -157,11 +110,11 @@
         };
         match started {
             None => self.on_caller_gone(&order).await,
-            Some(Err(failure)) => self.on_failure(&order, failure).await,
-            Some(Ok(answer)) if self.delivered && !answer.is_token_stream() => {
+            Some(Err(failure)) => self.task.tell_failure(&order, failure).await,
+            Some(Ok(answer)) if self.task.delivered() && !answer.is_token_stream() => {
                 // The engine does not know the stream that was to be resumed.
                 let failure = CallFailure::may_have_run(FailureCause::ErrorStatus);
-                self.on_failure(&order, failure).await
+                self.task.tell_failure(&order, failure).await
             }
             Some(Ok(answer)) if answer.is_token_stream() => self.stream(&order, answer).await,
             Some(Ok(answer)) => self.pass_whole(&order, answer).await,
@@ -169,7 +122,7 @@
     }
 
     async fn on_caller_gone(&mut self, order: &SendOrder) -> Next {
-        self.tell(Event::CallerGone { request: self.id }).await;
+        self.task.tell_caller_gone().await;
         if self.request.is_for_engine() {
             let engine = EngineAdapter::new(self.connections.clone());
             engine.cancel(order.address, order.attempt).await;
@@ -177,30 +130,6 @@
         Next::End
     }
 
-    async fn on_failure(&mut self, order: &SendOrder, failure: CallFailure) -> Next {
-        let end = AttemptEnd::Failed {
-            cause: failure.cause,
-            delivered: self.delivered,
-            tokens: self.take_unreported(),
-            verdict: failure.verdict,
-        };
-        self.end(order, end).await;
-        Next::Wait
-    }
-
-    async fn end(&self, order: &SendOrder, end: AttemptEnd) {
-        self.tell(Event::AttemptEnded {
-            attempt: order.attempt,
-            end,
-            request: self.id,
-        })
-        .await;
-    }
-
-    fn take_unreported(&mut self) -> Tokens {
-        Tokens::new(std::mem::take(&mut self.unreported))
-    }
-
     /// Passes an answer on that comes as a whole. The caller gets it only when
     /// all of it is here, so that half an answer is never taken for a whole.
     async fn pass_whole(&mut self, order: &SendOrder, answer: Answer) -> Next {
@@ -212,16 +141,16 @@
             .await;
         let body = match collected {
             Ok(body) => body,
-            Err(failure) => return self.on_failure(order, failure).await,
+            Err(failure) => return self.task.tell_failure(order, failure).await,
         };
         let end = AttemptEnd::Completed {
             answer: self.answer_to_keep(status, &content_type, &body),
             tokens: completion_tokens(&body),
         };
-        self.end(order, end).await;
+        self.task.tell_end(order, end).await;
         let mut response = text_answer(status, &content_type, body);
         answers::set_verdict(&mut response, Verdict::Ran);
-        self.answer.send_whole(response);
+        self.task.answer.send_whole(response);
         Next::End
     }
 
@@ -246,15 +175,15 @@
         let content_type = answer.content_type().to_string();
         match self.pass_events(order, answer).await {
             Streamed::CallerGone => self.on_caller_gone(order).await,
-            Streamed::Failed(failure) => self.on_failure(order, failure).await,
+            Streamed::Failed(failure) => self.task.tell_failure(order, failure).await,
             Streamed::Whole => {
                 // A replay without the end mark would be taken for a cut answer.
                 let kept = self.kept.take().unwrap_or_default() + END_EVENT;
                 let end = AttemptEnd::Completed {
                     answer: self.answer_to_keep(StatusCode::OK, &content_type, kept.as_bytes()),
-                    tokens: self.take_unreported(),
+                    tokens: self.task.take_unreported(),
                 };
-                self.end(order, end).await;
+                self.task.tell_end(order, end).await;
                 self.send_part(END_EVENT.to_string()).await;
                 self.finish().await;
                 Next::End
@@ -298,7 +227,7 @@
             return Some(tokens.next(idle).await);
         }
         let next = pin!(tokens.next(idle));
-        let gone = pin!(self.answer.gone());
+        let gone = pin!(self.task.answer.gone());
         match select(next, gone).await {
             Either::Left((item, _)) => Some(item),
             Either::Right(_) => None,
@@ -333,33 +262,20 @@
         if !id.is_empty() {
             self.last_event = id;
         }
-        self.unreported += 1;
+        self.task.count_event();
     }
 
     /// Sends events to the caller; false if it is gone and nothing obliges the
     /// host to go on.
     async fn pass_part(&mut self, order: &SendOrder, content_type: &str, part: String) -> bool {
-        self.answer.start_events(content_type);
+        self.task.answer.start_events(content_type);
         if let Some(kept) = &mut self.kept
             && kept.len() as u64 <= self.limits.max_answer_bytes.get()
         {
             kept.push_str(&part);
         }
         let sent = self.send_part(part).await;
-        let first = !self.delivered;
-        self.delivered = true;
-        let due =
-            self.unreported >= PROGRESS_TOKENS || self.last_progress.elapsed() >= PROGRESS_INTERVAL;
-        if first || due {
-            self.last_progress = Instant::now();
-            let tokens = self.take_unreported();
-            self.tell(Event::Progressed {
-                attempt: order.attempt,
-                request: self.id,
-                tokens,
-            })
-            .await;
-        }
+        self.task.tell_progress(order).await;
         sent || self.request.is_keyed()
     }
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -14,21 +14,9 @@
 /// Largest body of such a refusal.
 const MAX_REFUSAL: usize = 64 * 1024;
 
-/// Events after which the controller is told of progress …
-const PROGRESS_EVENTS: u32 = 32;
-
-/// … or after this time.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Content type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// What to do after an instruction.
-enum Next {
-    End,
-    Wait,
-}
-
 /// Why an attempt ended without an answer.
 enum Stopped {
     CallerGone,
@@ -38,71 +26,40 @@
 /// The task that relays one request: it does what the controller says, and
 /// passes the answer on unchanged.
 pub(crate) struct Relay {
-    answer: AnswerSender,
     clock: Clock,
     connections: Connections,
-    /// Whether part of the answer has been passed on.
-    delivered: bool,
-    events: flume::Sender<RingEvent>,
     /// The last failure that an upstream answered with; it is passed on if
     /// nothing better comes.
     held: Option<Response<Bytes>>,
-    id: RequestId,
-    instructions: mpsc::Receiver<Instruction>,
     /// Id of the last event that was passed on.
     last_event: Option<String>,
-    last_progress: Instant,
     limits: Arc<Limits>,
     protocol: Arc<dyn Protocol>,
     request: RelayedRequest,
-    /// Events since the last progress event.
-    unreported: u32,
+    task: RequestTask,
 }
 
 impl Relay {
-    pub(crate) fn new(
-        service: &RelayService,
-        id: RequestId,
-        request: RelayedRequest,
-        instructions: mpsc::Receiver<Instruction>,
-        answer: AnswerSender,
-    ) -> Self {
+    pub(crate) fn new(service: &RelayService, request: RelayedRequest, task: RequestTask) -> Self {
         Self {
-            answer,
             clock: service.clock,
             connections: service.connections.clone(),
-            delivered: false,
-            events: service.events.clone(),
             held: None,
-            id,
-            instructions,
             last_event: None,
-            last_progress: Instant::now(),
             limits: service.limits.own(),
             protocol: Arc::clone(&service.protocol),
             request,
-            unreported: 0,
+            task,
         }
     }
 
     pub(crate) async fn run(mut self) {
-        loop {
-            let instruction = {
-                let next = pin!(self.instructions.recv());
-                let gone = pin!(self.answer.gone());
-                match select(next, gone).await {
-                    Either::Left((instruction, _)) => Some(instruction),
-                    Either::Right(_) => None,
-                }
-            };
-            let Some(instruction) = instruction else {
-                return self.tell(Event::CallerGone { request: self.id }).await;
-            };
+        while let Some(instruction) = self.task.next_instruction().await {
             let next = match instruction {
-                Some(Instruction::Send(order)) => self.attempt(&order).await,
-                Some(Instruction::Refuse(refusal)) => self.refuse(&refusal),
+                Instruction::Send(order) => self.attempt(&order).await,
+                Instruction::Refuse(refusal) => self.refuse(&refusal),
                 // The caller's connection breaks with the answer's sender.
-                Some(Instruction::Break(_) | Instruction::Replay(_)) | None => Next::End,
+                Instruction::Break(_) | Instruction::Replay(_) => Next::End,
             };
             if matches!(next, Next::End) {
                 return;
@@ -110,16 +67,11 @@
         }
     }
 
-    async fn tell(&self, event: Event) {
-        // Waits while the ring is full: an end of an attempt is never lost.
-        let _ = self.events.send_async(RingEvent::Happened(event)).await;
-    }
-
     fn refuse(&mut self, refusal: &Refusal) -> Next {
         let held = self.held.take();
         let failed = refusal.reason == RefusalReason::UpstreamFailed;
         let answer = held.filter(|_| failed || refusal.verdict != Verdict::NotRun);
-        self.answer.send_whole(match answer {
+        self.task.answer.send_whole(match answer {
             Some(answer) => answer.map(answers::whole_body),
             None => answers::relayed_refusal(refusal),
         });
@@ -146,7 +98,7 @@
                         }
                     }
                     // Half of an answer went out: another whole one can't follow.
-                    _ if self.delivered => {
+                    _ if self.task.delivered() => {
                         Stopped::Failed(CallFailure::may_have_run(FailureCause::ErrorStatus))
                     }
                     judgement => match self.whole(order, response, sender).await {
@@ -159,13 +111,10 @@
         };
         match stopped {
             Stopped::CallerGone => {
-                self.tell(Event::CallerGone { request: self.id }).await;
+                self.task.tell_caller_gone().await;
                 Next::End
             }
-            Stopped::Failed(failure) => {
-                self.end_failed(order, failure).await;
-                Next::Wait
-            }
+            Stopped::Failed(failure) => self.task.tell_failure(order, failure).await,
         }
     }
 
@@ -206,36 +155,13 @@
         let time_left = order.due.since(self.clock.now()) + LAST_WORD;
         tokio::select! {
             wanted = wanted => Ok(wanted),
-            () = self.answer.gone() => Err(Stopped::CallerGone),
+            () = self.task.answer.gone() => Err(Stopped::CallerGone),
             () = sleep(time_left) => {
                 Err(Stopped::Failed(CallFailure::may_have_run(FailureCause::TimedOut)))
             }
         }
     }
 
-    async fn end_failed(&mut self, order: &SendOrder, failure: CallFailure) {
-        let end = AttemptEnd::Failed {
-            cause: failure.cause,
-            delivered: self.delivered,
-            tokens: self.take_unreported(),
-            verdict: failure.verdict,
-        };
-        self.end(order, end).await;
-    }
-
-    async fn end(&self, order: &SendOrder, end: AttemptEnd) {
-        self.tell(Event::AttemptEnded {
-            attempt: order.attempt,
-            end,
-            request: self.id,
-        })
-        .await;
-    }
-
-    fn take_unreported(&mut self) -> Tokens {
-        Tokens::new(std::mem::take(&mut self.unreported))
-    }
-
     /// Reads the rest of a refusal, so that its connection can be kept.
     async fn keep_refused(
         &self,
@@ -291,15 +217,14 @@
             // one may do better; else the failure is passed on.
             self.held = Some(answer);
             let failure = CallFailure::may_have_run(FailureCause::ErrorStatus);
-            self.end_failed(order, failure).await;
-            return Next::Wait;
+            return self.task.tell_failure(order, failure).await;
         }
         let end = AttemptEnd::Completed {
             answer: None,
             tokens: Tokens::default(),
         };
-        self.answer.send_whole(answer.map(answers::whole_body));
-        self.end(order, end).await;
+        self.task.answer.send_whole(answer.map(answers::whole_body));
+        self.task.tell_end(order, end).await;
         Next::End
     }
 
@@ -328,15 +253,15 @@
             self.pass_events(order, &mut head, &mut splitter).await?;
         }
         if let Some(head) = head.take() {
-            self.answer.start_stream(head);
+            self.task.answer.start_stream(head);
         }
-        self.answer.finish(self.slow_reader()).await;
-        let tokens = self.take_unreported();
+        self.task.answer.finish(self.slow_reader()).await;
+        let tokens = self.task.take_unreported();
         let end = AttemptEnd::Completed {
             answer: None,
             tokens,
         };
-        self.end(order, end).await;
+        self.task.tell_end(order, end).await;
         self.keep(order, sender, keep_for);
         Ok(())
     }
@@ -357,18 +282,23 @@
                 self.last_event = Some(id);
             }
             part.extend_from_slice(&event.bytes);
-            self.unreported += 1;
+            self.task.count_event();
         }
         if part.is_empty() {
             return Ok(());
         }
         if let Some(head) = head.take() {
-            self.answer.start_stream(head);
+            self.task.answer.start_stream(head);
         }
-        if !self.answer.send_part(part.into(), self.slow_reader()).await {
+        if !self
+            .task
+            .answer
+            .send_part(part.into(), self.slow_reader())
+            .await
+        {
             return Err(Stopped::CallerGone);
         }
-        self.tell_progress(order).await;
+        self.task.tell_progress(order).await;
         Ok(())
     }
 
@@ -382,24 +312,6 @@
         }
     }
 
-    async fn tell_progress(&mut self, order: &SendOrder) {
-        let first = !self.delivered;
-        self.delivered = true;
-        let due =
-            self.unreported >= PROGRESS_EVENTS || self.last_progress.elapsed() >= PROGRESS_INTERVAL;
-        if !first && !due {
-            return;
-        }
-        self.last_progress = Instant::now();
-        let tokens = self.take_unreported();
-        self.tell(Event::Progressed {
-            attempt: order.attempt,
-            request: self.id,
-            tokens,
-        })
-        .await;
-    }
-
     fn slow_reader(&self) -> Duration {
         Duration::from_millis(self.limits.slow_reader_timeout_ms)
     }
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -98,8 +98,9 @@
             return *TurnedAway::refused(RefusalReason::QueueFull).answer;
         }
         let (head, answer) = oneshot::channel();
-        let relay = Relay::new(self, id, request, instructions, AnswerSender::new(head));
-        self.pumps.spawn(relay.run());
+        let answer_sender = AnswerSender::new(head);
+        let task = RequestTask::new(id, self.events.clone(), instructions, answer_sender);
+        self.pumps.spawn(Relay::new(self, request, task).run());
         answer.await.unwrap_or_else(|_| unknown_end())
     }
 }
--- /dev/null
+++ b/crates/router/src/request_task.rs
@@ -0,0 +1,123 @@
+use super::*;
+
+/// Events of a stream after which the controller is told of progress …
+const PROGRESS_EVENTS: u32 = 32;
+
+/// … or after this time.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What a request's task does after an instruction.
+pub(crate) enum Next {
+    /// The request has ended.
+    End,
+    /// The controller decides what follows.
+    Wait,
+}
+
+/// What every task that serves one request has: the way back to the caller, and
+/// the controller's instructions and what it is told in turn.
+pub(crate) struct RequestTask {
+    pub(crate) answer: AnswerSender,
+    /// Whether part of the answer has been passed on.
+    delivered: bool,
+    events: flume::Sender<RingEvent>,
+    id: RequestId,
+    instructions: mpsc::Receiver<Instruction>,
+    last_progress: Instant,
+    /// Events of the stream since the last progress event.
+    unreported: u32,
+}
+
+impl RequestTask {
+    pub(crate) fn new(
+        id: RequestId,
+        events: flume::Sender<RingEvent>,
+        instructions: mpsc::Receiver<Instruction>,
+        answer: AnswerSender,
+    ) -> Self {
+        Self {
+            answer,
+            delivered: false,
+            events,
+            id,
+            instructions,
+            last_progress: Instant::now(),
+            unreported: 0,
+        }
+    }
+
+    /// The next instruction; `None` once the request has ended: the controller
+    /// said so, or the caller has left, which the controller is told.
+    pub(crate) async fn next_instruction(&mut self) -> Option<Instruction> {
+        tokio::select! {
+            biased;
+            instruction = self.instructions.recv() => return instruction,
+            () = self.answer.gone() => {}
+        }
+        self.tell_caller_gone().await;
+        None
+    }
+
+    pub(crate) const fn delivered(&self) -> bool {
+        self.delivered
+    }
+
+    pub(crate) async fn tell_caller_gone(&self) {
+        self.tell(Event::CallerGone { request: self.id }).await;
+    }
+
+    pub(crate) async fn tell_end(&self, order: &SendOrder, end: AttemptEnd) {
+        self.tell(Event::AttemptEnded {
+            attempt: order.attempt,
+            end,
+            request: self.id,
+        })
+        .await;
+    }
+
+    pub(crate) async fn tell_failure(&mut self, order: &SendOrder, failure: CallFailure) -> Next {
+        let end = AttemptEnd::Failed {
+            cause: failure.cause,
+            delivered: self.delivered,
+            tokens: self.take_unreported(),
+            verdict: failure.verdict,
+        };
+        self.tell_end(order, end).await;
+        Next::Wait
+    }
+
+    /// Counts an event of the stream that is passed on.
+    pub(crate) const fn count_event(&mut self) {
+        self.unreported += 1;
+    }
+
+    /// Events that the controller has not been told of.
+    pub(crate) fn take_unreported(&mut self) -> Tokens {
+        Tokens::new(std::mem::take(&mut self.unreported))
+    }
+
+    /// Notes that events were passed on, and tells the controller of the first ones
+    /// at once and of later ones now and then.
+    pub(crate) async fn tell_progress(&mut self, order: &SendOrder) {
+        let first = !std::mem::replace(&mut self.delivered, true);
+        let due =
+            self.unreported >= PROGRESS_EVENTS || self.last_progress.elapsed() >= PROGRESS_INTERVAL;
+        if !first && !due {
+            return;
+        }
+        self.last_progress = Instant::now();
+        let tokens = self.take_unreported();
+        self.tell(Event::Progressed {
+            attempt: order.attempt,
+            request: self.id,
+            tokens,
+        })
+        .await;
+    }
+
+    async fn tell(&self, event: Event) {
+        // Waits while the ring is full: an end of an attempt is never lost. The
+        // controller outlives every task.
+        let _ = self.events.send_async(RingEvent::Happened(event)).await;
+    }
+}
