Split the ends of attempts, ejection and the cost of a placement by subject

Change: resuming.rs, refusing.rs, failure.rs, ejection.rs; `Prompt` in placement.rs has a method for each part. No behavior changes; all tests pass.

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -1,5 +1,5 @@
-//! What follows from the progress and the end of an attempt: completion,
-//! retry, resumption, or the final refusal.
+//! What follows from the progress and the end of an attempt: completion, a retry,
+//! or the end of the request.
 
 use super::*;
 
@@ -7,19 +7,6 @@
 /// is refused: by then the next one would hardly be better.
 const MAX_NOT_RUN: usize = 4;
 
-/// Times that one stream may be resumed.
-const MAX_RESUMES: u32 = 3;
-
-/// Advice to retry after every attempt failed.
-const FAILED_RETURN: Duration = Duration::from_secs(1);
-
-/// A failed attempt.
-struct Failure {
-    cause: FailureCause,
-    delivered: bool,
-    verdict: Verdict,
-}
-
 impl Controller {
     pub(crate) fn on_progress(
         &mut self,
@@ -176,104 +163,6 @@
         }
     }
 
-    /// Resumes a broken stream where the engine can, else ends it with the
-    /// verdict. It keeps its slot meanwhile.
-    fn resume_or_break(
-        &mut self,
-        now: Time,
-        request: Request<Running>,
-        failure: &Failure,
-        actions: &mut Vec<Action>,
-    ) {
-        let resumes = match self.pool.get(&request.stage.upstream) {
-            Some(state) => matches!(&state.definition, Upstream::Engine(engine) if engine.resumes),
-            None => false,
-        };
-        let Some(mut request) = self.move_stream(now, request, failure, actions) else {
-            return;
-        };
-        let worth_it = failure.cause != FailureCause::ErrorStatus;
-        if resumes && worth_it && request.stage.resumes < MAX_RESUMES {
-            request.stage.resumes += 1;
-            let attempt = request.stage.attempt;
-            self.push_send(now, &request, Some(attempt), actions);
-            self.requests.insert(request.id, Stage::Running(request));
-            return;
-        }
-        self.leave_upstream(now, &request);
-        self.limits.release(&request.facts.team);
-        let tokens = request.stage.tokens;
-        request.waste(WasteCause::CutOff, tokens);
-        if let Some(attempt) = request.claimed_by {
-            settle(&request, attempt, request.verdict, None, actions);
-        }
-        actions.push(Action::Break {
-            refusal: Refusal {
-                reason: RefusalReason::UpstreamFailed,
-                retry_after: None,
-                verdict: request.verdict,
-            },
-            request: request.id,
-        });
-        let upstream = Some(request.stage.upstream.clone());
-        let outcome = Outcome {
-            reason: Some(RefusalReason::UpstreamFailed),
-            ..request.outcome(OutcomeEnd::Broken, request.verdict, upstream, now)
-        };
-        actions.push(Action::Record(outcome));
-    }
-
-    /// Goes on with a broken stream at another upstream, where its class allows
-    /// that; gives the request back where it cannot be done.
-    fn move_stream(
-        &mut self,
-        now: Time,
-        request: Request<Running>,
-        failure: &Failure,
-        actions: &mut Vec<Action>,
-    ) -> Option<Request<Running>> {
-        let facts = &request.facts;
-        let allowed = facts.resumable
-            && now < facts.deadline
-            && failure.cause != FailureCause::TimedOut
-            && self.has_attempts_left(&request);
-        if !allowed {
-            return Some(request);
-        }
-        let mut avoid = request.tried.clone();
-        avoid.push(request.stage.upstream.clone());
-        let wish = Wish {
-            avoid: &avoid,
-            due: facts.due,
-            pace_ms: None,
-            parts: &facts.parts,
-            prefix: facts.prefix,
-            rank: facts.rank,
-            target: &facts.target,
-        };
-        let Some(upstream) = self.pool.choose(&wish, now, &mut self.rng) else {
-            return Some(request);
-        };
-        if !self.retries.take(&facts.target, now) {
-            return Some(request);
-        }
-        self.leave_upstream(now, &request);
-        let broken = request.stage.attempt;
-        let attempt = self.new_attempt();
-        let prefill = self.note_prompt(&upstream, &request.facts.parts);
-        self.pool.start(
-            &upstream,
-            request.facts.rank.plan,
-            request.facts.prefix,
-            now,
-        );
-        let mut request = request.moved(upstream, attempt, now);
-        request.stage.prefill = prefill;
-        self.push_send(now, &request, Some(broken), actions);
-        self.requests.insert(request.id, Stage::Running(request));
-        None
-    }
-
     /// A request that may have run, on this attempt or an earlier one, is sent
     /// again only if running twice does no harm.
     fn may_retry(&mut self, now: Time, request: &Request<Running>, failure: &Failure) -> bool {
@@ -297,7 +186,7 @@
     /// Whether the class allows one more attempt, after the one that has just
     /// failed. In an installation only attempts on which the request may have run
     /// count: the others are bounded by [`MAX_NOT_RUN`].
-    fn has_attempts_left(&self, request: &Request<Running>) -> bool {
+    pub(crate) fn has_attempts_left(&self, request: &Request<Running>) -> bool {
         let used = if self.options.relay.is_some() {
             request.runs
         } else {
@@ -306,109 +195,8 @@
         used < request.facts.max_attempts
     }
 
-    fn refuse_failed(&mut self, now: Time, request: Request<Running>, actions: &mut Vec<Action>) {
-        if let Some(attempt) = request.claimed_by {
-            settle(&request, attempt, request.verdict, None, actions);
-        }
-        let retry = request.facts.idempotent || request.verdict == Verdict::NotRun;
-        let refusal = Refusal {
-            reason: RefusalReason::UpstreamFailed,
-            retry_after: retry.then(|| self.spread(FAILED_RETURN)),
-            verdict: request.verdict,
-        };
-        self.finish_refused(now, &request, refusal, actions);
-    }
-
-    /// Gives a request that has left its queue its final answer.
-    pub(crate) fn refuse(
-        &mut self,
-        now: Time,
-        request: Request<Queued>,
-        reason: RefusalReason,
-        actions: &mut Vec<Action>,
-    ) {
-        self.limits.release(&request.facts.team);
-        if let Some(attempt) = request.claimed_by {
-            settle(&request, attempt, request.verdict, None, actions);
-        }
-        let refusal = Refusal {
-            reason,
-            retry_after: Some(self.spread(FAILED_RETURN)),
-            verdict: request.verdict,
-        };
-        self.finish_refused(now, &request, refusal, actions);
-    }
-
-    pub(crate) fn finish_refused<S>(
-        &mut self,
-        now: Time,
-        request: &Request<S>,
-        refusal: Refusal,
-        actions: &mut Vec<Action>,
-    ) {
-        actions.push(Action::Refuse {
-            refusal,
-            request: request.id,
-        });
-        let outcome = request.outcome(refusal.reason.end(), refusal.verdict, None, now);
-        actions.push(Action::Record(Outcome {
-            reason: Some(refusal.reason),
-            ..outcome
-        }));
-    }
-
-    pub(crate) fn on_caller_gone(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
-        match self.requests.remove(&id) {
-            None => {}
-            Some(Stage::Queued(request)) => {
-                self.requests.insert(id, Stage::Queued(request));
-                if let Some(request) = self.unqueue(now, id) {
-                    self.forget_queued(now, &request, actions);
-                }
-            }
-            Some(Stage::Claiming(mut request)) => {
-                request.stage.caller_gone = true;
-                self.requests.insert(id, Stage::Claiming(request));
-            }
-            Some(Stage::Running(request)) => self.forget_running(now, request, actions),
-        }
-    }
-
-    fn forget_queued(&mut self, now: Time, request: &Request<Queued>, actions: &mut Vec<Action>) {
-        self.limits.release(&request.facts.team);
-        if let Some(attempt) = request.claimed_by {
-            settle(request, attempt, request.verdict, None, actions);
-        }
-        let outcome = request.outcome(OutcomeEnd::CallerGone, request.verdict, None, now);
-        actions.push(Action::Record(outcome));
-    }
-
-    /// Cancels the attempt, so that the engine spends nothing more on it.
-    fn forget_running(
-        &mut self,
-        now: Time,
-        mut request: Request<Running>,
-        actions: &mut Vec<Action>,
-    ) {
-        self.leave_upstream(now, &request);
-        self.limits.release(&request.facts.team);
-        let tokens = request.stage.tokens;
-        request.waste(WasteCause::Discarded, tokens);
-        let verdict = request.verdict.join(Verdict::MayHaveRun);
-        if let Some(attempt) = request.claimed_by {
-            settle(&request, attempt, verdict, None, actions);
-        }
-        actions.push(Action::Cancel {
-            attempt: request.stage.attempt,
-            request: request.id,
-        });
-        let upstream = Some(request.stage.upstream.clone());
-        let outcome = request.outcome(OutcomeEnd::CallerGone, verdict, upstream, now);
-        actions.push(Action::Record(outcome));
-    }
-
     /// Gives the slot back.
-    fn leave_upstream(&mut self, now: Time, request: &Request<Running>) {
+    pub(crate) fn leave_upstream(&mut self, now: Time, request: &Request<Running>) {
         if let Some(state) = self.pool.get_mut(&request.stage.upstream) {
             state.end_prefill(request.stage.prefill);
             state.streams -= u32::from(request.stage.streams).min(state.streams);
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -202,7 +202,7 @@
                     others_age: self.neighbors.oldest_age(now),
                     others_backlog: state.others_backlog,
                     others_in_flight: state.others,
-                    prompt: placement::shared_chain(&request.facts.parts).0,
+                    prompt: placement::shared_chain(&request.facts.parts),
                     unread: running.prefill,
                     waited: now.since(request.facts.arrived),
                 },
--- /dev/null
+++ b/crates/policy/src/ejection.rs
@@ -0,0 +1,82 @@
+//! Which upstreams get no new work because they fail or cannot be reached, and how
+//! they come back.
+
+use super::*;
+
+/// At least one in so many upstreams of a target stays in use, however many
+/// have failed.
+const KEEP_ONE_IN: usize = 2;
+
+impl Pool {
+    /// Notes a failure, and ejects the upstream if it has failed often and
+    /// enough others are left.
+    pub(crate) fn note_failure(&mut self, id: &UpstreamId, target: &Target, now: Time) {
+        let may_eject = self.may_eject(target);
+        if let Some(state) = self.get_mut(id)
+            && state.health.note_failure()
+            && may_eject
+        {
+            state.health.eject(now);
+        }
+    }
+
+    /// Notes that an upstream was heard: its whole failure domain is in reach.
+    pub(crate) fn note_heard(&mut self, id: &UpstreamId, now: Time) {
+        if let Some(place) = self.index.get(id) {
+            let domain = self.states[*place].definition.failure_domain();
+            self.silent.note_heard(domain, now);
+        }
+    }
+
+    /// Notes that no connection to an upstream could be made.
+    pub(crate) fn note_unreachable(&mut self, id: &UpstreamId) {
+        if let Some(place) = self.index.get(id) {
+            let domain = self.states[*place].definition.failure_domain();
+            self.silent.note_unreachable(domain, id);
+        }
+    }
+
+    /// Ejects the upstreams of failure domains that have fallen silent. However
+    /// many they are: those of a domain that is heard remain.
+    pub(crate) fn eject_silent(&mut self, now: Time) {
+        let states = &self.states;
+        let streams = |domain: &FailureDomainId| {
+            let there = states
+                .iter()
+                .filter(|state| state.definition.failure_domain() == domain);
+            there.map(|state| state.streams as usize).sum()
+        };
+        let silent = self.silent.take_silent(streams, now);
+        for state in &mut self.states {
+            if silent.contains(state.definition.failure_domain()) && state.health.is_well() {
+                state.health.eject(now);
+            }
+        }
+    }
+
+    /// What goes wrong without the cap: a fault of the network or of this host
+    /// makes every upstream fail, all are ejected, and nothing is served even
+    /// where something still could be.
+    fn may_eject(&self, target: &Target) -> bool {
+        let Some(places) = self.targets.get(target) else {
+            return false;
+        };
+        let all = || places.own.iter().chain(&places.foreign);
+        let ejected = all()
+            .filter(|place| !self.states[**place].health.is_well())
+            .count();
+        (ejected + 1) * KEEP_ONE_IN <= all().count().max(KEEP_ONE_IN)
+    }
+
+    /// Upstreams to be probed now; each is named once for each probe.
+    pub(crate) fn take_probes(&mut self, now: Time) -> Vec<(UpstreamId, SocketAddr)> {
+        self.states
+            .iter_mut()
+            .filter(|state| !state.is_leaving(now))
+            .filter_map(|state| {
+                let due = state.health.take_probe(now);
+                due.then(|| (state.id.clone(), state.definition.address()))
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/failure.rs
@@ -0,0 +1,8 @@
+use super::*;
+
+/// A failed attempt.
+pub(crate) struct Failure {
+    pub(crate) cause: FailureCause,
+    pub(crate) delivered: bool,
+    pub(crate) verdict: Verdict,
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,7 +33,9 @@
 mod controller;
 mod directory_view;
 mod dispatch;
+mod ejection;
 mod event;
+mod failure;
 mod fair_queue;
 mod floor;
 mod group;
@@ -56,8 +58,10 @@
 mod rank_queue;
 mod refusal;
 mod refusal_reason;
+mod refusing;
 mod relay_rules;
 mod request;
+mod resuming;
 mod retry_budgets;
 mod room_rules;
 mod send_inputs;
@@ -102,6 +106,7 @@
     affinity::Affinity,
     claims::settle,
     directory_view::DirectoryView,
+    failure::Failure,
     fair_queue::FairQueue,
     floor::Floor,
     group::Group,
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -56,34 +56,75 @@
     wish: &Wish<'_>,
     now: Time,
 ) -> Option<&'a UpstreamState> {
-    let shared = shared_chain(wish.parts);
-    let home = home(states.clone(), shared.0);
-    let usual = usual_token_time_ms(states.clone());
-    let usual_record = Usual::of(states.clone().map(|state| &state.record));
-    let all = prompt_cache::tokens(wish.parts);
-    let due_ms = wish.due.since(now).as_secs_f64() * 1_000.0;
-    let cost = |state: &UpstreamState| {
-        let mut unread = (all - state.cache.kept(wish.parts)) as f64;
-        if home.is_some_and(|home| home.id == state.id) {
-            // Other hosts sent the shared parts there, if any was asked for them.
-            unread = unread.min((all - shared.1) as f64);
+    let prompt = Prompt::new(states.clone(), wish, now);
+    states.min_by(|a, b| prompt.cost(a).total_cmp(&prompt.cost(b)))
+}
+
+/// A prompt to be placed, and what is usual among the engines.
+struct Prompt<'a, 'w> {
+    /// Time until its first token is due.
+    due_in_ms: f64,
+    home: Option<&'a UpstreamId>,
+    now: Time,
+    parts: &'w [PromptPart],
+    /// Tokens of the whole prompt.
+    tokens: u64,
+    usual_record: Usual,
+    usual_token_time_ms: f64,
+}
+
+impl<'a, 'w> Prompt<'a, 'w> {
+    fn new(
+        states: impl Iterator<Item = &'a UpstreamState> + Clone,
+        wish: &Wish<'w>,
+        now: Time,
+    ) -> Self {
+        let chain = shared_chain(wish.parts);
+        Self {
+            due_in_ms: wish.due.since(now).as_secs_f64() * 1_000.0,
+            home: home(states.clone(), chain).map(|home| &home.id),
+            now,
+            parts: wish.parts,
+            tokens: prompt_cache::tokens(wish.parts),
+            usual_record: Usual::of(states.clone().map(|state| &state.record)),
+            usual_token_time_ms: usual_token_time_ms(states),
         }
-        let slowness = state
-            .token_time_ms
-            .map_or(1.0, |own| (own / usual).clamp(1.0, MAX_SLOWNESS));
-        let far = if state.near { 0.0 } else { FAR_COST };
+    }
+
+    /// What it costs to place the prompt on an engine, in prompt tokens.
+    fn cost(&self, state: &UpstreamState) -> f64 {
+        let unread = self.unread(state);
         let running = RUNNING_COST * f64::from(state.in_flight + state.others);
-        let backlog = (state.backlog + state.others_backlog) as f64;
-        let first_token_ms = (backlog + running + unread) * slowness / READ_TOKENS_PER_MS;
-        let late = if first_token_ms > due_ms {
+        let waiting = (state.backlog + state.others_backlog) as f64 + running;
+        let slowness = self.slowness(state);
+        let first_token_ms = (waiting + unread) * slowness / READ_TOKENS_PER_MS;
+        let late = if first_token_ms > self.due_in_ms {
             LATE_COST
         } else {
             0.0
         };
-        let distrust = DISTRUST_COST * state.record.cost(&usual_record, now);
-        (backlog + running) * slowness + REREAD_WEIGHT * unread + far + distrust + late
-    };
-    states.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        let far = if state.near { 0.0 } else { FAR_COST };
+        let distrust = DISTRUST_COST * state.record.cost(&self.usual_record, self.now);
+        waiting * slowness + REREAD_WEIGHT * unread + late + far + distrust
+    }
+
+    /// Tokens that the engine is believed to have to read.
+    fn unread(&self, state: &UpstreamState) -> f64 {
+        let mut kept = state.cache.kept(self.parts);
+        if self.home == Some(&state.id) {
+            // Other hosts sent the shared parts there, if any was asked for them.
+            kept = kept.max(prompt_cache::tokens(shared(self.parts)));
+        }
+        (self.tokens - kept) as f64
+    }
+
+    /// How much slower its tokens come than is usual.
+    fn slowness(&self, state: &UpstreamState) -> f64 {
+        let own = state.token_time_ms;
+        own.map_or(1.0, |own| {
+            (own / self.usual_token_time_ms).clamp(1.0, MAX_SLOWNESS)
+        })
+    }
 }
 
 /// How much slower than usual an engine is believed to be at the most.
@@ -106,12 +147,10 @@
     &parts[..parts.len().saturating_sub(1)]
 }
 
-/// The chain of the parts that a prompt shares with others, and their tokens.
-pub(crate) fn shared_chain(parts: &[PromptPart]) -> (u64, u64) {
-    let shared = shared(parts);
-    let chain = prompt_cache::chains(shared).last();
-    let chain = chain.map_or(0, |(chain, _)| chain);
-    (chain, prompt_cache::tokens(shared))
+/// Hash of the whole chain of parts that a prompt shares with others.
+pub(crate) fn shared_chain(parts: &[PromptPart]) -> u64 {
+    let chain = prompt_cache::chains(shared(parts)).last();
+    chain.map_or(0, |(chain, _)| chain)
 }
 
 /// The engine on which all hosts place a prompt if nothing speaks against it,
--- /dev/null
+++ b/crates/policy/src/refusing.rs
@@ -0,0 +1,115 @@
+//! Final answers to requests that get none from an upstream, and the end of those
+//! whose callers have left.
+
+use super::*;
+
+/// Advice to retry after every attempt failed.
+const FAILED_RETURN: Duration = Duration::from_secs(1);
+
+impl Controller {
+    pub(crate) fn refuse_failed(
+        &mut self,
+        now: Time,
+        request: Request<Running>,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(attempt) = request.claimed_by {
+            settle(&request, attempt, request.verdict, None, actions);
+        }
+        let retry = request.facts.idempotent || request.verdict == Verdict::NotRun;
+        let refusal = Refusal {
+            reason: RefusalReason::UpstreamFailed,
+            retry_after: retry.then(|| self.spread(FAILED_RETURN)),
+            verdict: request.verdict,
+        };
+        self.finish_refused(now, &request, refusal, actions);
+    }
+
+    /// Gives a request that has left its queue its final answer.
+    pub(crate) fn refuse(
+        &mut self,
+        now: Time,
+        request: Request<Queued>,
+        reason: RefusalReason,
+        actions: &mut Vec<Action>,
+    ) {
+        self.limits.release(&request.facts.team);
+        if let Some(attempt) = request.claimed_by {
+            settle(&request, attempt, request.verdict, None, actions);
+        }
+        let refusal = Refusal {
+            reason,
+            retry_after: Some(self.spread(FAILED_RETURN)),
+            verdict: request.verdict,
+        };
+        self.finish_refused(now, &request, refusal, actions);
+    }
+
+    pub(crate) fn finish_refused<S>(
+        &mut self,
+        now: Time,
+        request: &Request<S>,
+        refusal: Refusal,
+        actions: &mut Vec<Action>,
+    ) {
+        actions.push(Action::Refuse {
+            refusal,
+            request: request.id,
+        });
+        let outcome = request.outcome(refusal.reason.end(), refusal.verdict, None, now);
+        actions.push(Action::Record(Outcome {
+            reason: Some(refusal.reason),
+            ..outcome
+        }));
+    }
+
+    pub(crate) fn on_caller_gone(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        match self.requests.remove(&id) {
+            None => {}
+            Some(Stage::Queued(request)) => {
+                self.requests.insert(id, Stage::Queued(request));
+                if let Some(request) = self.unqueue(now, id) {
+                    self.forget_queued(now, &request, actions);
+                }
+            }
+            Some(Stage::Claiming(mut request)) => {
+                request.stage.caller_gone = true;
+                self.requests.insert(id, Stage::Claiming(request));
+            }
+            Some(Stage::Running(request)) => self.forget_running(now, request, actions),
+        }
+    }
+
+    fn forget_queued(&mut self, now: Time, request: &Request<Queued>, actions: &mut Vec<Action>) {
+        self.limits.release(&request.facts.team);
+        if let Some(attempt) = request.claimed_by {
+            settle(request, attempt, request.verdict, None, actions);
+        }
+        let outcome = request.outcome(OutcomeEnd::CallerGone, request.verdict, None, now);
+        actions.push(Action::Record(outcome));
+    }
+
+    /// Cancels the attempt, so that the engine spends nothing more on it.
+    fn forget_running(
+        &mut self,
+        now: Time,
+        mut request: Request<Running>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.leave_upstream(now, &request);
+        self.limits.release(&request.facts.team);
+        let tokens = request.stage.tokens;
+        request.waste(WasteCause::Discarded, tokens);
+        let verdict = request.verdict.join(Verdict::MayHaveRun);
+        if let Some(attempt) = request.claimed_by {
+            settle(&request, attempt, verdict, None, actions);
+        }
+        actions.push(Action::Cancel {
+            attempt: request.stage.attempt,
+            request: request.id,
+        });
+        let upstream = Some(request.stage.upstream.clone());
+        let outcome = request.outcome(OutcomeEnd::CallerGone, verdict, upstream, now);
+        actions.push(Action::Record(outcome));
+    }
+}
