Ask for three witnesses before a failure domain is given up

Two witnesses were enough, and two streams on one engine counted as two. Change: three upstreams of the domain, or all where there are fewer, must have streams that wait or take no connection.

--- a/crates/policy/src/ejection.rs
+++ b/crates/policy/src/ejection.rs
@@ -39,14 +39,7 @@
     /// Ejects the upstreams of failure domains that have fallen silent. However
     /// many they are: those of a domain that is heard remain.
     pub(crate) fn eject_silent(&mut self, now: Time) {
-        let states = &self.states;
-        let streams = |domain: &FailureDomainId| {
-            let there = states
-                .iter()
-                .filter(|state| state.definition.failure_domain() == domain);
-            there.map(|state| state.streams as usize).sum()
-        };
-        let silent = self.silent.take_silent(streams, now);
+        let silent = self.silent.take_silent(&self.states, now);
         for state in &mut self.states {
             if silent.contains(state.definition.failure_domain()) && state.health.is_well() {
                 state.health.eject(now);
--- a/crates/policy/src/silent_domains.rs
+++ b/crates/policy/src/silent_domains.rs
@@ -7,9 +7,11 @@
 /// are sent again within some 200 ms.
 const SILENCE: Duration = Duration::from_millis(500);
 
-/// Streams that wait for tokens, and upstreams that cannot be connected, that
-/// must speak for it together: one alone may just be slow or have ended.
-const MIN_WITNESSES: usize = 2;
+/// Upstreams of a domain whose streams wait for tokens, or that cannot be connected,
+/// that must speak for it together, or all of them where there are fewer. With two,
+/// two engines that had crashed took a sound third one with them that had nothing to
+/// do at the time.
+const MIN_WITNESSES: usize = 3;
 
 /// Time between two ticks from which on this host itself stood still: then the
 /// silence is its own. Ticks come each 10 to 50 ms.
@@ -24,6 +26,18 @@
     unreachable: BTreeSet<UpstreamId>,
 }
 
+impl Reach {
+    fn has_witnesses(&self, domain: &FailureDomainId, states: &[UpstreamState]) -> bool {
+        let there = states
+            .iter()
+            .filter(|state| state.definition.failure_domain() == domain);
+        let speaks =
+            |state: &UpstreamState| state.streams > 0 || self.unreachable.contains(&state.id);
+        let witnesses = there.clone().filter(|state| speaks(state)).count();
+        witnesses > 0 && witnesses >= there.count().min(MIN_WITNESSES)
+    }
+}
+
 /// When the upstreams of each failure domain were heard last.
 ///
 /// What goes wrong without it: a failure domain is cut off, and each host finds
@@ -55,12 +69,11 @@
         }
     }
 
-    /// The domains that have fallen silent, given the streams that wait for
-    /// tokens in each. None are named while this host may be the one that is cut
-    /// off, as it hears nobody.
+    /// The domains that have fallen silent. None are named while this host may be
+    /// the one that is cut off, as it hears nobody.
     pub(crate) fn take_silent(
         &mut self,
-        streams: impl Fn(&FailureDomainId) -> usize,
+        states: &[UpstreamState],
         now: Time,
     ) -> Vec<FailureDomainId> {
         let paused = self
@@ -76,9 +89,10 @@
         if self.reaches.values().all(is_silent) {
             return Vec::new();
         }
-        let silent = self.reaches.iter().filter(|(domain, reach)| {
-            is_silent(reach) && streams(domain) + reach.unreachable.len() >= MIN_WITNESSES
-        });
+        let silent = self
+            .reaches
+            .iter()
+            .filter(|(domain, reach)| is_silent(reach) && reach.has_witnesses(domain, states));
         let silent: Vec<FailureDomainId> = silent.map(|(domain, _)| domain.clone()).collect();
         for domain in &silent {
             self.reaches.remove(domain);
--- a/crates/policy/tests/installation/unreachable.rs
+++ b/crates/policy/tests/installation/unreachable.rs
@@ -22,7 +22,7 @@
 }
 
 impl Scene {
-    /// Twelve streams run, some of them in each domain.
+    /// Streams run on each engine.
     fn new() -> Self {
         let mut host = Host::new(0);
         host.read_directory(engines_of(&DOMAINS, ENGINES), &[]);
@@ -31,9 +31,11 @@
             next_part: 0,
             streams: Vec::new(),
         };
-        for _ in 0..12 {
+        for _ in 0..90 {
             scene.start_stream();
         }
+        let used = scene.streams.iter().map(|(_, order)| &order.upstream);
+        assert_eq!(used.collect::<BTreeSet<_>>().len(), DOMAINS.len() * ENGINES);
         scene.pass(1_000, &DOMAINS);
         scene
     }
@@ -96,6 +98,24 @@
     assert_eq!(scene.next_domains(), BTreeSet::from(["north-a", "north-c"]));
 }
 
+/// Symptom: a sound engine gets nothing for seconds. Events: the two other engines of
+/// its domain crash while it has nothing to do. Cause: their streams are taken for
+/// the whole domain's.
+#[test]
+fn an_idle_engine_is_not_given_up_for_its_neighbors() {
+    let mut scene = Scene::new();
+    let idle = format!("engine-{}", 2 * ENGINES - 1);
+    let (ended, kept) = std::mem::take(&mut scene.streams)
+        .into_iter()
+        .partition(|(_, order)| order.upstream.as_str() == idle);
+    scene.streams = kept;
+    for (request, _) in ended {
+        scene.host.handle(Event::CallerGone { request });
+    }
+    scene.pass(600, &["north-a", "north-c"]);
+    assert_eq!(scene.next_domains(), BTreeSet::from(DOMAINS));
+}
+
 /// What is ejected comes back by a probe.
 #[test]
 fn a_domain_comes_back_when_its_upstreams_answer() {
