Bound attempts that never leave, and keep what only a silent domain has

Cause, found by reading the change: since attempts that never left do not count towards a class's, a broken stream could be moved on for as long as its time and the retry budget allowed, 0.3 s each; and a service whose only replicas stand in a domain that falls silent got nothing for a second, though nothing else could be tried. Change: at most four attempts that never left; an upstream is given up with its domain only if another one that is heard serves the same.

--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -12,15 +12,17 @@
     pub max_answer_bytes: ByteSize,
     /// Largest body of a request.
     pub max_body_bytes: ByteSize,
-    /// Bodies of requests that are held in memory at one moment, all together.
+    /// Bodies of requests that are held in memory at one moment, all together; by
+    /// default 64 MiB, a quarter of the memory of today's small hosts.
     pub max_buffered_bytes: ByteSize,
     /// Caller connections at one moment.
     pub max_connections: usize,
-    /// Largest head of a request.
+    /// Largest head of a request; by default what the HTTP library takes by itself.
     pub max_head_bytes: ByteSize,
     /// Requests queued at one moment.
     pub max_queued: usize,
-    /// Largest answer that is passed on as a whole.
+    /// Largest answer that is passed on as a whole; by default a quarter of what
+    /// bodies may take.
     pub max_whole_answer_bytes: ByteSize,
     /// Time that a caller may leave a stream unread.
     pub slow_reader_timeout_ms: u64,
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -185,21 +185,22 @@
 
     /// Whether the class allows one more attempt, after the one that has just
     /// failed. In an installation only attempts on which the request may have run
-    /// count: the others are bounded by [`MAX_NOT_RUN`].
+    /// count; of the others there may be [`MAX_NOT_RUN`].
     pub(crate) fn has_attempts_left(&self, request: &Request<Running>) -> bool {
-        let used = if self.options.relay.is_some() {
-            request.runs
-        } else {
-            request.tried.len() as u32 + 1
-        };
-        used < request.facts.max_attempts
+        let made = request.tried.len() as u32 + 1;
+        if self.options.relay.is_none() {
+            return made < request.facts.max_attempts;
+        }
+        let unsent = made - request.runs.min(made);
+        request.runs < request.facts.max_attempts && unsent <= MAX_NOT_RUN as u32
     }
 
     /// Gives the slot back.
     pub(crate) fn leave_upstream(&mut self, now: Time, request: &Request<Running>) {
         if let Some(state) = self.pool.get_mut(&request.stage.upstream) {
             state.end_prefill(request.stage.prefill);
-            state.streams -= u32::from(request.stage.streams).min(state.streams);
+            let streams = u32::from(request.stage.streams);
+            state.streams = state.streams.saturating_sub(streams);
         }
         self.pool
             .end(&request.stage.upstream, request.facts.rank.plan, now);
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -146,8 +146,8 @@
     least_full(fresh, now, rng).or_else(|| least_full(states, now, rng))
 }
 
-/// The least full upstream, counting what speaks against it as slots; ties are broken at random, so that several hosts
-/// do not all choose the same one.
+/// The least full upstream, counting what speaks against it as slots; ties are
+/// broken at random, so that several hosts do not all choose the same one.
 fn least_full<'a>(
     states: impl Iterator<Item = &'a UpstreamState> + Clone,
     now: Time,
--- a/crates/policy/src/ejection.rs
+++ b/crates/policy/src/ejection.rs
@@ -36,15 +36,35 @@
         }
     }
 
-    /// Ejects the upstreams of failure domains that have fallen silent. However
-    /// many they are: those of a domain that is heard remain.
+    /// Ejects the upstreams of failure domains that have fallen silent, however many
+    /// they are, if others that are heard serve the same.
     pub(crate) fn eject_silent(&mut self, now: Time) {
         let silent = self.silent.take_silent(&self.states, now);
-        for state in &mut self.states {
-            if silent.contains(state.definition.failure_domain()) && state.health.is_well() {
-                state.health.eject(now);
-            }
+        if silent.is_empty() {
+            return;
         }
+        let is_silent = |state: &UpstreamState| silent.contains(state.definition.failure_domain());
+        let ejected = |state: &UpstreamState| {
+            is_silent(state) && state.health.is_well() && self.has_others(state, is_silent)
+        };
+        let places = (0..self.states.len()).filter(|place| ejected(&self.states[*place]));
+        for place in places.collect::<Vec<_>>() {
+            self.states[place].health.eject(now);
+        }
+    }
+
+    /// Whether everything that an upstream serves is served by another one that is
+    /// well and not given up.
+    fn has_others(&self, state: &UpstreamState, given_up: impl Fn(&UpstreamState) -> bool) -> bool {
+        let is_served = |target: &Target| {
+            let places = self.targets.get(target);
+            let places = places
+                .into_iter()
+                .flat_map(|places| places.own.iter().chain(&places.foreign));
+            let mut others = places.map(|place| &self.states[*place]);
+            others.any(|other| other.health.is_well() && !given_up(other))
+        };
+        pool::targets_of(&state.definition).iter().all(is_served)
     }
 
     /// What goes wrong without the cap: a fault of the network or of this host
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -238,7 +238,7 @@
     }
 }
 
-fn targets_of(definition: &Upstream) -> Vec<Target> {
+pub(crate) fn targets_of(definition: &Upstream) -> Vec<Target> {
     match definition {
         Upstream::Engine(engine) => engine.models.iter().cloned().map(Target::Model).collect(),
         Upstream::Service(replica) => vec![Target::Service(replica.service.clone())],
--- a/crates/policy/tests/installation/attempts.rs
+++ b/crates/policy/tests/installation/attempts.rs
@@ -63,6 +63,30 @@
     assert_eq!(sent(&actions), None);
 }
 
+/// Symptom: a stream that broke holds its caller until its time is over. Events: no
+/// other engine can be connected. Cause: attempts that never left do not count.
+#[test]
+fn gives_a_broken_stream_up_after_some_engines_out_of_reach() {
+    let mut host = Host::new(0);
+    let draft = || Ask::prompt("draft", "shop-key", &[(1, 500), (2, 100)]);
+    for _ in 0..60 {
+        // Requests that leave plenty of retries.
+        host.ask(draft());
+    }
+    let (id, actions) = host.ask(draft());
+    let mut order = sent(&actions).unwrap();
+    let (mut cause, mut verdict) = (FailureCause::Reset, Verdict::MayHaveRun);
+    for _ in 0..8 {
+        let actions = host.fail(&order, id, cause, verdict, true);
+        match sent(&actions) {
+            Some(next) => order = next,
+            None => return assert!(refused(&actions).is_some()),
+        }
+        (cause, verdict) = (FailureCause::Connect, Verdict::NotRun);
+    }
+    panic!("it is still sent");
+}
+
 /// Repeats that some hosts make which list so many hosts, while every attempt of
 /// each of their requests fails.
 fn repeats(hosts: u64, listed: usize, requests: usize) -> usize {
--- a/crates/policy/tests/installation/unreachable.rs
+++ b/crates/policy/tests/installation/unreachable.rs
@@ -1,7 +1,8 @@
 //! Failure domains that are cut off, with all upstreams in them.
 
 use {
-    crate::support::{Ask, Host, engines_of, sent},
+    crate::support::{Ask, Host, engines_of, lookup, sent, upstreams},
+    config::Upstream,
     policy::{Event, SendOrder},
     std::collections::BTreeSet,
     types::prelude::*,
@@ -116,6 +117,29 @@
     assert_eq!(scene.next_domains(), BTreeSet::from(DOMAINS));
 }
 
+/// Symptom: a service gets nothing, though it may be there. Events: the only domain
+/// that has it falls silent. Cause: it is given up with the domain, and no other
+/// one serves the same.
+#[test]
+fn what_only_a_silent_domain_has_is_still_tried() {
+    let mut scene = Scene::new();
+    let mut all = engines_of(&DOMAINS, ENGINES);
+    let services = upstreams().into_iter();
+    let mut services: Vec<_> = services
+        .filter(|(id, _)| id.as_str().starts_with("shop"))
+        .collect();
+    for (_, upstream) in &mut services {
+        if let Upstream::Service(replica) = upstream {
+            replica.failure_domain = "north-b".parse().unwrap();
+        }
+    }
+    all.extend(services);
+    scene.host.read_directory(all, &[]);
+    scene.pass(600, &["north-a", "north-c"]);
+    assert!(!scene.next_domains().contains("north-b"));
+    assert!(sent(&scene.host.ask(lookup()).1).is_some());
+}
+
 /// What is ejected comes back by a probe.
 #[test]
 fn a_domain_comes_back_when_its_upstreams_answer() {
