Count the bodies of all caller threads against one bound

Cause, found by reading the change: each caller thread had a BodyBudget of its own, so that a host with four threads held four times what its setting says. Change: it stands with what threads share.

--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -2,6 +2,7 @@
 
 /// What several threads read.
 pub(crate) struct Shared {
+    pub(crate) bodies: BodyBudget,
     pub(crate) clock: Clock,
     pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
     pub(crate) ledger: Arc<Mutex<Ledger>>,
@@ -27,6 +28,7 @@
             version: None,
         };
         Self {
+            bodies: BodyBudget::default(),
             clock: Clock::start(),
             configuration: Arc::default(),
             ledger: Arc::default(),
--- a/crates/router/src/whole_body.rs
+++ b/crates/router/src/whole_body.rs
@@ -27,7 +27,7 @@
     }
 
     /// Reads a body whole, as far as it and all others stay within the limits.
-    pub(crate) async fn collect(
+    async fn collect(
         body: Incoming,
         max: ByteSize,
         max_buffered: ByteSize,
--- a/crates/router/src/wiring.rs
+++ b/crates/router/src/wiring.rs
@@ -254,7 +254,7 @@
         let next_request = Arc::clone(next_request);
         match protocol {
             Some(protocol) => CallerInterface::Relay(RelayService {
-                bodies: BodyBudget::default(),
+                bodies: self.shared.bodies.clone(),
                 clock: self.shared.clock,
                 configuration,
                 connections: Connections::default(),
@@ -266,7 +266,7 @@
                 status: Arc::clone(&self.shared.status),
             }),
             None => CallerInterface::Own(CallerService {
-                bodies: BodyBudget::default(),
+                bodies: self.shared.bodies.clone(),
                 configuration,
                 connections: Connections::default(),
                 events: self.events(),
