Answer a host whose knowledge runs out at once

With one idle neighbor its knowledge is up to 5.6 s old: 3.6 s of the neighbor's, a second until the neighbor's note, and up to a second more as the note counts from the one that it answers. Keys may be taken for 4.9 s, so it refused them now and then. Ruled out: the test's own clock (the same in virtual time, after 4.8 s). Change: from 1.2 s before the end of its knowledge a host sends a note each 250 ms, and one that knows better answers at once. No more notes from hosts that reach the store: what they know is at most 3.6 s old, and asking begins at 3.7 s.

--- a/crates/policy/src/neighbors.rs
+++ b/crates/policy/src/neighbors.rs
@@ -9,6 +9,17 @@
 /// Time between two notes when nothing changes, and to hosts that are silent.
 const IDLE_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Time before the end of its knowledge of the configuration from which a host asks
+/// the others for theirs: what a host that reaches the store knows is at most 3.6 s
+/// old, so with a bound of 4.9 s it never does.
+const ASK_AHEAD: Duration = Duration::from_millis(1_200);
+
+/// Time between two notes of a host that asks.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How much younger a host's knowledge must be to be told at once to one that asks.
+const WORTH_TELLING: Duration = Duration::from_millis(200);
+
 /// Bytes a second that all hosts together spend on notes at the most: 24 kB a
 /// host with seven hosts. With 3 kB a host the two installations of today lost
 /// 0.7 and 0.8 in 100 of the payoff that their requests can earn (mean of 12
@@ -173,6 +184,7 @@
             return;
         }
         self.learn_confirmed(&note);
+        self.answer_soon(now, &note);
         self.learn_leaving(now, &note);
         self.learn_reads(&note);
         self.fetch_newer(now, from, &note, actions);
@@ -198,6 +210,35 @@
         self.confirmed = self.confirmed.max(Some(as_of));
     }
 
+    /// Lets the next note go out at once if the sender's knowledge is much older.
+    ///
+    /// What goes wrong otherwise: a host that the store turns away and that has
+    /// little to do hears the others once a second, and counts their word from the
+    /// note of its own that they answer, which is up to a second older. Together
+    /// with the 3.6 s of the others' knowledge that is more than keys may be taken
+    /// for, and it refuses them now and then.
+    fn answer_soon(&mut self, now: Time, note: &LoadNote) {
+        let Some(own) = self.config_age(now) else {
+            return;
+        };
+        let theirs = note.confirmed_age_ms.map(u64::from);
+        let theirs = theirs.map_or(Duration::MAX, Duration::from_millis);
+        if own.saturating_add(WORTH_TELLING) < theirs {
+            self.neighbors.next_idle = now;
+        }
+    }
+
+    /// Time between two notes when nothing changes.
+    fn idle_interval(&self, now: Time) -> Duration {
+        let limit = self.options.relay.as_ref().map(|relay| relay.key_knowledge);
+        let asks = match (limit, self.config_age(now)) {
+            (Some(limit), Some(age)) => age + ASK_AHEAD >= limit,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if asks { ASK_INTERVAL } else { IDLE_INTERVAL }
+    }
+
     /// Believes another host that upstreams are leaving, until its next notes
     /// say otherwise.
     fn learn_leaving(&mut self, now: Time, note: &LoadNote) {
@@ -260,7 +301,7 @@
             return;
         }
         if idle {
-            self.neighbors.next_idle = now + IDLE_INTERVAL;
+            self.neighbors.next_idle = now + self.idle_interval(now);
             // Loads of hosts that fell silent run out.
             self.apply_neighbors(now);
         }
--- a/crates/policy/tests/installation/knowledge.rs
+++ b/crates/policy/tests/installation/knowledge.rs
@@ -1,7 +1,7 @@
 //! What a host knows by the store and by the other hosts, and how old that is.
 
 use {
-    crate::support::{self, Ask, Host, KEY_KNOWLEDGE, lookup, refused, sent},
+    crate::support::{self, Ask, Host, KEY_KNOWLEDGE, exchange_notes, lookup, refused, sent},
     peer::{Echo, LoadNote},
     policy::{Action, Event, RefusalReason},
     std::time::Duration,
@@ -230,3 +230,28 @@
     assert!(note_bytes_in_10_s(7) <= 10 * 25_000);
     assert!(note_bytes_in_10_s(380) <= 10 * 3_000 + 380 * 200);
 }
+
+/// Symptom: a host that the store turns away refuses keys now and then, although
+/// another host knows that its configuration is the newest. Events: neither has
+/// anything to do, the other one asks the store every 1.8 s. Cause: their notes come
+/// once a second, and each counts from the note that it answers.
+#[test]
+fn an_idle_host_that_the_store_turns_away_goes_on_by_one_neighbor() {
+    const ASKS_EVERY_MS: u64 = 1_800;
+    let mut hosts = [Host::new(0), Host::new(1)];
+    let start = hosts[0].now;
+    for ms in (0..20_000).step_by(10) {
+        let now = start.plus_ms(ms);
+        if ms % ASKS_EVERY_MS == 0 {
+            let as_of = start.plus_ms(ms.saturating_sub(ASKS_EVERY_MS));
+            hosts[0].now = now;
+            hosts[0].handle(Event::ConfigurationConfirmed { as_of });
+        }
+        for host in &mut hosts {
+            host.now = now;
+            host.handle(Event::Ticked);
+        }
+        exchange_notes(&mut hosts);
+        assert!(hosts[1].controller.is_current(now), "after {ms} ms");
+    }
+}
--- a/crates/policy/tests/installation/placement.rs
+++ b/crates/policy/tests/installation/placement.rs
@@ -3,7 +3,7 @@
 //! read. Virtual time, no network.
 
 use {
-    crate::support::{Ask, Host, address, engines, sent, upstreams},
+    crate::support::{Ask, Host, engines, exchange_notes, sent, upstreams},
     policy::Event,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::collections::{BTreeMap, BTreeSet},
@@ -108,19 +108,6 @@
     played
 }
 
-fn exchange_notes(hosts: &mut [Host]) {
-    for from in 0..hosts.len() {
-        hosts[from].list_hosts(HOSTS);
-        for (to, note) in hosts[from].take_notes() {
-            let to = (0..hosts.len()).find(|number| address(*number) == to);
-            let from = address(from);
-            if let Some(to) = to {
-                hosts[to].handle(Event::NoteHeard { from, note });
-            }
-        }
-    }
-}
-
 /// Symptom: engines are busy although most of what is asked for has been read
 /// before; urgent and long requests alike wait for seconds. Events: all hosts
 /// see which engine is busy and send prompts to those that are not. Cause: a
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -296,3 +296,18 @@
 pub fn order() -> Ask {
     Ask::call("order")
 }
+
+/// Lets hosts hear the notes that the others want sent.
+pub fn exchange_notes(hosts: &mut [Host]) {
+    let hosts_listed = hosts.len();
+    for from in 0..hosts.len() {
+        hosts[from].list_hosts(hosts_listed);
+        for (to, note) in hosts[from].take_notes() {
+            let to = (0..hosts.len()).find(|number| address(*number) == to);
+            let from = address(from);
+            if let Some(to) = to {
+                hosts[to].handle(Event::NoteHeard { from, note });
+            }
+        }
+    }
+}
