--- a/crates/router/tests/serving.rs
+++ b/crates/router/tests/serving.rs
@@ -42,12 +42,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_service_is_called_through_its_path() {
     let site = Site::with_engines(1).and_service("orders").start().await;
-    let answer = site
-        .ask("order")
-        .at_service("orders")
-        .tagged("o")
-        .send()
-        .await;
+    let answer = site.order("o").await;
     assert_eq!((answer.status, answer.verdict()), (200, "ran"));
     assert_eq!(site.log.count("o"), 1);
 }
--- a/crates/router/tests/site/mod.rs
+++ b/crates/router/tests/site/mod.rs
@@ -58,6 +58,12 @@
         Ask::new(self, class)
     }
 
+    /// Sends an order to the service, under a tag.
+    pub async fn order(&self, tag: &str) -> Answer {
+        let ask = self.ask("order").at_service("orders").tagged(tag);
+        ask.send().await
+    }
+
     pub fn host(&self) -> &Host<Serving> {
         self.host.as_ref().unwrap()
     }
--- a/crates/router/tests/verdicts.rs
+++ b/crates/router/tests/verdicts.rs
@@ -29,12 +29,7 @@
 async fn a_cut_after_the_run_is_told_and_not_retried() {
     let site = Site::with_engines(0).and_service("orders").start().await;
     site.break_service(|faults| faults.reset_after_run = true);
-    let answer = site
-        .ask("order")
-        .at_service("orders")
-        .tagged("o")
-        .send()
-        .await;
+    let answer = site.order("o").await;
     assert_eq!(answer.refusal(), (502, "upstream_failed", "may-have-run"));
     assert_eq!(site.log.count("o"), 1);
 }
@@ -43,12 +38,7 @@
 async fn a_cut_before_the_run_cannot_be_told_from_one_after_it() {
     let site = Site::with_engines(0).and_service("orders").start().await;
     site.break_service(|faults| faults.reset_before_run = true);
-    let answer = site
-        .ask("order")
-        .at_service("orders")
-        .tagged("o")
-        .send()
-        .await;
+    let answer = site.order("o").await;
     assert_eq!(answer.refusal(), (502, "upstream_failed", "may-have-run"));
     assert_eq!(site.log.count("o"), 0);
 }
@@ -60,12 +50,7 @@
 async fn half_an_answer_is_never_passed_on() {
     let site = Site::with_engines(0).and_service("orders").start().await;
     site.break_service(|faults| faults.half_answer = true);
-    let answer = site
-        .ask("order")
-        .at_service("orders")
-        .tagged("o")
-        .send()
-        .await;
+    let answer = site.order("o").await;
     assert_eq!(answer.refusal(), (502, "upstream_failed", "may-have-run"));
     assert_eq!(site.log.count("o"), 1);
 }
@@ -74,12 +59,7 @@
 async fn a_server_error_may_have_run() {
     let site = Site::with_engines(0).and_service("orders").start().await;
     site.break_service(|faults| faults.status = Some(500));
-    let answer = site
-        .ask("order")
-        .at_service("orders")
-        .tagged("o")
-        .send()
-        .await;
+    let answer = site.order("o").await;
     assert_eq!(answer.refusal(), (502, "upstream_failed", "may-have-run"));
     assert_eq!(site.log.count("o"), 1);
 }
@@ -95,12 +75,7 @@
     site.break_service(|faults| faults.close_after_answer = true);
     for number in 0..50 {
         let tag = format!("o{number}");
-        let answer = site
-            .ask("order")
-            .at_service("orders")
-            .tagged(&tag)
-            .send()
-            .await;
+        let answer = site.order(&tag).await;
         match (answer.status, answer.verdict()) {
             (200, "ran") => assert_eq!(site.log.count(&tag), 1),
             (502, "may-have-run") => assert!(site.log.count(&tag) <= 1),
@@ -128,12 +103,7 @@
 async fn with_every_upstream_gone_the_verdict_is_not_run() {
     let mut site = Site::with_engines(0).and_service("orders").start().await;
     site.services.remove(0).stop().await;
-    let answer = site
-        .ask("order")
-        .at_service("orders")
-        .tagged("o")
-        .send()
-        .await;
+    let answer = site.order("o").await;
     assert_eq!(answer.refusal(), (502, "upstream_failed", "not-run"));
     assert!(answer.retry_after.is_some());
 }
