--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,7 @@
 mod floor;
 mod group;
 mod health;
+mod hearing;
 mod host_phase;
 mod in_flight_history;
 mod lane;
--- a/crates/policy/src/neighbors.rs
+++ b/crates/policy/src/neighbors.rs
@@ -17,9 +17,6 @@
 /// Time between two notes of a host that asks.
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How much younger a host's knowledge must be to be told at once to one that asks.
-const WORTH_TELLING: Duration = Duration::from_millis(200);
-
 /// Bytes a second that all hosts together spend on notes at the most: 24 kB a
 /// host with seven hosts. With 3 kB a host the two installations of today lost
 /// 0.7 and 0.8 in 100 of the payoff that their requests can earn (mean of 12
@@ -46,15 +43,7 @@
 
 /// Time for which a host's last note counts. After it the host is taken to have
 /// ended, and its load with it.
-const VALID: Duration = Duration::from_millis(2_500);
-
-/// Age of the configuration from which a newer one is fetched from another host.
-/// Before that the store is expected to bring it: it is asked every 1.8 s at the
-/// latest, and tells a change at once.
-const FETCH_AFTER: Duration = Duration::from_millis(2_200);
-
-/// Time between two fetches.
-const FETCH_INTERVAL: Duration = Duration::from_millis(300);
+pub(crate) const VALID: Duration = Duration::from_millis(2_500);
 
 /// Another host.
 #[derive(Debug)]
@@ -76,8 +65,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Neighbors {
     hosts: BTreeMap<HostId, Neighbor>,
-    next_fetch: Time,
-    next_idle: Time,
+    pub(crate) next_fetch: Time,
+    pub(crate) next_idle: Time,
     next_note: Time,
     /// Shared parts that this host had read, and in how many more notes each is
     /// told.
@@ -98,7 +87,7 @@
     }
 
     /// Takes a note; one that was overtaken by a newer one is dropped.
-    fn take(&mut self, now: Time, from: SocketAddr, note: LoadNote) -> bool {
+    pub(crate) fn take(&mut self, now: Time, from: SocketAddr, note: LoadNote) -> bool {
         let neighbor = self.hosts.entry(note.host.clone()).or_insert(Neighbor {
             address: from,
             heard: None,
@@ -173,113 +162,7 @@
 }
 
 impl Controller {
-    pub(crate) fn on_note(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        note: LoadNote,
-        actions: &mut Vec<Action>,
-    ) {
-        if note.host == self.options.host {
-            return;
-        }
-        self.learn_confirmed(&note);
-        self.answer_soon(now, &note);
-        self.learn_leaving(now, &note);
-        self.learn_reads(&note);
-        self.fetch_newer(now, from, &note, actions);
-        if self.neighbors.take(now, from, note) {
-            self.apply_neighbors(now);
-        }
-    }
-
-    /// Learns from another host that the configuration in force here is still
-    /// the newest. Its word counts from the moment at which this host sent the
-    /// note that it answers, so that a note that was long under way, or waited
-    /// while this host was frozen, makes nothing look newer than it is.
-    fn learn_confirmed(&mut self, note: &LoadNote) {
-        let own = note
-            .echo
-            .filter(|echo| echo.incarnation == self.options.incarnation);
-        let same = note.version.is_some() && note.version == self.version();
-        let (Some(echo), Some(age_ms), true) = (own, note.confirmed_age_ms, same) else {
-            return;
-        };
-        let age = Duration::from_millis(u64::from(age_ms));
-        let as_of = Time::from_us(echo.sent_us) - age;
-        self.confirmed = self.confirmed.max(Some(as_of));
-    }
-
-    /// Lets the next note go out at once if the sender's knowledge is much older.
-    ///
-    /// What goes wrong otherwise: a host that the store turns away and that has
-    /// little to do hears the others once a second, and counts their word from the
-    /// note of its own that they answer, which is up to a second older. Together
-    /// with the 3.6 s of the others' knowledge that is more than keys may be taken
-    /// for, and it refuses them now and then.
-    fn answer_soon(&mut self, now: Time, note: &LoadNote) {
-        let Some(own) = self.config_age(now) else {
-            return;
-        };
-        let theirs = note.confirmed_age_ms.map(u64::from);
-        let theirs = theirs.map_or(Duration::MAX, Duration::from_millis);
-        if own.saturating_add(WORTH_TELLING) < theirs {
-            self.neighbors.next_idle = now;
-        }
-    }
-
-    /// Time between two notes when nothing changes.
-    fn idle_interval(&self, now: Time) -> Duration {
-        let limit = self.options.relay.as_ref().map(|relay| relay.key_knowledge);
-        let asks = match (limit, self.config_age(now)) {
-            (Some(limit), Some(age)) => age + ASK_AHEAD >= limit,
-            (Some(_), None) => true,
-            (None, _) => false,
-        };
-        if asks { ASK_INTERVAL } else { IDLE_INTERVAL }
-    }
-
-    /// Believes another host that upstreams are leaving, until its next notes
-    /// say otherwise.
-    fn learn_leaving(&mut self, now: Time, note: &LoadNote) {
-        for upstream in &note.leaving {
-            if let Some(state) = self.pool.get_mut(upstream) {
-                state.told_leaving_until = now + VALID;
-            }
-        }
-    }
-
-    /// Takes over what engines keep of other hosts' prompts.
-    ///
-    /// What goes wrong without it: a document that many ask for is read by a second
-    /// engine, but only one host knows; the others stay with the first engine and
-    /// wait, or have it read once more each.
-    fn learn_reads(&mut self, note: &LoadNote) {
-        for read in &note.reads {
-            if let Some(state) = self.pool.get_mut(&read.upstream) {
-                state.cache.note_read(read.chain, read.tokens);
-            }
-        }
-    }
-
-    /// Asks another host for its newer configuration, if the store does not
-    /// bring it.
-    fn fetch_newer(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        note: &LoadNote,
-        actions: &mut Vec<Action>,
-    ) {
-        let newer = note.version > self.version();
-        let waited = self.config_age(now).is_none_or(|age| age >= FETCH_AFTER);
-        if newer && waited && now >= self.neighbors.next_fetch {
-            self.neighbors.next_fetch = now + FETCH_INTERVAL;
-            actions.push(Action::FetchConfiguration { address: from });
-        }
-    }
-
-    fn apply_neighbors(&mut self, now: Time) {
+    pub(crate) fn apply_neighbors(&mut self, now: Time) {
         let loads = self.neighbors.loads(now);
         for state in &mut self.pool.states {
             let (backlog, in_flight) = loads.get(&state.id).copied().unwrap_or_default();
@@ -312,6 +195,17 @@
         actions.push(Action::SendNotes { notes });
     }
 
+    /// Time between two notes when nothing changes.
+    fn idle_interval(&self, now: Time) -> Duration {
+        let limit = self.options.relay.as_ref().map(|relay| relay.key_knowledge);
+        let asks = match (limit, self.config_age(now)) {
+            (Some(limit), Some(age)) => age + ASK_AHEAD >= limit,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if asks { ASK_INTERVAL } else { IDLE_INTERVAL }
+    }
+
     fn own_loads(&self) -> Vec<UpstreamLoad> {
         let states = self.pool.states.iter();
         states
