Make a request's wish in one place, and count retries left without a walk

Change: RequestFacts::wish, Wish::is_fresh; the times are in order, so their first recent one is found by halving. No behavior changes, no test changed; all tests of the package pass.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -121,7 +121,7 @@
 
     fn cached(&self, wish: &Wish<'_>) -> Option<&UpstreamState> {
         let id = self.affinity.lookup(wish.prefix?)?;
-        self.get(id).filter(|state| !wish.avoid.contains(&state.id))
+        self.get(id).filter(|state| wish.is_fresh(state))
     }
 
     fn any_keeps_pace(&self, places: &[usize], pace_ms: u64, now: Time) -> bool {
@@ -140,9 +140,7 @@
     now: Time,
     rng: &mut SmallRng,
 ) -> Option<&'a UpstreamState> {
-    let fresh = states
-        .clone()
-        .filter(|state| !wish.avoid.contains(&state.id));
+    let fresh = states.clone().filter(|state| wish.is_fresh(state));
     least_full(fresh, now, rng).or_else(|| least_full(states, now, rng))
 }
 
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -105,15 +105,7 @@
         let Some(Stage::Queued(request)) = self.requests.get(&request) else {
             return None;
         };
-        let wish = Wish {
-            avoid: &request.tried,
-            due: request.facts.due,
-            pace_ms,
-            parts: &request.facts.parts,
-            prefix: request.facts.prefix,
-            rank,
-            target: &request.facts.target,
-        };
+        let wish = request.facts.wish(&request.tried, pace_ms, rank);
         self.pool.choose(&wish, now, &mut self.rng)
     }
 
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -44,9 +44,7 @@
         wish: &Wish<'_>,
         now: Time,
     ) -> Option<&'a UpstreamState> {
-        let fresh = states
-            .clone()
-            .filter(|state| !wish.avoid.contains(&state.id));
+        let fresh = states.clone().filter(|state| wish.is_fresh(state));
         least_work(fresh, wish, now).or_else(|| least_work(states, wish, now))
     }
 }
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -28,6 +28,26 @@
     pub(crate) team: TeamId,
 }
 
+impl RequestFacts {
+    /// What the request asks of an upstream, sent with the room of `rank`.
+    pub(crate) fn wish<'a>(
+        &'a self,
+        avoid: &'a [UpstreamId],
+        pace_ms: Option<u64>,
+        rank: Rank,
+    ) -> Wish<'a> {
+        Wish {
+            avoid,
+            due: self.due,
+            pace_ms,
+            parts: &self.parts,
+            prefix: self.prefix,
+            rank,
+            target: &self.target,
+        }
+    }
+}
+
 /// A request in one stage of its life. A stage is left by a method that takes
 /// the request and returns the next stage, so no request is in two at once.
 #[derive(Clone, Debug)]
--- a/crates/policy/src/resuming.rs
+++ b/crates/policy/src/resuming.rs
@@ -72,15 +72,7 @@
         }
         let mut avoid = request.tried.clone();
         avoid.push(request.stage.upstream.clone());
-        let wish = Wish {
-            avoid: &avoid,
-            due: facts.due,
-            pace_ms: None,
-            parts: &facts.parts,
-            prefix: facts.prefix,
-            rank: facts.rank,
-            target: &facts.target,
-        };
+        let wish = facts.wish(&avoid, None, facts.rank);
         let Some(upstream) = self.pool.choose(&wish, now, &mut self.rng) else {
             return Some(request);
         };
--- a/crates/policy/src/retry_budgets.rs
+++ b/crates/policy/src/retry_budgets.rs
@@ -111,11 +111,10 @@
 
     /// Retries that may be made now, for each target that was asked for.
     pub(crate) fn left(&self, now: Time) -> impl Iterator<Item = (&Target, f64)> {
+        let is_old = move |time: &Time| now.since(*time) >= self.window;
         let recent = move |times: &VecDeque<Time>| {
-            let times = times.iter().rev();
-            times
-                .take_while(|time| now.since(**time) < self.window)
-                .count() as f64
+            // Times are in order.
+            (times.len() - times.partition_point(is_old)) as f64
         };
         self.targets.iter().map(move |(target, window)| {
             let allowed = self.ratio * recent(&window.firsts) + self.extra;
--- a/crates/policy/src/wish.rs
+++ b/crates/policy/src/wish.rs
@@ -15,3 +15,10 @@
     pub(crate) rank: Rank,
     pub(crate) target: &'a Target,
 }
+
+impl Wish<'_> {
+    /// Whether the request has not failed on an upstream.
+    pub(crate) fn is_fresh(&self, state: &UpstreamState) -> bool {
+        !self.avoid.contains(&state.id)
+    }
+}
