--- a/crates/operator/src/checks.rs
+++ b/crates/operator/src/checks.rs
@@ -160,8 +160,7 @@
         for (upstream, span) in &self.experiment.leaving {
             promise.checked += 1;
             let late = self.experiment.runs.iter().any(|run| {
-                run.upstream == upstream.as_str()
-                    && span.holds_at(run.received_ms, LEAVING_WITHIN_MS)
+                run.upstream == upstream.name() && span.holds_at(run.received_ms, LEAVING_WITHIN_MS)
             });
             promise.broken += u64::from(late);
         }
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -189,7 +189,7 @@
         upstreams.insert(id.clone(), Upstream::Engine(engine));
     }
     for (number, (id, service)) in services.iter().enumerate() {
-        let name = id.as_str().rsplit_once('-').map_or("", |(name, _)| name);
+        let name = id.name().rsplit_once('-').map_or("", |(name, _)| name);
         let replica = ServiceReplica {
             address: service.address(),
             failure_domain: domain(number),
--- a/crates/policy/src/directory_view.rs
+++ b/crates/policy/src/directory_view.rs
@@ -55,8 +55,13 @@
             .retain(|id, _| !self.upstreams.contains_key(id));
         if let Some(until) = self.grace_until(now) {
             for (id, definition) in known {
-                // One that said it was leaving has left.
-                if self.upstreams.contains_key(&id) || self.leaving.contains(&id) {
+                // One that said it was leaving has left, and one that started again
+                // is listed as its new incarnation.
+                let again = self
+                    .upstreams
+                    .keys()
+                    .any(|listed| id.is_replaced_by(listed));
+                if again || self.upstreams.contains_key(&id) || self.leaving.contains(&id) {
                     continue;
                 }
                 self.missing.entry(id.clone()).or_insert(until);
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -158,7 +158,7 @@
     chain: u64,
 ) -> Option<&'a UpstreamState> {
     states.max_by_key(|state| {
-        let id = state.id.as_str().bytes();
+        let id = state.id.name().bytes();
         id.fold(chain, |weight, byte| {
             prompt_cache::mix(weight, u64::from(byte))
         })
--- /dev/null
+++ b/crates/policy/tests/installation/incarnations.rs
@@ -0,0 +1,132 @@
+//! Upstreams that start again under their name: what was known of the earlier
+//! incarnation is gone with it.
+
+use {
+    crate::support::{Ask, Host, address, exchange_notes, sent, upstreams},
+    config::Upstream,
+    peer::PromptRead,
+    policy::Event,
+    std::collections::BTreeMap,
+    types::prelude::*,
+};
+
+const DOCUMENT_TOKENS: u32 = 13_300;
+const OWN_TOKENS: u32 = 400;
+
+fn prompt() -> Ask {
+    let parts = [(7, DOCUMENT_TOKENS), (8, OWN_TOKENS)];
+    Ask::prompt("draft", "shop-key", &parts)
+}
+
+/// The upstreams, one of them started at a later moment.
+fn started_again(id: &UpstreamId, started_ms: u64) -> BTreeMap<UpstreamId, Upstream> {
+    let mut upstreams = upstreams();
+    let upstream = upstreams.remove(&id.clone().started_at(None)).unwrap();
+    upstreams.insert(id.clone().started_at(Some(started_ms)), upstream);
+    upstreams
+}
+
+/// Symptom: a host believes that a prompt needs no reading, and its request is late.
+/// Events: an engine reads a document, crashes and starts again at once, so that its
+/// entry never goes. Cause: prompts are remembered by name.
+#[test]
+fn an_engine_that_started_again_keeps_nothing() {
+    let mut host = Host::new(0);
+    let first = sent(&host.ask(prompt()).1).unwrap();
+    host.read_directory(started_again(&first.upstream, 5_000), &[]);
+    let second = sent(&host.ask(prompt()).1).unwrap();
+    let whole = Tokens::new(DOCUMENT_TOKENS + OWN_TOKENS);
+    assert_eq!(second.inputs.unread, whole);
+    assert_eq!(second.inputs.backlog, u64::from(whole.get()));
+    assert_eq!(second.inputs.in_flight, 1);
+}
+
+/// Symptom: an engine looks busier than it is. Events: requests run on it when it
+/// crashes; they end only after it has started again. Cause: the end of an attempt is
+/// booked on whoever bears the name.
+#[test]
+fn requests_of_before_do_not_count_for_the_new_incarnation() {
+    let mut host = Host::new(0);
+    let (request, actions) = host.ask(prompt());
+    let before = sent(&actions).unwrap();
+    let again = before.upstream.clone().started_at(Some(5_000));
+    host.read_directory(started_again(&before.upstream, 5_000), &[]);
+    assert_eq!(host.controller.in_flight(&again), Some(0));
+    host.fail(
+        &before,
+        request,
+        FailureCause::Reset,
+        Verdict::MayHaveRun,
+        false,
+    );
+    let running: u32 = upstreams()
+        .keys()
+        .chain([&again])
+        .filter_map(|id| host.controller.in_flight(id))
+        .sum();
+    assert_eq!(running, 1, "the second attempt alone");
+}
+
+/// Symptom: a healthy upstream is avoided. Events: it fails three times, crashes, and
+/// starts again. Cause: failures are remembered by name.
+#[test]
+fn failures_of_before_do_not_eject_the_new_incarnation() {
+    let mut host = Host::new(0);
+    for _ in 0..12 {
+        let (request, actions) = host.ask(crate::support::order());
+        let order = sent(&actions).unwrap();
+        let cause = FailureCause::Reset;
+        host.fail(&order, request, cause, Verdict::MayHaveRun, false);
+    }
+    let ejected = host.controller.ejected();
+    assert!(!ejected.is_empty());
+    host.read_directory(started_again(&ejected[0], 5_000), &[]);
+    let again = ejected[0].clone().started_at(Some(5_000));
+    assert!(!host.controller.ejected().contains(&again));
+}
+
+/// Symptom: a host sends prompts to an engine that has read none of them, or keeps away
+/// from it. Events: notes under way tell of the earlier incarnation. Cause: notes name
+/// upstreams without their start.
+#[test]
+fn notes_of_an_earlier_incarnation_say_nothing_of_the_later_one() {
+    let mut hosts = [Host::new(0), Host::new(1)];
+    for host in &mut hosts {
+        host.pass(100);
+    }
+    exchange_notes(&mut hosts);
+    let home = sent(&hosts[0].ask(prompt()).1).unwrap().upstream;
+    hosts[0].pass(100);
+    hosts[1].read_directory(started_again(&home, 5_000), &[]);
+    let told = hosts[0].take_notes();
+    let (_, mut note) = told.into_iter().find(|(to, _)| *to == address(1)).unwrap();
+    note.leaving = vec![home.clone()];
+    note.reads = vec![PromptRead {
+        chain: 1,
+        tokens: Tokens::new(DOCUMENT_TOKENS),
+        upstream: home.clone(),
+    }];
+    let from = address(0);
+    hosts[1].handle(Event::NoteHeard { from, note });
+    let again = home.started_at(Some(5_000));
+    let now = hosts[1].now;
+    assert!(!hosts[1].controller.leaving(now).contains(&again));
+    let order = sent(&hosts[1].ask(prompt()).1).unwrap();
+    assert_eq!(order.inputs.others_in_flight, 0);
+}
+
+/// Symptom: an upstream is listed twice after an outage of the store, and gets twice
+/// its part. Events: it starts again while the store is away. Cause: the earlier
+/// incarnation is taken for one whose entry has lapsed.
+#[test]
+fn an_earlier_incarnation_has_not_just_lapsed() {
+    let mut host = Host::new(0);
+    host.handle(Event::DirectoryReached(false));
+    host.pass(1_000);
+    host.handle(Event::DirectoryReached(true));
+    let id: UpstreamId = "shop-1".parse().unwrap();
+    host.read_directory(started_again(&id, 5_000), &[]);
+    assert!(
+        host.controller.leaving(host.now).contains(&id) || host.controller.in_flight(&id).is_none()
+    );
+}
--- a/crates/policy/tests/installation/knowledge.rs
+++ b/crates/policy/tests/installation/knowledge.rs
@@ -144,7 +144,7 @@
     host.handle(Event::NoteHeard { from, note });
     for _ in 0..6 {
         let order = sent(&host.ask(lookup()).1).unwrap();
-        assert_eq!(order.upstream.as_str(), "shop-1");
+        assert_eq!(order.upstream.name(), "shop-1");
     }
 }
 
--- a/crates/policy/tests/installation/sick.rs
+++ b/crates/policy/tests/installation/sick.rs
@@ -54,7 +54,7 @@
             }
         }
         for (request, order) in orders {
-            let replica = if order.upstream.as_str() == "shop-0" {
+            let replica = if order.upstream.name() == "shop-0" {
                 sick
             } else {
                 SOUND
--- a/crates/policy/tests/installation/unreachable.rs
+++ b/crates/policy/tests/installation/unreachable.rs
@@ -76,7 +76,7 @@
 }
 
 fn domain_of(order: &SendOrder) -> &'static str {
-    let id = order.upstream.as_str();
+    let id = order.upstream.name();
     let number: usize = id.rsplit('-').next().unwrap().parse().unwrap();
     DOMAINS[number / ENGINES]
 }
@@ -108,7 +108,7 @@
     let idle = format!("engine-{}", 2 * ENGINES - 1);
     let (ended, kept) = std::mem::take(&mut scene.streams)
         .into_iter()
-        .partition(|(_, order)| order.upstream.as_str() == idle);
+        .partition(|(_, order)| order.upstream.name() == idle);
     scene.streams = kept;
     for (request, _) in ended {
         scene.host.handle(Event::CallerGone { request });
@@ -126,7 +126,7 @@
     let mut all = engines_of(&DOMAINS, ENGINES);
     let services = upstreams().into_iter();
     let mut services: Vec<_> = services
-        .filter(|(id, _)| id.as_str().starts_with("shop"))
+        .filter(|(id, _)| id.name().starts_with("shop"))
         .collect();
     for (_, upstream) in &mut services {
         if let Upstream::Service(replica) = upstream {
--- a/crates/policy/tests/installation/upstreams.rs
+++ b/crates/policy/tests/installation/upstreams.rs
@@ -58,6 +58,6 @@
     host.read_directory(upstreams(), &["shop-0", "shop-2"]);
     for _ in 0..6 {
         let order = sent(&host.ask(lookup()).1).unwrap();
-        assert_eq!(order.upstream.as_str(), "shop-1");
+        assert_eq!(order.upstream.name(), "shop-1");
     }
 }
--- a/crates/policy/tests/installation/urgency.rs
+++ b/crates/policy/tests/installation/urgency.rs
@@ -59,7 +59,7 @@
         let ask = Ask::prompt("question", "shop-key", &parts(number));
         let (request, actions) = host.ask(ask);
         let order = sent(&actions).unwrap();
-        let idle = order.upstream.as_str() == "engine-0";
+        let idle = order.upstream.name() == "engine-0";
         give_tokens(&mut host, request, &order, if idle { 3 } else { 24 });
         homes.insert(number, order.upstream);
         let as_of = host.now;
@@ -73,7 +73,7 @@
         host.handle(Event::CallerGone { request });
         homes.insert(number, order.upstream);
     }
-    let drawn = homes.values().filter(|home| home.as_str() == "engine-0");
+    let drawn = homes.values().filter(|home| home.name() == "engine-0");
     let drawn = drawn.count();
     assert!((10..=32).contains(&drawn), "{drawn} of 60 at one of three");
 }
--- a/crates/policy/tests/script/scripted_host.rs
+++ b/crates/policy/tests/script/scripted_host.rs
@@ -116,5 +116,5 @@
 }
 
 fn names(ids: &[UpstreamId]) -> Vec<&str> {
-    ids.iter().map(UpstreamId::as_str).collect()
+    ids.iter().map(UpstreamId::name).collect()
 }
--- a/crates/router/src/upstream_thread.rs
+++ b/crates/router/src/upstream_thread.rs
@@ -82,7 +82,7 @@
     if engines.len() > FEW_ENGINES {
         engines.sort_by_key(|(id, _)| {
             let is_home = status.home.contains(id);
-            (!is_home, rendezvous_weight(id.as_str(), &status.host))
+            (!is_home, rendezvous_weight(id.name(), &status.host))
         });
         engines.truncate(status.home.len() + MORE_ENGINES);
     }
--- a/crates/types/src/parse_id_error.rs
+++ b/crates/types/src/parse_id_error.rs
@@ -20,6 +20,11 @@
         /// Length found, in bytes.
         len: usize,
     },
+    /// The start of an upstream is not a whole number of milliseconds.
+    BadStart {
+        /// The whole id.
+        text: String,
+    },
 }
 
 impl ParseIdError {
@@ -57,6 +62,9 @@
                     "{kind} id is {len} bytes long, expected 1 to {MAX_ID_LEN}"
                 )
             }
+            Self::BadStart { text } => {
+                write!(f, "upstream id {text:?} has no whole number behind its `@`")
+            }
         }
     }
 }
--- a/crates/types/tests/text.rs
+++ b/crates/types/tests/text.rs
@@ -81,3 +81,17 @@
         assert_ne!(one, other);
     }
 }
+
+#[test]
+fn an_upstream_of_a_later_start_is_another_one() {
+    let first: UpstreamId = "engine-1@1000".parse().unwrap();
+    let later = first.clone().started_at(Some(2_000));
+    assert!(survives(&first) && survives(&later));
+    assert_eq!(
+        (first.name(), first.started_ms()),
+        ("engine-1", Some(1_000))
+    );
+    assert!(first.is_replaced_by(&later) && !later.is_replaced_by(&first));
+    assert!("engine-1@".parse::<UpstreamId>().is_err());
+    assert!("engine-1@1@2".parse::<UpstreamId>().is_err());
+}
