Judge a stream by the longest pause that its caller saw

Ruled out: measuring in the controller. It is told of progress every 250 ms only. Change: the task of a request keeps the longest time between two parts that it passed to the caller, over all attempts; the class has a target for it; "in target" in log, metrics and burn report includes it. An own metric and log field tell the pause.

--- a/crates/config/src/class.rs
+++ b/crates/config/src/class.rs
@@ -20,6 +20,10 @@
     /// rest is the error budget of the burn report.
     #[serde(default = "default_objective")]
     pub objective: f64,
+    /// Longest pause between two parts of an answer with which it still counts as on
+    /// time; where none is given only the average counts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pause_target_ms: Option<u64>,
     /// Whether a broken stream may go on at another upstream after its last
     /// whole event.
     #[serde(default)]
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -243,6 +243,7 @@
         idempotent: class.idempotent,
         max_attempts: MAX_ATTEMPTS,
         objective: 0.95,
+        pause_target_ms: None,
         resumable: false,
         tier: class.tier,
     };
--- a/crates/policy/benches/decision/main.rs
+++ b/crates/policy/benches/decision/main.rs
@@ -17,7 +17,7 @@
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
-        time::Instant,
+        time::{Duration, Instant},
     },
     types::prelude::*,
 };
@@ -90,6 +90,7 @@
         let (request, attempt) = running.pop_front().unwrap();
         let end = AttemptEnd::Completed {
             answer: None,
+            longest_pause: Duration::ZERO,
             tokens: Tokens::new(100),
         };
         let event = Event::AttemptEnded {
--- a/crates/policy/benches/overload/controllers.rs
+++ b/crates/policy/benches/overload/controllers.rs
@@ -162,13 +162,22 @@
     fn ended(&mut self, now: Time, request: usize, tokens: u32) -> Vec<Start> {
         let tokens = Tokens::new(tokens.saturating_sub(1));
         let answer = None;
-        self.end(now, request, AttemptEnd::Completed { answer, tokens })
+        self.end(
+            now,
+            request,
+            AttemptEnd::Completed {
+                answer,
+                longest_pause: Duration::ZERO,
+                tokens,
+            },
+        )
     }
 
     fn first_token(&mut self, now: Time, request: usize) {
         let (host, attempt) = self.attempts[&request];
         let event = Event::Progressed {
             attempt,
+            longest_pause: Duration::ZERO,
             request: RequestId::new(request as u64),
             tokens: Tokens::new(1),
         };
--- a/crates/policy/benches/overload/main.rs
+++ b/crates/policy/benches/overload/main.rs
@@ -20,6 +20,7 @@
         cmp::Reverse,
         collections::{BTreeMap, BinaryHeap, VecDeque},
         sync::Arc,
+        time::Duration,
     },
     types::prelude::*,
 };
--- a/crates/policy/src/attempt_end.rs
+++ b/crates/policy/src/attempt_end.rs
@@ -7,6 +7,8 @@
     Completed {
         /// The answer, where it is to be kept for a repeated key.
         answer: Option<StoredAnswer>,
+        /// Longest time between two parts that the caller was sent.
+        longest_pause: Duration,
         /// Tokens since the last progress event.
         tokens: Tokens,
     },
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -13,6 +13,7 @@
         now: Time,
         id: RequestId,
         attempt: AttemptId,
+        longest_pause: Duration,
         tokens: Tokens,
     ) {
         let Some(Stage::Running(request)) = self.requests.get_mut(&id) else {
@@ -24,6 +25,7 @@
         let span = now.since(request.stage.last_progress);
         let is_first = request.stage.tokens.get() == 0;
         request.note_tokens(now, tokens);
+        request.longest_pause = longest_pause;
         let upstream = request.stage.upstream.clone();
         let lead = now.since(request.stage.sent);
         let target = request.facts.target.clone();
@@ -62,8 +64,13 @@
             None => return,
         };
         match end {
-            AttemptEnd::Completed { answer, tokens } => {
+            AttemptEnd::Completed {
+                answer,
+                longest_pause,
+                tokens,
+            } => {
                 request.note_rest(now, tokens);
+                request.longest_pause = longest_pause;
                 self.on_completed(now, request, answer, actions);
             }
             AttemptEnd::Failed {
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -181,9 +181,10 @@
             }
             Event::Progressed {
                 attempt,
+                longest_pause,
                 request,
                 tokens,
-            } => self.on_progress(now, request, attempt, tokens),
+            } => self.on_progress(now, request, attempt, longest_pause, tokens),
             Event::QueueLimitChanged(max_queued) => self.options.max_queued = max_queued,
             Event::RulesChanged(rules) => {
                 self.retries.follow(&rules);
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -91,8 +91,10 @@
     fn pace_wish(&self, now: Time, request: &Request<Queued>) -> Option<u64> {
         let facts = &request.facts;
         let lane = self.lanes.get(&facts.target)?;
+        let pause_ms = facts.pause_target.map(|pause| pause.as_millis() as u64);
+        let pace_ms = facts.between_token_target_ms;
         lane.can_meet(facts.due, now)
-            .then_some(facts.between_token_target_ms)
+            .then_some(pause_ms.map_or(pace_ms, |pause_ms| pause_ms.min(pace_ms)))
     }
 
     fn choose(
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -95,6 +95,8 @@
     Progressed {
         /// The attempt.
         attempt: AttemptId,
+        /// Longest time between two parts that the caller was sent, so far.
+        longest_pause: Duration,
         /// The request.
         request: RequestId,
         /// How many tokens.
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -48,6 +48,8 @@
     pub first_token: Option<Duration>,
     /// Time from arrival to the end.
     pub lasted: Duration,
+    /// Longest time between two parts of the answer that the caller was sent.
+    pub longest_pause: Duration,
     /// Whether it finished within its class's targets.
     pub met_target: bool,
     /// Why it was refused or cut.
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -14,6 +14,8 @@
     pub(crate) idempotent: bool,
     /// Most upstreams that it may be sent to.
     pub(crate) max_attempts: u32,
+    /// Longest pause with which the answer is still on time.
+    pub(crate) pause_target: Option<Duration>,
     /// Parts of its prompt in order.
     pub(crate) parts: Vec<PromptPart>,
     /// Idempotency key to be claimed before anything is sent.
@@ -60,6 +62,8 @@
     pub(crate) first_token: Option<Duration>,
     pub(crate) id: RequestId,
     pub(crate) item: QueuedItem,
+    /// Longest time between two parts of the answer that the caller was sent.
+    pub(crate) longest_pause: Duration,
     /// Ended attempts on which it may have run.
     pub(crate) runs: u32,
     pub(crate) stage: S,
@@ -150,6 +154,7 @@
             first_token: None,
             id,
             item,
+            longest_pause: Duration::ZERO,
             runs: 0,
             stage: Queued { parked: false },
             tokens: Tokens::default(),
@@ -237,6 +242,7 @@
             first_token: self.first_token,
             id: self.id,
             item: self.item,
+            longest_pause: self.longest_pause,
             runs: self.runs,
             stage,
             tokens: self.tokens,
@@ -255,9 +261,13 @@
         self.wasted = Some((cause, Tokens::new(before + tokens.get())));
     }
 
-    /// Whether the first token and the pace met the class's targets. An answer
-    /// that came as a whole has the time of both together.
+    /// Whether the first token, the pace and the longest pause met the class's
+    /// targets. An answer that came as a whole has the time of the first two together.
     pub(crate) fn met_target(&self, now: Time) -> bool {
+        let target = self.facts.pause_target;
+        if target.is_some_and(|target| self.longest_pause > target) {
+            return false;
+        }
         let first = Duration::from_millis(self.facts.first_token_target_ms);
         let gaps = self.tokens.get().saturating_sub(1);
         let rest = Duration::from_millis(self.facts.between_token_target_ms) * gaps;
@@ -281,6 +291,7 @@
             end,
             first_token: self.first_token,
             lasted: now.since(self.facts.arrived),
+            longest_pause: self.longest_pause,
             met_target: end == OutcomeEnd::Finished && self.met_target(now),
             reason: None,
             request: self.id,
--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod incarnations;
 mod knowledge;
+mod pauses;
 mod placement;
 mod sick;
 mod support;
--- a/crates/policy/tests/installation/placement.rs
+++ b/crates/policy/tests/installation/placement.rs
@@ -6,7 +6,10 @@
     crate::support::{Ask, Host, engines, exchange_notes, sent, upstreams},
     policy::Event,
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
     types::prelude::*,
 };
 
@@ -66,6 +69,7 @@
             hosts[host].now = now;
             hosts[host].handle(Event::Progressed {
                 attempt,
+                longest_pause: Duration::ZERO,
                 request,
                 tokens: Tokens::new(1),
             });
--- a/crates/policy/tests/installation/sick.rs
+++ b/crates/policy/tests/installation/sick.rs
@@ -72,6 +72,7 @@
             } else {
                 AttemptEnd::Completed {
                     answer: None,
+                    longest_pause: Duration::ZERO,
                     tokens: Tokens::default(),
                 }
             };
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -254,10 +254,12 @@
 
 fn document() -> Document {
     let class = |tier: u8, idempotent: bool, resumable: bool, max_attempts: u32| {
+        let pause_target_ms = [250, 400, 1_000][usize::from(tier)];
         json!({
             "between_token_target_ms": 1_000, "deadline_ms": 8_000,
             "first_token_target_ms": 500, "idempotent": idempotent,
-            "max_attempts": max_attempts, "resumable": resumable, "tier": tier,
+            "max_attempts": max_attempts, "pause_target_ms": pause_target_ms,
+            "resumable": resumable, "tier": tier,
         })
     };
     let team = |key: &str, tier: u8| {
--- a/crates/policy/tests/installation/unreachable.rs
+++ b/crates/policy/tests/installation/unreachable.rs
@@ -4,7 +4,7 @@
     crate::support::{Ask, Host, engines_of, lookup, sent, upstreams},
     config::Upstream,
     policy::{Event, SendOrder},
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, time::Duration},
     types::prelude::*,
 };
 
@@ -60,6 +60,7 @@
                 if heard.contains(&domain_of(&order)) {
                     self.host.handle(Event::Progressed {
                         attempt: order.attempt,
+                        longest_pause: Duration::ZERO,
                         request,
                         tokens: Tokens::new(5),
                     });
--- a/crates/policy/tests/installation/urgency.rs
+++ b/crates/policy/tests/installation/urgency.rs
@@ -3,6 +3,7 @@
 use {
     crate::support::{Ask, Host, sent},
     policy::Event,
+    std::time::Duration,
     types::prelude::*,
 };
 
@@ -35,6 +36,7 @@
     let progress = |host: &mut Host, tokens| {
         host.handle(Event::Progressed {
             attempt: order.attempt,
+            longest_pause: Duration::ZERO,
             request,
             tokens: Tokens::new(tokens),
         });
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -11,7 +11,7 @@
     },
     quickcheck::{Arbitrary, Gen, QuickCheck},
     serde_json::{Value, json},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
     types::prelude::*,
 };
 
@@ -151,6 +151,7 @@
                     self.known(request).answered = true;
                     let end = AttemptEnd::Completed {
                         answer: None,
+                        longest_pause: Duration::ZERO,
                         tokens: Tokens::new(5),
                     };
                     self.end(request, attempt, end);
--- a/crates/policy/tests/script/mod.rs
+++ b/crates/policy/tests/script/mod.rs
@@ -17,7 +17,7 @@
         Refusal, Repeatability, RoomRules, StoredAnswer, Target,
     },
     serde_json::{Value, json},
-    std::{collections::BTreeMap, fmt::Write, str::FromStr, sync::Arc},
+    std::{collections::BTreeMap, fmt::Write, str::FromStr, sync::Arc, time::Duration},
     types::prelude::*,
 };
 
@@ -79,7 +79,13 @@
             "complete" => {
                 let tokens = args.get_or("tokens", Tokens::new(1));
                 let answer = args.text("body").map(stored);
-                end(host, &args, AttemptEnd::Completed { answer, tokens })
+                let longest_pause = args.pause();
+                let completed = AttemptEnd::Completed {
+                    answer,
+                    longest_pause,
+                    tokens,
+                };
+                end(host, &args, completed)
             }
             "drain" => host.handle(Event::DrainStarted),
             "fail" => {
@@ -122,6 +128,7 @@
                 let tokens = args.get("tokens");
                 host.handle(Event::Progressed {
                     attempt,
+                    longest_pause: args.pause(),
                     request,
                     tokens,
                 })
@@ -375,6 +382,11 @@
             .unwrap_or_else(|_| panic!("bad {name}: {text}"))
     }
 
+    /// Longest pause of a stream.
+    pub fn pause(&self) -> Duration {
+        Duration::from_millis(self.get_or("pause_ms", 0))
+    }
+
     pub fn get_or<T: FromStr>(&self, name: &str, default: T) -> T {
         match self.has(name) {
             true => self.get(name),
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -104,6 +104,7 @@
             "attempts" => outcome.attempts,
             "lasted_ms" => millis(outcome.lasted),
             "first_token_ms" => outcome.first_token.map(millis),
+            "longest_pause_ms" => millis(outcome.longest_pause),
             "in_target" => outcome.met_target,
             "config_version" => known.version.map(ConfigVersion::get),
             "config_age_ms" => known.config_age.map(millis),
--- a/crates/router/src/pump.rs
+++ b/crates/router/src/pump.rs
@@ -145,6 +145,7 @@
         };
         let end = AttemptEnd::Completed {
             answer: self.answer_to_keep(status, &content_type, &body),
+            longest_pause: Duration::ZERO,
             tokens: completion_tokens(&body),
         };
         self.task.tell_end(order, end).await;
@@ -181,6 +182,7 @@
                 let kept = self.kept.take().unwrap_or_default() + END_EVENT;
                 let end = AttemptEnd::Completed {
                     answer: self.answer_to_keep(StatusCode::OK, &content_type, kept.as_bytes()),
+                    longest_pause: self.task.longest_pause(),
                     tokens: self.task.take_unreported(),
                 };
                 self.task.tell_end(order, end).await;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -221,6 +221,7 @@
         }
         let end = AttemptEnd::Completed {
             answer: None,
+            longest_pause: Duration::ZERO,
             tokens: Tokens::default(),
         };
         self.task.answer.send_whole(answer.map(answers::whole_body));
@@ -259,6 +260,7 @@
         let tokens = self.task.take_unreported();
         let end = AttemptEnd::Completed {
             answer: None,
+            longest_pause: self.task.longest_pause(),
             tokens,
         };
         self.task.tell_end(order, end).await;
--- a/crates/router/src/request_metrics.rs
+++ b/crates/router/src/request_metrics.rs
@@ -30,8 +30,10 @@
     histogram!("rhubarbcove_request_seconds", "class" => class.clone())
         .record(outcome.lasted.as_secs_f64());
     if let Some(first_token) = outcome.first_token {
-        histogram!("rhubarbcove_first_token_seconds", "class" => class)
+        histogram!("rhubarbcove_first_token_seconds", "class" => class.clone())
             .record(first_token.as_secs_f64());
+        histogram!("rhubarbcove_longest_pause_seconds", "class" => class)
+            .record(outcome.longest_pause.as_secs_f64());
     }
     if let Some((cause, tokens)) = outcome.wasted {
         counter!("rhubarbcove_wasted_tokens_total", "cause" => cause.as_str())
--- a/crates/router/src/request_task.rs
+++ b/crates/router/src/request_task.rs
@@ -23,7 +23,10 @@
     events: flume::Sender<RingEvent>,
     id: RequestId,
     instructions: mpsc::Receiver<Instruction>,
+    /// When a part of the answer was passed on last.
+    last_part: Option<Instant>,
     last_progress: Instant,
+    longest_pause: Duration,
     /// Events of the stream since the last progress event.
     unreported: u32,
 }
@@ -41,7 +44,9 @@
             events,
             id,
             instructions,
+            last_part: None,
             last_progress: Instant::now(),
+            longest_pause: Duration::ZERO,
             unreported: 0,
         }
     }
@@ -99,22 +104,36 @@
     /// Notes that events were passed on, and tells the controller of the first ones
     /// at once and of later ones now and then.
     pub(crate) async fn tell_progress(&mut self, order: &SendOrder) {
+        let now = Instant::now();
+        self.note_part(now);
         let first = !std::mem::replace(&mut self.delivered, true);
-        let due =
-            self.unreported >= PROGRESS_EVENTS || self.last_progress.elapsed() >= PROGRESS_INTERVAL;
+        let since_last = now.duration_since(self.last_progress);
+        let due = self.unreported >= PROGRESS_EVENTS || since_last >= PROGRESS_INTERVAL;
         if !first && !due {
             return;
         }
-        self.last_progress = Instant::now();
+        self.last_progress = now;
         let tokens = self.take_unreported();
         self.tell(Event::Progressed {
             attempt: order.attempt,
+            longest_pause: self.longest_pause,
             request: self.id,
             tokens,
         })
         .await;
     }
 
+    /// Longest time between two parts that the caller was sent, over all attempts.
+    pub(crate) const fn longest_pause(&self) -> Duration {
+        self.longest_pause
+    }
+
+    fn note_part(&mut self, now: Instant) {
+        if let Some(last) = self.last_part.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.duration_since(last));
+        }
+    }
+
     async fn tell(&self, event: Event) {
         // Waits while the ring is full: an end of an attempt is never lost. The
         // controller outlives every task.
