Tell engines the class of a request first, and then the tier of its team

Cause: with 71 hosts before engines of 12 slots, engines preempt; they put back the least urgent request, and with the team's tier first that is a short urgent stream of a lesser team while long reviews run on. Ruled out: the floor's priority (tried before, no help); more levels in place of six, which changes the order only among the least urgent.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -26,6 +26,7 @@
 struct Resolved {
     class: Class,
     class_id: ClassId,
+    engine_priority: u8,
     idempotent: bool,
     plan: Plan,
     team_id: TeamId,
@@ -95,13 +96,15 @@
         }
         let service_idempotent = self.check_target(document, &arrival.target)?;
         let asked = arrival.repeatability == Repeatability::AsConfigured;
+        let tier = team.tier.unwrap_or(class.tier);
         let resolved = Resolved {
             class: class.clone(),
             class_id: class_id.clone(),
+            engine_priority: u8::from(tier),
             idempotent: class.idempotent && service_idempotent && asked,
             plan: team.plan,
             team_id: team_id.clone(),
-            tier: team.tier.unwrap_or(class.tier),
+            tier,
             weight: team.weight,
         };
         self.limits.admit(&resolved.team_id, team, now)?;
@@ -124,6 +127,7 @@
         let resolved = Resolved {
             class: class.clone(),
             class_id: class_id.clone(),
+            engine_priority: self.urgency.engine_priority(None, class.tier),
             idempotent: class.idempotent,
             plan: Plan::Paid,
             team_id: PUBLIC_TEAM.parse().expect("the name is a valid id"),
@@ -141,6 +145,7 @@
         let team = &document.teams[team_id];
         self.limits.admit(team_id, team, now)?;
         Ok(Resolved {
+            engine_priority: self.urgency.engine_priority(team.tier, class.tier),
             plan: team.plan,
             team_id: team_id.clone(),
             tier: self.urgency.tier(team.tier, class.tier),
@@ -271,6 +276,7 @@
             class: resolved.class_id,
             deadline: now + time_limit.unwrap_or(longest).min(longest),
             due,
+            engine_priority: resolved.engine_priority,
             first_token_target_ms: resolved.class.first_token_target_ms,
             idempotent: resolved.idempotent,
             is_long,
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -49,10 +49,10 @@
             let Some(Stage::Queued(request)) = self.requests.get(&item.request) else {
                 return true;
             };
+            let priority = request.facts.engine_priority;
             let pace_ms = self.pace_wish(now, request);
             match self.choose(now, item.request, pace_ms, rank) {
                 Some(upstream) => {
-                    let priority = u8::from(rank.tier);
                     self.start(now, &item, upstream, priority, actions);
                 }
                 None if pace_ms.is_none() && rank.plan == Plan::Paid => return false,
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -10,6 +10,8 @@
     pub(crate) deadline: Time,
     /// When the first token is due.
     pub(crate) due: Time,
+    /// Its priority at an engine, 0 the most urgent.
+    pub(crate) engine_priority: u8,
     pub(crate) first_token_target_ms: u64,
     pub(crate) idempotent: bool,
     /// Whether its prompt was long among those seen when it came.
