Look for the engines that suit pause-bound requests for those only

Cause: each placement ordered all engines, and most prompts have no use for it. Change: the order is looked up for pause-bound requests alone; choices are as before.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -84,7 +84,8 @@
     now: Time,
     parts: &'w [PromptPart],
     pause_bound: bool,
-    /// Engines up to this place in their order are kept clear of long prompts.
+    /// Engines up to this place in their order suit a request that long prompts can make
+    /// late; `None` for any other request.
     quiet_up_to: Option<u64>,
     /// Tokens of the whole prompt.
     tokens: u64,
@@ -99,6 +100,7 @@
         now: Time,
     ) -> Self {
         let chain = shared_chain(wish.parts);
+        let quiet_up_to = wish.pause_bound.then(|| quiet_up_to(states.clone()));
         Self {
             due_in_ms: wish.due.since(now).as_secs_f64() * 1_000.0,
             home: home(states.clone(), chain).map(|home| &home.id),
@@ -106,7 +108,7 @@
             now,
             parts: wish.parts,
             pause_bound: wish.pause_bound,
-            quiet_up_to: quiet_up_to(states.clone()),
+            quiet_up_to: quiet_up_to.flatten(),
             tokens: prompt_cache::tokens(wish.parts),
             usual_record: Usual::of(states.clone().map(|state| &state.record)),
             usual_token_time_ms: usual_token_time_ms(states),
