Split the test of promises under random events by subject

Cause: one file of 455 lines held the document, the random steps, the model of callers and upstreams, and the property. Change: a file for each; steps, seed, number of cases and checks are as before.

--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -1,89 +1,4 @@
-//! Properties of the controller under random events: a model of callers and
-//! upstreams drives it and checks what it orders.
-
-#![allow(missing_docs, clippy::unwrap_used)]
-
-use {
-    config::{Document, Numbered},
-    policy::{
-        Action, Arrival, AttemptEnd, ClaimAnswer, Controller, ControllerOptions, Event,
-        Repeatability, RoomRules, Target,
-    },
-    quickcheck::{Arbitrary, Gen, QuickCheck},
-    serde_json::{Value, json},
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
-    types::prelude::*,
-};
-
-const ENGINES: u32 = 3;
-const SLOTS: u32 = 2;
-const CLASSES: [&str; 3] = ["alert", "order", "summary"];
-
-/// Fixed, so that the verdict is the same on each run.
-const SEED: u64 = 20_261_202;
-
-/// One random step.
-#[derive(Clone, Debug)]
-enum Step {
-    Advance(u8),
-    Arrive {
-        class: u8,
-        keyed: bool,
-    },
-    CallerGone(u8),
-    Claim {
-        answer: u8,
-        pick: u8,
-    },
-    Complete(u8),
-    Fail {
-        cause: u8,
-        delivered: bool,
-        pick: u8,
-        ran: bool,
-    },
-    Leave {
-        leaving: bool,
-        upstream: u8,
-    },
-    Probe {
-        healthy: bool,
-        upstream: u8,
-    },
-}
-
-impl Arbitrary for Step {
-    fn arbitrary(g: &mut Gen) -> Self {
-        let pick = u8::arbitrary(g);
-        match u8::arbitrary(g) % 12 {
-            0 => Self::Advance(pick),
-            1..=4 => Self::Arrive {
-                class: pick,
-                keyed: bool::arbitrary(g),
-            },
-            5 => Self::CallerGone(pick),
-            6 => Self::Claim {
-                answer: u8::arbitrary(g),
-                pick,
-            },
-            7 | 8 => Self::Complete(pick),
-            9 => Self::Fail {
-                cause: u8::arbitrary(g),
-                delivered: bool::arbitrary(g),
-                pick,
-                ran: bool::arbitrary(g),
-            },
-            10 => Self::Leave {
-                leaving: bool::arbitrary(g),
-                upstream: pick,
-            },
-            _ => Self::Probe {
-                healthy: bool::arbitrary(g),
-                upstream: pick,
-            },
-        }
-    }
-}
+use super::*;
 
 /// What the model knows of a request.
 #[derive(Clone, Debug)]
@@ -99,7 +14,8 @@
     tier: u8,
 }
 
-struct Model {
+/// Callers and upstreams, and what was ordered for them.
+pub struct Model {
     controller: Controller,
     leaving: Vec<UpstreamId>,
     now: Time,
@@ -107,7 +23,7 @@
 }
 
 impl Model {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let mut model = Self {
             controller: Controller::new(ControllerOptions {
                 failure_domain: "a".parse().unwrap(),
@@ -130,7 +46,7 @@
         model
     }
 
-    fn step(&mut self, step: &Step) {
+    pub fn step(&mut self, step: &Step) {
         match *step {
             Step::Advance(ms) => {
                 self.now = self.now.plus_ms(u64::from(ms) * 20);
@@ -367,7 +283,7 @@
     }
 
     /// Lets everything end, and checks that nothing is left over.
-    fn settle(mut self) {
+    pub fn settle(mut self) {
         self.leaving.clear();
         for _ in 0..400 {
             self.step(&Step::Advance(255));
@@ -398,59 +314,3 @@
         }
     }
 }
-
-fn engine(number: u8) -> UpstreamId {
-    format!("engine-{}", u32::from(number) % ENGINES)
-        .parse()
-        .unwrap()
-}
-
-fn document() -> Value {
-    let class = |tier: u8, idempotent: bool| {
-        json!({
-            "between_token_target_ms": 27, "deadline_ms": 60_000,
-            "first_token_target_ms": 500, "idempotent": idempotent, "tier": tier,
-        })
-    };
-    let mut document = json!({
-        "classes": {
-            "alert": class(0, true), "order": class(0, false), "summary": class(4, true),
-        },
-        "format": 1,
-        "teams": {"shop": {
-            "classes": CLASSES, "default_class": "summary",
-            "key_sha256": KeyHash::of_key("shop"), "max_concurrent": 1_000,
-            "max_requests_per_s": 100_000.0, "plan": "paid",
-        }},
-        "trial": {"max_slot_share": 0.5, "most_urgent_tier": 4},
-        "upstreams": {},
-    });
-    for number in 0..ENGINES {
-        document["upstreams"][format!("engine-{number}")] = json!({
-            "kind": "engine", "address": format!("127.0.0.1:{}", 8000 + number),
-            "failure_domain": "a", "models": ["small"], "queue_bound": 2,
-            "resumes": true, "slots": SLOTS,
-        });
-    }
-    document
-}
-
-/// No request is sent twice at once, after its final answer, without its claim,
-/// to a leaving engine, or again when it may have run and must not; none is
-/// given up for a less urgent one; every one is answered once, truthfully; every
-/// claim is settled; no slot is lost.
-#[test]
-fn promises_hold_under_random_events() {
-    fn holds(steps: Vec<Step>) -> bool {
-        let mut model = Model::new();
-        for step in &steps {
-            model.step(step);
-        }
-        model.settle();
-        true
-    }
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(120, SEED))
-        .tests(300)
-        .quickcheck(holds as fn(Vec<Step>) -> bool);
-}
