Wait in the test of replaced hosts until all requests are in

The test waits until one of a host's 20 requests runs at an engine and then stops the host; beside load other callers are still connecting, and a host without a pause for its balancer closes connections that it has not read. Ruled out: requests that were read and lost. Each failure is a connection's first bytes. Change: the test waits until what runs and what is queued are all 20, looked at twice, as its own comment asked. All checks are as before: each answer whole, each run once. Conclusion: the old test's condition was wrong, not the host.

--- a/crates/router/tests/hosts.rs
+++ b/crates/router/tests/hosts.rs
@@ -9,7 +9,7 @@
     serde_json::json,
     site::Site,
     standin::{EngineOptions, PlatformFaults},
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, time::Duration},
     types::prelude::*,
 };
 
@@ -76,6 +76,9 @@
     .await;
 }
 
+/// Requests that each host has when it is replaced.
+const REQUESTS: usize = 20;
+
 /// Symptom: requests are cut or lost while hosts are replaced.
 /// Sequence: under load each host in turn drains, stops, and another starts.
 /// Cause: a host that ends before its requests do.
@@ -89,22 +92,27 @@
         .await;
     let mut asks = Vec::new();
     for number in 0..3 {
-        for request in 0..20 {
+        for request in 0..REQUESTS {
             let tag = format!("h{number}r{request}");
             asks.push((
                 tag.clone(),
                 site.ask("question").tagged(&tag).of(40).at_host(0).spawn(),
             ));
         }
-        // The balancer has stopped sending to this host before it stops.
-        site.until("requests are in", |site| {
-            let prefix = format!("h{number}r");
-            site.log
-                .runs()
-                .iter()
-                .any(|run| run.tag.starts_with(&prefix))
-        })
-        .await;
+        // The balancer has stopped sending to this host before it stops, so all that was
+        // sent is in. One that runs is not enough: beside load another may still be
+        // connecting, and a host that stops closes what it has not read. What a host
+        // shows of its queue is up to 100 ms old, so the second look is a new one.
+        for _ in 0..2 {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            site.until("requests are in", |site| {
+                let prefix = format!("h{number}r");
+                let runs = site.log.runs();
+                let running = runs.iter().filter(|run| run.tag.starts_with(&prefix));
+                running.count() + site.host().status().queued >= REQUESTS
+            })
+            .await;
+        }
         site.stop_host().await;
         site.host = site.others.remove(0);
         let new = site.start_numbered(number + 3).await;
