--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -4,7 +4,17 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum DirectoryUpdate {
     /// A version of the configuration. Upstreams are told apart from it.
-    Configuration(Arc<Numbered>),
+    Configuration {
+        /// The version.
+        numbered: Arc<Numbered>,
+        /// How it was read.
+        reading: Reading,
+    },
+    /// The store gave no answer about the configuration.
+    ConfigurationUnread {
+        /// What went wrong, and how much of the answer had come.
+        error: String,
+    },
     /// The version told last was the newest one at this moment.
     Confirmed {
         /// When the question was sent that was answered so.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -25,9 +25,11 @@
 mod judgement;
 mod passing;
 mod protocol;
+mod reading;
 mod request_head;
 
 pub use {
     clock::Clock, directory::Directory, directory_update::DirectoryUpdate, head_error::HeadError,
-    judgement::Judgement, passing::Passing, protocol::Protocol, request_head::RequestHead,
+    judgement::Judgement, passing::Passing, protocol::Protocol, reading::Reading,
+    request_head::RequestHead,
 };
--- /dev/null
+++ b/crates/ports/src/reading.rs
@@ -0,0 +1,10 @@
+use super::*;
+
+/// How large an answer was and how long it took.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Reading {
+    /// Bytes of its body, as they came.
+    pub bytes: ByteSize,
+    /// From the question to the last byte.
+    pub lasted: Duration,
+}
--- a/crates/router/src/configuration_fetcher.rs
+++ b/crates/router/src/configuration_fetcher.rs
@@ -18,10 +18,11 @@
     pub(crate) async fn run(self) {
         let connections = Connections::default();
         while let Ok(address) = self.jobs.recv_async().await {
+            let began = Instant::now();
             match fetch(&connections, address, &self.token).await {
                 Ok(numbered) => {
                     info!(self.logger, "peers: configuration fetched";
-                        "from" => %address, "version" => %numbered.version);
+                        "lasted_ms" => began.elapsed().as_millis() as u64, "from" => %address, "version" => %numbered.version);
                     let event = Event::ConfigurationRead(Arc::new(numbered));
                     let _ = self.events.send_async(RingEvent::Happened(event)).await;
                 }
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -47,7 +47,17 @@
 ) {
     while let Ok(update) = updates.recv_async().await {
         let event = match update {
-            DirectoryUpdate::Configuration(numbered) => Event::ConfigurationRead(numbered),
+            DirectoryUpdate::Configuration { numbered, reading } => {
+                info!(logger, "directory: configuration read";
+                    "bytes" => reading.bytes.get(),
+                    "lasted_ms" => reading.lasted.as_millis() as u64,
+                    "version" => %numbered.version);
+                Event::ConfigurationRead(numbered)
+            }
+            DirectoryUpdate::ConfigurationUnread { error } => {
+                warn!(logger, "directory: configuration not read"; "error" => error);
+                continue;
+            }
             DirectoryUpdate::Confirmed { as_of } => Event::ConfigurationConfirmed { as_of },
             DirectoryUpdate::Lost { error } => {
                 warn!(logger, "directory: lost"; "error" => error);
--- a/crates/store/src/http_calls.rs
+++ b/crates/store/src/http_calls.rs
@@ -39,13 +39,15 @@
         let mut sender = timeout_at(deadline, self.connection())
             .await
             .map_err(not_done)??;
+        let mut progress = Progress::default();
         let exchange = async {
             let response = sender.send_request(request).await.map_err(lost)?;
             let (head, body) = response.into_parts();
-            let body = body.collect().await.map_err(lost)?;
-            Ok::<_, PlatformError>((head, body.to_bytes()))
+            let body = progress.read(body).await?;
+            Ok::<_, PlatformError>((head, body))
         };
-        let answer = timeout_at(deadline, exchange).await.map_err(lost)??;
+        let answer = timeout_at(deadline, exchange).await;
+        let answer = answer.map_err(|_| progress.lost("not whole in time"))??;
         self.keep(sender);
         Ok(answer)
     }
@@ -83,6 +85,38 @@
     }
 }
 
+/// How much of an answer has come.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Length of the answer, if its head told one.
+    announced: Option<u64>,
+    received: u64,
+}
+
+impl Progress {
+    async fn read(&mut self, mut body: Incoming) -> Result<Bytes, PlatformError> {
+        self.announced = body.size_hint().exact();
+        let mut parts = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| self.lost(error))?;
+            if let Ok(data) = frame.into_data() {
+                self.received += data.len() as u64;
+                parts.extend_from_slice(&data);
+            }
+        }
+        Ok(parts.freeze())
+    }
+
+    /// An answer that did not come whole: the message tells a slow one, most of which
+    /// is here, from one that never began.
+    fn lost(&self, cause: impl Display) -> PlatformError {
+        let received = self.received;
+        let announced = self.announced.map(|bytes| format!(" of {bytes}"));
+        let announced = announced.unwrap_or_default();
+        lost(format!("{cause}, {received}{announced} bytes came"))
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,11 +3,12 @@
 //! the write may have taken effect is an outcome of its own.
 
 use {
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     config::{ConfigError, Document, Numbered, Patch},
     http_body_util::{BodyExt, Full},
     hyper::{
         Method, Request, StatusCode,
+        body::{Body, Incoming},
         client::conn::http1::{SendRequest, handshake},
         header::{CONTENT_TYPE, ETAG, HOST, HeaderValue, IF_NONE_MATCH},
         http::response::Parts,
