Let two hosts of a failure domain ask the store for the others

Change: with more than three hosts in a failure domain, two of them by rendezvous ask the store, keep the latest changes of the servers' table for ten seconds or so, and answer the others, who ask one of the two every 0.8 s. What is told carries the version and age of the configuration, counted from before the question. No answer, too little or too old: the store is asked at once, and by all while it is away.

Ruled out: one follower, followers across domains, datagrams (docs/design/installation.md).

--- /dev/null
+++ b/crates/peer/src/handing.rs
@@ -0,0 +1,22 @@
+//! What hosts of an installation ask each other over HTTP: paths and headers.
+
+/// Path of the configuration; the version that the asking host has is appended.
+pub const DOCUMENT_PATH: &str = "/document/newer-than/";
+
+/// Path of the changes of the upstreams' table; the revision up to which the asking host
+/// knows them is appended.
+pub const CHANGES_PATH: &str = "/changes/after/";
+
+/// Milliseconds since the sender's configuration was known to be the newest one.
+pub const AGE_HEADER: &str = "rhubarbcove-age-ms";
+
+/// Revision of the installation's store at which the configuration was written.
+pub const REVISION_HEADER: &str = "rhubarbcove-revision";
+
+/// Version of the sender's configuration.
+pub const VERSION_HEADER: &str = "rhubarbcove-version";
+
+/// The value of the header `authorization` by which hosts of one secret know each other.
+pub fn bearer(token: &str) -> String {
+    format!("Bearer {token}")
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -20,6 +20,7 @@
 mod datagram;
 mod demand;
 mod grant;
+pub mod handing;
 mod heartbeat;
 mod heartbeat_answer;
 mod load_note;
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -41,6 +41,8 @@
         /// What is wrong with it.
         error: String,
     },
+    /// What the store said of changes of the upstreams' table, for other hosts.
+    UpstreamsHeard(TableChanges),
     /// All upstreams that the store lists.
     Upstreams {
         /// Those that are leaving, among them.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -32,9 +32,10 @@
 mod reading;
 mod request_head;
 mod source_document;
+mod table_changes;
 
 pub use {
     clock::Clock, directory::Directory, directory_update::DirectoryUpdate, head_error::HeadError,
     judgement::Judgement, offer::Offer, passing::Passing, protocol::Protocol, reading::Reading,
-    request_head::RequestHead, source_document::SourceDocument,
+    request_head::RequestHead, source_document::SourceDocument, table_changes::TableChanges,
 };
--- a/crates/router/src/configuration_fetcher.rs
+++ b/crates/router/src/configuration_fetcher.rs
@@ -1,4 +1,4 @@
-use super::*;
+use {super::*, peer::handing};
 
 /// Time in which the answer of another host must begin: it is only looked up there, and
 /// some hundred milliseconds under way on a link that is full.
@@ -45,9 +45,9 @@
 
     async fn fetch(&self, job: FetchJob) -> eyre::Result<Fetched> {
         let newer_than = job.newer_than.map_or(0, ConfigVersion::get);
-        let path = format!("{}{newer_than}", peer_service::DOCUMENT_PATH);
+        let path = format!("{}{newer_than}", handing::DOCUMENT_PATH);
         let request = Request::get(path)
-            .header(AUTHORIZATION, peer_service::bearer(&self.token))
+            .header(AUTHORIZATION, handing::bearer(&self.token))
             .body(Full::default())?;
         let asked = self.clock.now();
         let calls = HttpCalls::new(job.address, 0);
@@ -63,14 +63,13 @@
         }
         let number = |name| peer_service::number(&head.headers, name);
         let missing = || eyre!("the host's answer lacks a header");
-        let version = number(peer_service::VERSION_HEADER).ok_or_else(missing)?;
-        let revision = number(peer_service::REVISION_HEADER).ok_or_else(missing)?;
+        let version = number(handing::VERSION_HEADER).ok_or_else(missing)?;
+        let revision = number(handing::REVISION_HEADER).ok_or_else(missing)?;
         let bytes = ByteSize::new(packed.len() as u64);
         Ok(Fetched::Offer(Offer {
             // The host's word counts from before it was asked, so that an answer that was
             // long under way makes nothing look newer than it is.
-            as_of: number(peer_service::AGE_HEADER)
-                .map(|age_ms| asked - Duration::from_millis(age_ms)),
+            as_of: number(handing::AGE_HEADER).map(|age_ms| asked - Duration::from_millis(age_ms)),
             document: Arc::new(SourceDocument {
                 packed,
                 revision,
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -7,6 +7,7 @@
 
 /// What the thread is given.
 pub(crate) struct DirectoryThread {
+    pub(crate) changes: Arc<ArcSwap<RecentChanges>>,
     pub(crate) clock: Clock,
     pub(crate) directory: Box<dyn Directory>,
     pub(crate) events: flume::Sender<RingEvent>,
@@ -33,23 +34,57 @@
 
     async fn run(self) {
         let (sender, updates) = flume::bounded(UPDATE_RING);
+        let Self {
+            changes,
+            clock,
+            directory,
+            events,
+            fetcher,
+            handout,
+            logger,
+            metrics: _,
+            offers,
+            shutdown,
+        } = self;
+        let passing = PassingOn {
+            changes,
+            clock,
+            events,
+            handout,
+            logger,
+        };
         tokio::select! {
-            () = self.directory.follow(self.clock, sender, self.offers) => {}
-            () = pass_on(&updates, &self.events, &self.handout, &self.logger) => {}
-            () = self.fetcher.run() => {}
-            () = self.shutdown.started() => {}
+            () = directory.follow(clock, sender, offers) => {}
+            () = passing.run(&updates) => {}
+            () = fetcher.run() => {}
+            () = shutdown.started() => {}
         }
     }
 }
 
-async fn pass_on(
-    updates: &flume::Receiver<DirectoryUpdate>,
-    events: &flume::Sender<RingEvent>,
-    handout: &ArcSwapOption<Handout>,
-    logger: &Logger,
-) {
-    while let Ok(update) = updates.recv_async().await {
-        let event = match update {
+/// Passes on what the directory tells: to the controller, to the log, to other hosts.
+struct PassingOn {
+    changes: Arc<ArcSwap<RecentChanges>>,
+    clock: Clock,
+    events: flume::Sender<RingEvent>,
+    handout: Arc<ArcSwapOption<Handout>>,
+    logger: Logger,
+}
+
+impl PassingOn {
+    async fn run(&self, updates: &flume::Receiver<DirectoryUpdate>) {
+        while let Ok(update) = updates.recv_async().await {
+            if let Some(event) = self.take(update) {
+                // Waits while the ring is full: no update is lost.
+                let _ = self.events.send_async(RingEvent::Happened(event)).await;
+            }
+        }
+    }
+
+    /// What the controller is told of it.
+    fn take(&self, update: DirectoryUpdate) -> Option<Event> {
+        let logger = &self.logger;
+        Some(match update {
             DirectoryUpdate::Configuration { numbered, reading } => {
                 info!(logger, "directory: configuration read";
                     "bytes" => reading.bytes.get(),
@@ -59,7 +94,7 @@
             }
             DirectoryUpdate::ConfigurationUnread { error } => {
                 warn!(logger, "directory: configuration not read"; "error" => error);
-                continue;
+                return None;
             }
             DirectoryUpdate::ConfigurationAnnounced { bytes } => {
                 info!(logger, "directory: large configuration begins"; "bytes" => bytes.get());
@@ -68,15 +103,17 @@
             DirectoryUpdate::ConfigurationPacked(document) => {
                 let version = document.version;
                 let as_of = None;
-                handout.store(Some(Arc::new(Handout { as_of, document })));
+                self.handout
+                    .store(Some(Arc::new(Handout { as_of, document })));
                 Event::ConfigurationPacked(version)
             }
             DirectoryUpdate::Confirmed { as_of } => {
-                confirm(handout, as_of);
+                confirm(&self.handout, as_of);
                 Event::ConfigurationConfirmed { as_of }
             }
             DirectoryUpdate::Lost { error } => {
                 warn!(logger, "directory: lost"; "error" => error);
+                self.changes.store(Arc::default());
                 Event::DirectoryReached(false)
             }
             DirectoryUpdate::Peers(peers) => Event::PeersListed { peers },
@@ -86,16 +123,20 @@
             }
             DirectoryUpdate::Unusable { error } => {
                 warn!(logger, "directory: answer not used"; "error" => error);
-                continue;
+                return None;
+            }
+            DirectoryUpdate::UpstreamsHeard(changes) => {
+                let known = self.changes.load();
+                let known = known.with(self.clock.now(), changes);
+                self.changes.store(Arc::new(known));
+                return None;
             }
             DirectoryUpdate::Upstreams { leaving, upstreams } => {
                 info!(logger, "directory: upstreams read";
                     "leaving" => leaving.len(), "upstreams" => upstreams.len());
                 Event::DirectoryRead { leaving, upstreams }
             }
-        };
-        // Waits while the ring is full: no update is lost.
-        let _ = events.send_async(RingEvent::Happened(event)).await;
+        })
     }
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -37,7 +37,7 @@
     },
     ports::{
         Clock, Directory, DirectoryUpdate, HeadError, Judgement, Offer, Passing, Protocol, Reading,
-        RequestHead, SourceDocument,
+        RequestHead, SourceDocument, TableChanges,
     },
     rand::Rng,
     serde::{Deserialize, Serialize},
@@ -118,6 +118,7 @@
 mod promise;
 mod pump;
 mod pumps;
+mod recent_changes;
 mod relay;
 mod relay_rules;
 mod relay_service;
@@ -182,6 +183,7 @@
     probe_job::ProbeJob,
     pump::Pump,
     pumps::Pumps,
+    recent_changes::RecentChanges,
     relay::Relay,
     relay_service::RelayService,
     relayed_request::RelayedRequest,
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -96,6 +96,7 @@
         directory: Box::new(StoreDirectory::new(
             settings.platform_address,
             peer(&settings),
+            settings.peer_token.clone(),
         )),
         protocol: Arc::new(WireProtocol),
     });
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -1,18 +1,12 @@
-//! What a host answers other hosts of an installation: its configuration.
+//! What a host answers other hosts of an installation: its configuration, and what it
+//! heard of changes of the upstreams' table.
 
-use super::*;
-
-/// Path of the configuration; the version that the asking host has is appended.
-pub(crate) const DOCUMENT_PATH: &str = "/document/newer-than/";
-
-/// Milliseconds since the document was known to be the newest one.
-pub(crate) const AGE_HEADER: &str = "rhubarbcove-age-ms";
-
-/// Revision of the installation's store at which it was written.
-pub(crate) const REVISION_HEADER: &str = "rhubarbcove-revision";
-
-/// Its version.
-pub(crate) const VERSION_HEADER: &str = "rhubarbcove-version";
+use {
+    super::*,
+    peer::handing::{
+        AGE_HEADER, CHANGES_PATH, DOCUMENT_PATH, REVISION_HEADER, VERSION_HEADER, bearer,
+    },
+};
 
 /// Hosts that are handed the configuration at one time; others are told to ask elsewhere.
 /// Four packed documents of 7,000 routes take half a second on a link of 10 Mbit/s.
@@ -30,6 +24,7 @@
 /// hosts while the store is well.
 #[derive(Clone)]
 pub(crate) struct PeerService {
+    pub(crate) changes: Arc<ArcSwap<RecentChanges>>,
     pub(crate) clock: Clock,
     pub(crate) handout: Arc<ArcSwapOption<Handout>>,
     pub(crate) lending: Lending,
@@ -41,11 +36,16 @@
         let presented = request.headers().get(AUTHORIZATION);
         let presented = presented.map_or(&b""[..], HeaderValue::as_bytes);
         let known: bool = presented.ct_eq(bearer(&self.token).as_bytes()).into();
-        let newer_than = request.uri().path().strip_prefix(DOCUMENT_PATH);
-        let newer_than = newer_than.and_then(|version| version.parse().ok());
-        let (true, Some(newer_than)) = (known, newer_than) else {
-            return text_answer(StatusCode::NOT_FOUND, "text/plain", "no such path\n");
-        };
+        let path = request.uri().path();
+        let asked = |prefix| path.strip_prefix(prefix).and_then(|rest| rest.parse().ok());
+        match (known, asked(DOCUMENT_PATH), asked(CHANGES_PATH)) {
+            (true, Some(newer_than), _) => self.document(newer_than),
+            (true, _, Some(after)) => self.changes(after),
+            _ => text_answer(StatusCode::NOT_FOUND, "text/plain", "no such path\n"),
+        }
+    }
+
+    fn document(&self, newer_than: u64) -> Response<AnswerBody> {
         let handout = self.handout.load_full();
         let newer = handout.filter(|handout| handout.document.version.get() > newer_than);
         let Some(handout) = newer else {
@@ -57,17 +57,34 @@
         }
     }
 
+    /// Changes as the store would tell them, and how old the configuration is.
+    fn changes(&self, after: u64) -> Response<AnswerBody> {
+        let changes = self.changes.load();
+        let handout = self.handout.load_full();
+        let told = changes.after(self.clock.now(), after).zip(handout);
+        let Some(((revision, rows), handout)) = told else {
+            return text_answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "unknown\n");
+        };
+        let body = format!(r#"{{"rows":[{}],"ver":{revision}}}"#, rows.join(","));
+        let mut response = text_answer(StatusCode::OK, "application/json", body);
+        self.tell_knowledge(&handout, response.headers_mut());
+        response
+    }
+
     fn hand_over(&self, handout: &Handout, packed: Bytes) -> Response<AnswerBody> {
         let mut response = text_answer(StatusCode::OK, "application/gzip", packed);
         let headers = response.headers_mut();
-        let document = &handout.document;
-        headers.insert(VERSION_HEADER, document.version.get().into());
-        headers.insert(REVISION_HEADER, document.revision.into());
+        headers.insert(REVISION_HEADER, handout.document.revision.into());
+        self.tell_knowledge(handout, headers);
+        response
+    }
+
+    fn tell_knowledge(&self, handout: &Handout, headers: &mut HeaderMap) {
+        headers.insert(VERSION_HEADER, handout.document.version.get().into());
         if let Some(as_of) = handout.as_of {
             let age = self.clock.now().since(as_of);
             headers.insert(AGE_HEADER, (age.as_millis() as u64).into());
         }
-        response
     }
 }
 
@@ -120,11 +137,6 @@
     }
 }
 
-/// The value of the header by which hosts know each other.
-pub(crate) fn bearer(token: &str) -> String {
-    format!("Bearer {token}")
-}
-
 /// A number in a header.
 pub(crate) fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -2,6 +2,8 @@
 
 /// What several threads read.
 pub(crate) struct Shared {
+    /// What other hosts are told of the upstreams' table.
+    pub(crate) changes: Arc<ArcSwap<RecentChanges>>,
     pub(crate) bodies: BodyBudget,
     pub(crate) clock: Clock,
     pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
@@ -32,6 +34,7 @@
         };
         Self {
             bodies: BodyBudget::default(),
+            changes: Arc::default(),
             clock: Clock::start(),
             configuration: Arc::default(),
             handout: Arc::default(),
