--- a/crates/peer/src/handing.rs
+++ b/crates/peer/src/handing.rs
@@ -10,6 +10,10 @@
 /// Milliseconds since the sender's configuration was known to be the newest one.
 pub const AGE_HEADER: &str = "rhubarbcove-age-ms";
 
+/// Present if the sender has lost the installation's store, or has found it again a moment
+/// ago: entries that are missing from the table may only have lapsed.
+pub const LOST_HEADER: &str = "rhubarbcove-store-lost";
+
 /// Revision of the installation's store at which the configuration was written.
 pub const REVISION_HEADER: &str = "rhubarbcove-revision";
 
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -113,12 +113,15 @@
             }
             DirectoryUpdate::Lost { error } => {
                 warn!(logger, "directory: lost"; "error" => error);
-                self.changes.store(Arc::default());
+                self.changes.store(Arc::new(RecentChanges::lost()));
                 Event::DirectoryReached(false)
             }
             DirectoryUpdate::Peers(peers) => Event::PeersListed { peers },
             DirectoryUpdate::Regained => {
                 info!(logger, "directory: regained");
+                let known = self.changes.load();
+                let known = known.regained(self.clock.now());
+                self.changes.store(Arc::new(known));
                 Event::DirectoryReached(true)
             }
             DirectoryUpdate::Unusable { error } => {
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -4,7 +4,8 @@
 use {
     super::*,
     peer::handing::{
-        AGE_HEADER, CHANGES_PATH, DOCUMENT_PATH, REVISION_HEADER, VERSION_HEADER, bearer,
+        AGE_HEADER, CHANGES_PATH, DOCUMENT_PATH, LOST_HEADER, REVISION_HEADER, VERSION_HEADER,
+        bearer,
     },
 };
 
@@ -59,11 +60,17 @@
 
     /// Changes as the store would tell them, and how old the configuration is.
     fn changes(&self, after: u64) -> Response<AnswerBody> {
+        let now = self.clock.now();
         let changes = self.changes.load();
         let handout = self.handout.load_full();
-        let told = changes.after(self.clock.now(), after).zip(handout);
-        let Some(((revision, rows), handout)) = told else {
-            return text_answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "unknown\n");
+        let unknown = || text_answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "unknown\n");
+        if changes.is_store_lost(now) {
+            let mut response = unknown();
+            response.headers_mut().insert(LOST_HEADER, 1.into());
+            return response;
+        }
+        let Some(((revision, rows), handout)) = changes.after(now, after).zip(handout) else {
+            return unknown();
         };
         let body = format!(r#"{{"rows":[{}],"ver":{revision}}}"#, rows.join(","));
         let mut response = text_answer(StatusCode::OK, "application/json", body);
