Let one host of a failure domain ask the store for the others, and believe nobody's loss but the own

Each start read everything, each host read the table of hosts every 10 s, and a host's word that it had lost the store made all others of its domain ask it themselves, several times a second.

Ruled out: longer questions (keys must be known to be valid within 4.9 s, and an outage is not excused for 3 s); passing on what was told (hosts could confirm each other in a circle).

Change: all hosts of a domain work out one order; each asks the first that hears the store itself, and the store if it is that one. Both the upstreams' and the hosts' tables are told, with removed rows; a newer configuration is fetched from who told of it. Where nobody can tell, hosts ask the more seldom the later they come in the order. Starting hosts are told by others. Metrics name the table.

--- a/crates/config/src/relay_settings.rs
+++ b/crates/config/src/relay_settings.rs
@@ -9,6 +9,10 @@
     pub apply_limit_ms: u64,
     /// Time after a planned stop was asked for in which the process must end.
     pub drain_limit_ms: u64,
+    /// Whether the whole installation starts for the first time, so that all hosts write
+    /// themselves into its table of hosts at about the same moment.
+    #[serde(default)]
+    pub first_start: bool,
     /// Age of its knowledge of the configuration from which a host must not
     /// take a key for valid any more: the bound for a removed key.
     pub key_knowledge_limit_ms: u64,
--- a/crates/peer/src/handing.rs
+++ b/crates/peer/src/handing.rs
@@ -3,17 +3,21 @@
 /// Path of the configuration; the version that the asking host has is appended.
 pub const DOCUMENT_PATH: &str = "/document/newer-than/";
 
-/// Path of the changes of the upstreams' table; the revision up to which the asking host
-/// knows them is appended.
-pub const CHANGES_PATH: &str = "/changes/after/";
+/// Path of the tables that few hosts read for all; the revisions up to which the asking
+/// host knows the upstreams' and the hosts' are appended, 0 for one that it does not know.
+pub const TABLES_PATH: &str = "/tables/after/";
 
 /// Milliseconds since the sender's configuration was known to be the newest one.
 pub const AGE_HEADER: &str = "rhubarbcove-age-ms";
 
-/// Present if the sender has lost the installation's store, or has found it again a moment
-/// ago: entries that are missing from the table may only have lapsed.
+/// Present if the sender has lost the installation's store.
 pub const LOST_HEADER: &str = "rhubarbcove-store-lost";
 
+/// Milliseconds since the sender found the installation's store again, for the first
+/// seconds after that: entries that are missing from the upstreams' table may only have
+/// lapsed.
+pub const REGAINED_HEADER: &str = "rhubarbcove-store-regained-ms";
+
 /// Revision of the installation's store at which the configuration was written.
 pub const REVISION_HEADER: &str = "rhubarbcove-revision";
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -29,6 +29,8 @@
 mod peer_phase;
 #[cfg(feature = "rpc")]
 mod rpc;
+mod table_news;
+mod table_row;
 mod version_note;
 
 pub use {
@@ -40,6 +42,8 @@
     message_error::MessageError,
     peer_host::PeerHost,
     peer_phase::PeerPhase,
+    table_news::{TableNews, TablesNews},
+    table_row::TableRow,
     version_note::VersionNote,
 };
 
--- /dev/null
+++ b/crates/peer/src/table_row.rs
@@ -0,0 +1,16 @@
+use super::*;
+
+/// A row of a table of the installation's store, as hosts tell it to each other.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TableRow {
+    /// Its key.
+    pub key: String,
+    /// Whether it was removed.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub removed: bool,
+    /// Revision of the store at which it was written or removed.
+    pub revision: u64,
+    /// Its value as the store writes it; empty if it was removed.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub value: String,
+}
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -151,6 +151,9 @@
                 self.confirmed = self.confirmed.max(Some(as_of));
                 self.newer.note_confirmed();
             }
+            Event::ConfigurationElsewhere { from, version } => {
+                self.on_elsewhere(now, from, version, actions);
+            }
             Event::ConfigurationFetchEnded { address, end } => {
                 self.on_fetch_ended(now, address, end, actions);
             }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -28,6 +28,13 @@
     },
     /// A newer configuration begins to arrive from the store, and will take long.
     ConfigurationAnnounced,
+    /// Another host, which this one asks in place of the store, has a newer configuration.
+    ConfigurationElsewhere {
+        /// Where it is reached.
+        from: SocketAddr,
+        /// Its version.
+        version: ConfigVersion,
+    },
     /// The question to another host for its configuration ended.
     ConfigurationFetchEnded {
         /// The host.
--- a/crates/policy/src/newer_configuration.rs
+++ b/crates/policy/src/newer_configuration.rs
@@ -126,6 +126,19 @@
         self.fetch_newer(now, actions);
     }
 
+    /// The host that this one asks in place of the store has a newer version: the store
+    /// does not send it here, so it is fetched at once.
+    pub(crate) fn on_elsewhere(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        version: ConfigVersion,
+        actions: &mut Vec<Action>,
+    ) {
+        self.newer.announced |= Some(version) > self.version();
+        self.on_version_told(now, from, version, actions);
+    }
+
     pub(crate) fn on_version_told(
         &mut self,
         now: Time,
--- a/crates/policy/tests/installation/newer_configuration.rs
+++ b/crates/policy/tests/installation/newer_configuration.rs
@@ -65,6 +65,28 @@
     assert_eq!(fetched(&host.handle(told(3, 2))), Some(address(3)));
 }
 
+/// Symptom: a change is in force two seconds later on most hosts of a large domain, or each
+/// of them reads it from the store. Events: the host that this one asks in place of the
+/// store tells of a newer version. Cause: the store is expected to bring it, which this
+/// host does not ask.
+#[test]
+fn fetches_at_once_what_the_host_has_that_it_asks_in_place_of_the_store() {
+    let elsewhere = |version| Event::ConfigurationElsewhere {
+        from: address(3),
+        version: ConfigVersion::new(version),
+    };
+    let mut host = Host::new(0);
+    assert_eq!(fetched(&host.handle(elsewhere(2))), Some(address(3)));
+
+    let mut host = Host::new(0);
+    assert_eq!(fetched(&host.handle(elsewhere(1))), None, "it has this one");
+    assert_eq!(
+        fetched(&host.handle(told(4, 2))),
+        None,
+        "an older word says nothing of what comes next"
+    );
+}
+
 /// Symptom: fetches fail on most hosts, while one host sends all that its link takes.
 /// Events: a host that all have heard of is asked by all of them. Cause: the host that was
 /// heard of first is asked, again and again.
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -10,6 +10,13 @@
         /// How it was read.
         reading: Reading,
     },
+    /// Another host, which this one asks in place of the store, has a newer configuration.
+    ConfigurationElsewhere {
+        /// Where it is reached.
+        from: SocketAddr,
+        /// Its version.
+        version: ConfigVersion,
+    },
     /// A newer configuration begins to arrive, and will take long.
     ConfigurationAnnounced {
         /// Its size.
@@ -41,8 +48,8 @@
         /// What is wrong with it.
         error: String,
     },
-    /// What the store said of changes of the upstreams' table, for other hosts.
-    UpstreamsHeard(TableChanges),
+    /// What the store said of a table, for other hosts.
+    TableRead(TableReading),
     /// All upstreams that the store lists.
     Upstreams {
         /// Those that are leaving, among them.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -9,11 +9,12 @@
     flate2::{Compression, read::GzDecoder, write::GzEncoder},
     hyper::{HeaderMap, StatusCode, http::request::Parts},
     nix::time::{ClockId, clock_gettime},
-    peer::PeerHost,
+    peer::{PeerHost, TableNews},
     std::{
         collections::{BTreeMap, BTreeSet},
         fmt::{self, Display, Formatter},
         io::{Read, Write},
+        net::SocketAddr,
         pin::Pin,
         sync::Arc,
         time::Duration,
@@ -32,12 +33,13 @@
 mod protocol;
 mod reading;
 mod request_head;
+mod shared_table;
 mod source_document;
-mod table_changes;
+mod table_reading;
 
 pub use {
     clock::Clock, directory::Directory, directory_update::DirectoryUpdate, head_error::HeadError,
     header_number::header_number, judgement::Judgement, offer::Offer, passing::Passing,
-    protocol::Protocol, reading::Reading, request_head::RequestHead,
-    source_document::SourceDocument, table_changes::TableChanges,
+    protocol::Protocol, reading::Reading, request_head::RequestHead, shared_table::SharedTable,
+    source_document::SourceDocument, table_reading::TableReading,
 };
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -7,12 +7,12 @@
 
 /// What the thread is given.
 pub(crate) struct DirectoryThread {
-    pub(crate) changes: Arc<ArcSwap<RecentChanges>>,
     pub(crate) clock: Clock,
     pub(crate) directory: Box<dyn Directory>,
     pub(crate) events: flume::Sender<RingEvent>,
     pub(crate) fetcher: ConfigurationFetcher,
     pub(crate) handout: Arc<ArcSwapOption<Handout>>,
+    pub(crate) heard: Arc<Mutex<HeardTables>>,
     pub(crate) logger: Logger,
     pub(crate) metrics: HostMetrics,
     pub(crate) offers: flume::Receiver<Offer>,
@@ -35,22 +35,22 @@
     async fn run(self) {
         let (sender, updates) = flume::bounded(UPDATE_RING);
         let Self {
-            changes,
             clock,
             directory,
             events,
             fetcher,
             handout,
+            heard,
             logger,
             metrics: _,
             offers,
             shutdown,
         } = self;
         let passing = PassingOn {
-            changes,
             clock,
             events,
             handout,
+            heard,
             logger,
         };
         tokio::select! {
@@ -64,10 +64,10 @@
 
 /// Passes on what the directory tells: to the controller, to the log, to other hosts.
 struct PassingOn {
-    changes: Arc<ArcSwap<RecentChanges>>,
     clock: Clock,
     events: flume::Sender<RingEvent>,
     handout: Arc<ArcSwapOption<Handout>>,
+    heard: Arc<Mutex<HeardTables>>,
     logger: Logger,
 }
 
@@ -81,6 +81,10 @@
         }
     }
 
+    fn heard(&self) -> MutexGuard<'_, HeardTables> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What the controller is told of it.
     fn take(&self, update: DirectoryUpdate) -> Option<Event> {
         let logger = &self.logger;
@@ -96,6 +100,9 @@
                 warn!(logger, "directory: configuration not read"; "error" => error);
                 return None;
             }
+            DirectoryUpdate::ConfigurationElsewhere { from, version } => {
+                Event::ConfigurationElsewhere { from, version }
+            }
             DirectoryUpdate::ConfigurationAnnounced { bytes } => {
                 info!(logger, "directory: large configuration begins"; "bytes" => bytes.get());
                 Event::ConfigurationAnnounced
@@ -113,25 +120,21 @@
             }
             DirectoryUpdate::Lost { error } => {
                 warn!(logger, "directory: lost"; "error" => error);
-                self.changes.store(Arc::new(RecentChanges::lost()));
+                self.heard().note_lost();
                 Event::DirectoryReached(false)
             }
             DirectoryUpdate::Peers(peers) => Event::PeersListed { peers },
             DirectoryUpdate::Regained => {
                 info!(logger, "directory: regained");
-                let known = self.changes.load();
-                let known = known.regained(self.clock.now());
-                self.changes.store(Arc::new(known));
+                self.heard().note_regained(self.clock.now());
                 Event::DirectoryReached(true)
             }
             DirectoryUpdate::Unusable { error } => {
                 warn!(logger, "directory: answer not used"; "error" => error);
                 return None;
             }
-            DirectoryUpdate::UpstreamsHeard(changes) => {
-                let known = self.changes.load();
-                let known = known.with(self.clock.now(), changes);
-                self.changes.store(Arc::new(known));
+            DirectoryUpdate::TableRead(reading) => {
+                self.heard().take(self.clock.now(), reading);
                 return None;
             }
             DirectoryUpdate::Upstreams { leaving, upstreams } => {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -27,7 +27,7 @@
     },
     peer::{
         Heartbeat, HeartbeatAnswer, LoadNote, MessageError, PeerClient, PeerHandler, PeerHost,
-        PeerServer, VersionNote,
+        PeerServer, TableNews, TableRow, TablesNews, VersionNote,
     },
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
@@ -37,20 +37,20 @@
     },
     ports::{
         Clock, Directory, DirectoryUpdate, HeadError, Judgement, Offer, Passing, Protocol, Reading,
-        RequestHead, SourceDocument, TableChanges, header_number,
+        RequestHead, SharedTable, SourceDocument, TableReading, header_number,
     },
     rand::Rng,
     serde::{Deserialize, Serialize},
     serde_json::{json, value::RawValue},
     slog::{Drain, Logger, debug, info, o, warn},
     std::{
-        collections::{BTreeMap, VecDeque, hash_map::Entry},
+        collections::{BTreeMap, BTreeSet, VecDeque, hash_map::Entry},
         convert::Infallible,
         fmt::{self, Display, Formatter},
         net::SocketAddr,
         pin::pin,
         sync::{
-            Arc, Mutex, PoisonError,
+            Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, AtomicUsize, Ordering},
         },
         task::Poll,
@@ -95,6 +95,7 @@
 mod event_splitter;
 mod fetch_job;
 mod handout;
+mod heard_tables;
 mod host;
 mod host_metrics;
 mod host_status;
@@ -118,7 +119,6 @@
 mod promise;
 mod pump;
 mod pumps;
-mod recent_changes;
 mod relay;
 mod relay_rules;
 mod relay_service;
@@ -132,6 +132,7 @@
 mod shared;
 mod shutdown;
 mod table_claims;
+mod table_copy;
 mod upstream_thread;
 mod whole_body;
 mod wiring;
@@ -165,6 +166,7 @@
     event_splitter::EventSplitter,
     fetch_job::FetchJob,
     handout::Handout,
+    heard_tables::{HeardTables, TablesTold},
     host_metrics::HostMetrics,
     http_listener::HttpListener,
     instruction::Instruction,
@@ -183,7 +185,6 @@
     probe_job::ProbeJob,
     pump::Pump,
     pumps::Pumps,
-    recent_changes::RecentChanges,
     relay::Relay,
     relay_service::RelayService,
     relayed_request::RelayedRequest,
@@ -194,6 +195,7 @@
     shared::Shared,
     shutdown::Shutdown,
     table_claims::TableClaims,
+    table_copy::TableCopy,
     upstream_thread::UpstreamThread,
     whole_body::WholeBody,
     wiring::{Thread, Wiring, listen},
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -92,12 +92,13 @@
     let (mut file, settings) = SettingsFile::open(file)?;
     let signals = watch_signals()?;
     let logger = json_logger(&settings.host);
-    let installation = settings.relay.is_some().then(|| Installation {
-        directory: Box::new(StoreDirectory::new(
-            settings.platform_address,
-            peer(&settings),
-            settings.peer_token.clone(),
-        )),
+    let installation = settings.relay.as_ref().map(|relay| Installation {
+        directory: Box::new(StoreDirectory {
+            address: settings.platform_address,
+            first_start: relay.first_start,
+            own: peer(&settings),
+            token: settings.peer_token.clone(),
+        }),
         protocol: Arc::new(WireProtocol),
     });
     let mut host = Host::start_in(settings, installation, logger.clone())?;
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -1,11 +1,11 @@
 //! What a host answers other hosts of an installation: its configuration, and what it
-//! heard of changes of the upstreams' table.
+//! heard of the store's tables.
 
 use {
     super::*,
     peer::handing::{
-        AGE_HEADER, CHANGES_PATH, DOCUMENT_PATH, LOST_HEADER, REVISION_HEADER, VERSION_HEADER,
-        bearer,
+        AGE_HEADER, DOCUMENT_PATH, LOST_HEADER, REGAINED_HEADER, REVISION_HEADER, TABLES_PATH,
+        VERSION_HEADER, bearer,
     },
 };
 
@@ -25,9 +25,9 @@
 /// hosts while the store is well.
 #[derive(Clone)]
 pub(crate) struct PeerService {
-    pub(crate) changes: Arc<ArcSwap<RecentChanges>>,
     pub(crate) clock: Clock,
     pub(crate) handout: Arc<ArcSwapOption<Handout>>,
+    pub(crate) heard: Arc<Mutex<HeardTables>>,
     pub(crate) lending: Lending,
     pub(crate) token: String,
 }
@@ -38,11 +38,16 @@
         let presented = presented.map_or(&b""[..], HeaderValue::as_bytes);
         let known: bool = presented.ct_eq(bearer(&self.token).as_bytes()).into();
         let path = request.uri().path();
-        let asked = |prefix| path.strip_prefix(prefix).and_then(|rest| rest.parse().ok());
-        match (known, asked(DOCUMENT_PATH), asked(CHANGES_PATH)) {
-            (true, Some(newer_than), _) => self.document(newer_than),
-            (true, _, Some(after)) => self.changes(after),
-            _ => text_answer(StatusCode::NOT_FOUND, "text/plain", "no such path\n"),
+        if !known {
+            return text_answer(StatusCode::NOT_FOUND, "text/plain", "no such path\n");
+        }
+        let document = path.strip_prefix(DOCUMENT_PATH);
+        if let Some(newer_than) = document.and_then(|rest| rest.parse().ok()) {
+            return self.document(newer_than);
+        }
+        match path.strip_prefix(TABLES_PATH).and_then(revisions) {
+            Some((upstreams, hosts)) => self.tables(upstreams, hosts),
+            None => text_answer(StatusCode::NOT_FOUND, "text/plain", "no such path\n"),
         }
     }
 
@@ -58,24 +63,31 @@
         }
     }
 
-    /// Changes as the store would tell them, and how old the configuration is.
-    fn changes(&self, after: u64) -> Response<AnswerBody> {
-        let now = self.clock.now();
-        let changes = self.changes.load();
+    /// What the store said of its tables, and how old the configuration is.
+    fn tables(&self, upstreams: u64, hosts: u64) -> Response<AnswerBody> {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
         let handout = self.handout.load_full();
-        let unknown = || text_answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "unknown\n");
-        if changes.is_store_lost(now) {
-            let mut response = unknown();
-            response.headers_mut().insert(LOST_HEADER, 1.into());
-            return response;
+        let refused = || text_answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "unknown\n");
+        match (heard.after(self.clock.now(), upstreams, hosts), handout) {
+            (TablesTold::StoreLost, _) => {
+                let mut response = refused();
+                response.headers_mut().insert(LOST_HEADER, 1.into());
+                response
+            }
+            (TablesTold::News { news, regained }, Some(handout)) => {
+                let Ok(body) = serde_json::to_vec(&news) else {
+                    return refused();
+                };
+                let mut response = text_answer(StatusCode::OK, "application/json", body);
+                let headers = response.headers_mut();
+                if let Some(since) = regained {
+                    headers.insert(REGAINED_HEADER, (since.as_millis() as u64).into());
+                }
+                self.tell_knowledge(&handout, headers);
+                response
+            }
+            _ => refused(),
         }
-        let Some(((revision, rows), handout)) = changes.after(now, after).zip(handout) else {
-            return unknown();
-        };
-        let body = format!(r#"{{"rows":[{}],"ver":{revision}}}"#, rows.join(","));
-        let mut response = text_answer(StatusCode::OK, "application/json", body);
-        self.tell_knowledge(&handout, response.headers_mut());
-        response
     }
 
     fn hand_over(&self, handout: &Handout, packed: Bytes) -> Response<AnswerBody> {
@@ -95,6 +107,12 @@
     }
 }
 
+/// The revisions of a question for the tables.
+fn revisions(path: &str) -> Option<(u64, u64)> {
+    let (upstreams, hosts) = path.split_once('/')?;
+    Some((upstreams.parse().ok()?, hosts.parse().ok()?))
+}
+
 /// Counts the hosts that are being handed the configuration.
 #[derive(Clone, Default)]
 pub(crate) struct Lending {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -2,13 +2,13 @@
 
 /// What several threads read.
 pub(crate) struct Shared {
-    /// What other hosts are told of the upstreams' table.
-    pub(crate) changes: Arc<ArcSwap<RecentChanges>>,
     pub(crate) bodies: BodyBudget,
     pub(crate) clock: Clock,
     pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
     /// What other hosts are handed.
     pub(crate) handout: Arc<ArcSwapOption<Handout>>,
+    /// What other hosts are told of the store's tables.
+    pub(crate) heard: Arc<Mutex<HeardTables>>,
     pub(crate) ledger: Arc<Mutex<Ledger>>,
     /// Limits of the settings, as they are now.
     pub(crate) limits: Arc<ArcSwap<Limits>>,
@@ -34,10 +34,10 @@
         };
         Self {
             bodies: BodyBudget::default(),
-            changes: Arc::default(),
             clock: Clock::start(),
             configuration: Arc::default(),
             handout: Arc::default(),
+            heard: Arc::default(),
             ledger: Arc::default(),
             limits: Arc::new(ArcSwap::from_pointee(settings.limits.clone())),
             read_configuration: Arc::default(),
--- a/crates/router/src/wiring.rs
+++ b/crates/router/src/wiring.rs
@@ -69,7 +69,7 @@
     pub(crate) fn follow_directory(&mut self, directory: Box<dyn Directory>) -> eyre::Result<()> {
         let (offer, offers) = flume::bounded(rings::OFFER_RING);
         let thread = DirectoryThread {
-            changes: Arc::clone(&self.shared.changes),
+            heard: Arc::clone(&self.shared.heard),
             clock: self.shared.clock,
             directory,
             events: self.events(),
@@ -162,7 +162,7 @@
         };
         self.threads.push(thread.spawn()?);
         let service = PeerService {
-            changes: Arc::clone(&self.shared.changes),
+            heard: Arc::clone(&self.shared.heard),
             clock: self.shared.clock,
             handout: Arc::clone(&self.shared.handout),
             lending: Lending::default(),
