Divide the engines between streams and all other prompts by the work asked for

Cause: with 195 hosts each knows only what it sent itself, so streams of the most urgent class and prompts of 17,000 tokens met on all 117 engines, which were idle for seven eighths of their slots. Keeping them apart waited for each host's own watch of pauses, and hosts that differed placed documents differently.

Change: every host works out the part of the engines that is for streams from the work that was asked of it (tokens to make, and a sixteenth of the own part to read, half-life 20 s), in twelfths, at least a quarter for either side; the engines' order is the same everywhere. A prompt's home is sought on its own side; a full side overflows. Of equal engines each prompt takes another: a prompt without shared parts went to the first engine of the list from every host. The watch of pauses is gone.

Test: hosts that hear nothing keep both apart alike, and read each document once; two of the four tests fail on the code before.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -282,6 +282,12 @@
         let lane = self.lanes.entry(arrival.target.clone()).or_default();
         let is_long = lane.long_prompts.note(prompt_cache::tokens(&parts));
         let pause_target_ms = resolved.class.pause_target_ms;
+        let pause_bound = pause_target_ms.is_some() && pause_target_ms == self.shortest_pause_ms;
+        if let Some(own) = parts.last() {
+            let read = u64::from(own.tokens.get()) / PROMPT_TOKENS_PER_OUTPUT_TOKEN;
+            let work = (u64::from(output.get()) + read) as f64;
+            lane.sides.note(now, pause_bound, work);
+        }
         let facts = RequestFacts {
             arrived: now,
             between_token_target_ms: resolved.class.between_token_target_ms,
@@ -294,7 +300,7 @@
             is_long,
             key,
             max_attempts: resolved.class.max_attempts,
-            pause_bound: pause_target_ms.is_some() && pause_target_ms == self.shortest_pause_ms,
+            pause_bound,
             pause_target: pause_target_ms.map(Duration::from_millis),
             parts,
             prefix: arrival.prefix,
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -26,12 +26,6 @@
         let is_first = request.stage.tokens.get() == 0;
         request.note_tokens(now, tokens);
         request.longest_pause = longest_pause;
-        if let Some(target) = request.facts.pause_target
-            && request.facts.pause_bound
-            && !is_first
-        {
-            self.pauses.note(longest_pause, target);
-        }
         let upstream = request.stage.upstream.clone();
         let lead = now.since(request.stage.sent);
         let target = request.facts.target.clone();
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -56,7 +56,6 @@
     /// Requests put aside while the store is down, by when they come back.
     pub(crate) parked: BTreeSet<(Time, RequestId)>,
     phase: HostPhase,
-    pub(crate) pauses: PauseWatch,
     pub(crate) peering: Peering,
     pub(crate) pool: Pool,
     pub(crate) queued: usize,
@@ -90,7 +89,6 @@
             next_attempt: 0,
             next_seq: 0,
             parked: BTreeSet::new(),
-            pauses: PauseWatch::default(),
             peering,
             phase: HostPhase::Starting,
             pool,
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -107,12 +107,22 @@
         let Some(Stage::Queued(request)) = self.requests.get(&request) else {
             return None;
         };
-        let wish = request
-            .facts
-            .wish(&request.tried, pace_ms, rank, self.pauses.presses());
+        let facts = &request.facts;
+        let wish = facts.wish(
+            &request.tried,
+            pace_ms,
+            rank,
+            self.stream_share(&facts.target),
+        );
         self.pool.choose(&wish, now, &mut self.rng)
     }
 
+    /// Part of a target's engines that is for streams that long prompts can make late.
+    pub(crate) fn stream_share(&self, target: &Target) -> f64 {
+        let lane = self.lanes.get(target);
+        lane.map_or(0.0, |lane| lane.sides.stream_share())
+    }
+
     /// Takes a request from its queue and gives it a slot: sends it, or first
     /// claims its idempotency key. The claim is made only now, with the slot
     /// at hand, so that a crash leaves the key unresolved for the shortest
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -16,6 +16,7 @@
     pub(crate) floor: Floor,
     pub(crate) long_prompts: LongPrompts,
     pub(crate) rate: ServiceRate,
+    pub(crate) sides: Sides,
     lead: Duration,
     queues: [RankQueue; Rank::COUNT],
 }
@@ -26,6 +27,7 @@
             floor: Floor::default(),
             long_prompts: LongPrompts::default(),
             rate: ServiceRate::default(),
+            sides: Sides::default(),
             lead: FIRST_LEAD,
             queues: Default::default(),
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -53,7 +53,6 @@
 mod newer_configuration;
 mod outcome;
 mod overdraft;
-mod pause_watch;
 mod peering;
 mod placement;
 mod pool;
@@ -74,6 +73,7 @@
 mod settlement;
 mod share;
 mod shares;
+mod sides;
 mod silent_domains;
 mod steward;
 mod stored_answer;
@@ -125,7 +125,6 @@
     membership::Membership,
     neighbors::Neighbors,
     newer_configuration::NewerConfiguration,
-    pause_watch::PauseWatch,
     peering::Peering,
     pool::Pool,
     prompt_cache::PromptCache,
@@ -137,6 +136,7 @@
     service_rate::ServiceRate,
     share::Share,
     shares::Shares,
+    sides::Sides,
     silent_domains::SilentDomains,
     steward::{Divided, Steward},
     team_limits::TeamLimits,
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -35,11 +35,9 @@
 /// a prompt leaves an engine that fails half of its requests.
 const DISTRUST_COST: f64 = 400_000.0;
 
-/// Part of the engines that requests which long prompts can make late prefer. They
-/// need little of an engine: of 12 engines 2 would do for a burst of them. With a
-/// third, a quarter and a half of the engines callers got 0.809, 0.808 and 0.804 of
-/// the payoff, and 0.781 with none (18 simulated days each, other costs alike).
-const QUIET_SHARE: f64 = 1.0 / 3.0;
+/// Cost of an engine that is kept clear for streams, for any other request, in prompt
+/// tokens: 0.6 s of its reading, so that it is taken when the others are that far behind.
+const QUIET_COST: f64 = 60_000.0;
 
 /// Cost of a long prompt for each request there that it can make late, in prompt
 /// tokens: five such requests weigh as much as reading 5,000 tokens again. With half
@@ -72,7 +70,14 @@
     now: Time,
 ) -> Option<&'a UpstreamState> {
     let prompt = Prompt::new(states.clone(), wish, now);
-    states.min_by(|a, b| prompt.cost(a).total_cmp(&prompt.cost(b)))
+    let chains = prompt_cache::chains(wish.parts);
+    let own = chains.last().map_or(0, |(chain, _)| chain);
+    // Of equal ones each prompt takes another: the first one would get those of all hosts.
+    let order = |state: &UpstreamState| weight_of(&state.id, own);
+    states.min_by(|a, b| {
+        let by_cost = prompt.cost(a).total_cmp(&prompt.cost(b));
+        by_cost.then_with(|| order(b).cmp(&order(a)))
+    })
 }
 
 /// A prompt to be placed, and what is usual among the engines.
@@ -84,8 +89,8 @@
     now: Time,
     parts: &'w [PromptPart],
     pause_bound: bool,
-    /// Engines up to this place in their order suit a request that long prompts can make
-    /// late; `None` for any other request.
+    /// Engines up to this place in their order are kept clear for streams that long prompts
+    /// can make late; `None` if there are none.
     quiet_up_to: Option<u64>,
     /// Tokens of the whole prompt.
     tokens: u64,
@@ -100,15 +105,18 @@
         now: Time,
     ) -> Self {
         let chain = shared_chain(wish.parts);
-        let quiet_up_to = wish.pause_bound.then(|| quiet_up_to(states.clone()));
+        let quiet_up_to = quiet_up_to(states.clone(), wish.stream_share);
+        let own_side = |state: &&UpstreamState| is_quiet(state, quiet_up_to) == wish.pause_bound;
+        let own_side = states.clone().filter(own_side);
+        let home = home(own_side, chain).or_else(|| home(states.clone(), chain));
         Self {
             due_in_ms: wish.due.since(now).as_secs_f64() * 1_000.0,
-            home: home(states.clone(), chain).map(|home| &home.id),
+            home: home.map(|home| &home.id),
             is_long: wish.is_long,
             now,
             parts: wish.parts,
             pause_bound: wish.pause_bound,
-            quiet_up_to: quiet_up_to.flatten(),
+            quiet_up_to,
             tokens: prompt_cache::tokens(wish.parts),
             usual_record: Usual::of(states.clone().map(|state| &state.record)),
             usual_token_time_ms: usual_token_time_ms(states),
@@ -143,17 +151,13 @@
     /// milliseconds of its longest pause: 0.120 of its requests were late, and 0.086
     /// are with this (18 simulated days).
     fn pause_cost(&self, state: &UpstreamState) -> f64 {
-        let is_quiet = self
-            .quiet_up_to
-            .is_some_and(|last| state.quiet_order <= last);
         let disturbed = f64::from(state.pause_bound + state.others_pause_bound);
-        if self.is_long {
-            return PAUSE_BOUND_COST * disturbed;
-        }
-        if self.pause_bound && !is_quiet {
-            return NOT_QUIET_COST;
+        match (self.pause_bound, is_quiet(state, self.quiet_up_to)) {
+            (true, false) => NOT_QUIET_COST,
+            (false, true) => QUIET_COST + PAUSE_BOUND_COST * disturbed,
+            (false, false) if self.is_long => PAUSE_BOUND_COST * disturbed,
+            _ => 0.0,
         }
-        0.0
     }
 
     /// Tokens that the engine is believed to have to read.
@@ -219,10 +223,15 @@
     })
 }
 
+/// Whether an engine is kept clear of long prompts.
+fn is_quiet(state: &UpstreamState, quiet_up_to: Option<u64>) -> bool {
+    quiet_up_to.is_some_and(|last| state.quiet_order <= last)
+}
+
 /// The last place in the engines' order that is kept clear of long prompts.
-fn quiet_up_to<'a>(states: impl Iterator<Item = &'a UpstreamState>) -> Option<u64> {
+fn quiet_up_to<'a>(states: impl Iterator<Item = &'a UpstreamState>, share: f64) -> Option<u64> {
     let mut order: Vec<u64> = states.map(|state| state.quiet_order).collect();
-    let count = (QUIET_SHARE * order.len() as f64).round() as usize;
+    let count = (share * order.len() as f64).round() as usize;
     let last = count.checked_sub(1)?;
     Some(*order.select_nth_unstable(last).1)
 }
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -44,17 +44,18 @@
         avoid: &'a [UpstreamId],
         pace_ms: Option<u64>,
         rank: Rank,
-        pauses_press: bool,
+        stream_share: f64,
     ) -> Wish<'a> {
         Wish {
             avoid,
             due: self.due,
-            is_long: self.is_long && pauses_press,
+            is_long: self.is_long,
             pace_ms,
             parts: &self.parts,
-            pause_bound: self.pause_bound && pauses_press,
+            pause_bound: self.pause_bound,
             prefix: self.prefix,
             rank,
+            stream_share,
             target: &self.target,
         }
     }
--- a/crates/policy/src/resuming.rs
+++ b/crates/policy/src/resuming.rs
@@ -72,7 +72,7 @@
         }
         let mut avoid = request.tried.clone();
         avoid.push(request.stage.upstream.clone());
-        let wish = facts.wish(&avoid, None, facts.rank, self.pauses.presses());
+        let wish = facts.wish(&avoid, None, facts.rank, self.stream_share(&facts.target));
         let Some(upstream) = self.pool.choose(&wish, now, &mut self.rng) else {
             return Some(request);
         };
--- /dev/null
+++ b/crates/policy/src/sides.rs
@@ -0,0 +1,96 @@
+use super::*;
+
+/// Time in which what was asked for counts half: long enough for some hundred requests of a
+/// host that gets four a second, so that all hosts come to about the same, and short enough
+/// to follow a burst.
+const HALF_LIFE: Duration = Duration::from_secs(20);
+
+/// Part of the engines for streams, once one was seen, before the mix is known.
+const FIRST_SHARE: f64 = 1.0 / 3.0;
+
+/// Requests that must have been seen before they decide.
+const MIN_SEEN: u32 = 16;
+
+/// Least part of the engines for either side that is asked for at all: a burst of one finds
+/// room in its own part, and few engines lost take few of its requests with them. It also
+/// keeps the parts of all hosts alike where one side asks for little.
+const MIN_SHARE: f64 = 3.0 * STEP;
+
+/// Part of the work below which a side is not asked for.
+const NOT_ASKED_FOR: f64 = STEP / 4.0;
+
+/// The part is told in steps of this, so that prompts keep their homes while the mix hardly
+/// changes.
+const STEP: f64 = 1.0 / 12.0;
+
+/// Part of a step from which on the next one is told; half of one would be left and taken
+/// again all the time.
+const MOST_OF_STEP: f64 = 0.75;
+
+/// Divides the engines between streams that long prompts can make late and all other
+/// requests, by the work that both ask for.
+///
+/// All hosts get about the same mix, so all come to about the same part without a word; as
+/// they keep the same order of the engines, those that come to different parts differ on a
+/// few engines only.
+#[derive(Debug)]
+pub(crate) struct Sides {
+    other_work: f64,
+    /// Requests seen, as far as it matters.
+    seen: u32,
+    since: Time,
+    stream_work: f64,
+    told: f64,
+}
+
+impl Default for Sides {
+    fn default() -> Self {
+        Self {
+            other_work: 0.0,
+            seen: 0,
+            since: Time::default(),
+            stream_work: 0.0,
+            told: 0.0,
+        }
+    }
+}
+
+impl Sides {
+    /// Notes a request and the tokens that it asks an engine to make, with those that it
+    /// has to read counted in them.
+    pub(crate) fn note(&mut self, now: Time, is_stream: bool, work: f64) {
+        let half_lives = now.since(self.since).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.since = now;
+        let left = 0.5_f64.powf(half_lives);
+        self.other_work *= left;
+        self.stream_work *= left;
+        if is_stream {
+            self.stream_work += work;
+        } else {
+            self.other_work += work;
+        }
+        self.seen = (self.seen + 1).min(MIN_SEEN);
+        if self.seen == MIN_SEEN {
+            self.tell();
+        } else if is_stream {
+            self.told = FIRST_SHARE;
+        }
+    }
+
+    /// Part of the engines that is for streams.
+    pub(crate) const fn stream_share(&self) -> f64 {
+        self.told
+    }
+
+    /// Moves the part told once the part asked for is most of a step away.
+    fn tell(&mut self) {
+        let asked = match self.stream_work / (self.stream_work + self.other_work) {
+            share if share < NOT_ASKED_FOR => 0.0,
+            share if share > 1.0 - NOT_ASKED_FOR => 1.0,
+            share => share.clamp(MIN_SHARE, 1.0 - MIN_SHARE),
+        };
+        if (asked - self.told).abs() >= MOST_OF_STEP * STEP {
+            self.told = (asked / STEP).round() * STEP;
+        }
+    }
+}
--- a/crates/policy/src/wish.rs
+++ b/crates/policy/src/wish.rs
@@ -17,6 +17,8 @@
     pub(crate) pause_bound: bool,
     pub(crate) prefix: Option<PrefixHash>,
     pub(crate) rank: Rank,
+    /// Part of the engines that is for streams that long prompts can make late.
+    pub(crate) stream_share: f64,
     pub(crate) target: &'a Target,
 }
 
--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -9,6 +9,7 @@
 mod pauses;
 mod placement;
 mod sick;
+mod sides;
 mod support;
 mod unreachable;
 mod upstreams;
