Use all engines at once where only streams are asked for from the start

Change: after four streams and nothing else all engines are for them. A test with two engines fails before.

Ruled out: all engines from the first stream on; hosts then place their first streams among documents, which the test of hosts that hear nothing refuses.

--- a/crates/policy/src/sides.rs
+++ b/crates/policy/src/sides.rs
@@ -11,6 +11,10 @@
 /// Requests that must have been seen before they decide.
 const MIN_SEEN: u32 = 16;
 
+/// Streams in a row after which all engines are for them, before the mix is known: where
+/// few engines serve streams alone, each of them is needed at once.
+const MIN_ALIKE: u32 = 4;
+
 /// Least part of the engines for either side that is asked for at all: a burst of one finds
 /// room in its own part, and few engines lost take few of its requests with them. It also
 /// keeps the parts of all hosts alike where one side asks for little.
@@ -72,9 +76,14 @@
         self.seen = (self.seen + 1).min(MIN_SEEN);
         if self.seen == MIN_SEEN {
             self.tell();
-        } else if is_stream {
-            self.told = FIRST_SHARE;
+            return;
         }
+        let is_only_streams = self.other_work == 0.0 && self.seen >= MIN_ALIKE;
+        self.told = match self.stream_work > 0.0 {
+            true if is_only_streams => 1.0,
+            true => FIRST_SHARE,
+            false => 0.0,
+        };
     }
 
     /// Part of the engines that is for streams.
--- a/crates/policy/tests/installation/sides.rs
+++ b/crates/policy/tests/installation/sides.rs
@@ -90,6 +90,21 @@
     assert!(used.len() >= 11, "streams on {used:?}");
 }
 
+/// Symptom: the second of two engines gets nothing. Events: an installation of two engines
+/// starts, and is asked for streams. Cause: a part of the engines is kept for what was not
+/// asked for yet.
+#[test]
+fn the_first_streams_of_a_small_installation_use_both_engines() {
+    let mut host = host_of(0, 2);
+    let used: BTreeSet<String> = (0..8)
+        .map(|number| {
+            let parts = [(50 + number, 350), (90 + number, 100)];
+            place(&mut host, "question", &parts)
+        })
+        .collect();
+    assert_eq!(used.len(), 2, "streams on {used:?}");
+}
+
 /// Symptom: a third of the engines is idle in an overload. Events: nobody asks for streams.
 /// Cause: engines are kept for them all the same.
 #[test]
