Log which requests are the same

Cause: the log named a request by its caller's id, which is new with each attempt, and a prompt by the first parts that many share. So it could not tell a request that comes again from others of its class.

Change: a request's fingerprint (method, host name, path and body, as one of its team) stands in 'request: sent'. There was one for keyed requests of the own interface; both use the same one now.

--- a/crates/policy/benches/decision/setup.rs
+++ b/crates/policy/benches/decision/setup.rs
@@ -77,6 +77,7 @@
 pub fn arrival(number: usize, teams: usize) -> Arrival {
     Arrival {
         class: Some(format!("class-{}", number % 6).parse().unwrap()),
+        fingerprint: Fingerprint::of_request("POST", "/", b""),
         key_hash: Some(KeyHash::of_key(&(number % teams).to_string())),
         max_output: None,
         prefix: None,
--- a/crates/policy/benches/overload/controllers.rs
+++ b/crates/policy/benches/overload/controllers.rs
@@ -147,6 +147,7 @@
         self.host_of.insert(request, wanted.host);
         let arrival = Arrival {
             class: Some(class.name.parse().unwrap()),
+            fingerprint: Fingerprint::of_request("POST", "/", b""),
             key_hash: Some(KeyHash::of_key(if class.trial { "trial" } else { "paid" })),
             max_output: None,
             prefix: None,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -271,7 +271,7 @@
         };
         self.next_seq += 1;
         let key = match arrival.repeatability {
-            Repeatability::AtMostOncePerKey { fingerprint, key } => Some((key, fingerprint)),
+            Repeatability::AtMostOncePerKey { key } => Some((key, arrival.fingerprint)),
             Repeatability::AsConfigured | Repeatability::AtMostOnce => None,
         };
         let (parts, public, time_limit) = match arrival.routed {
@@ -295,6 +295,7 @@
             deadline: now + time_limit.unwrap_or(longest).min(longest),
             due,
             engine_priority: resolved.engine_priority,
+            fingerprint: arrival.fingerprint.of_team(&resolved.team_id),
             first_token_target_ms: resolved.class.first_token_target_ms,
             idempotent: resolved.idempotent,
             is_long,
--- a/crates/policy/src/arrival.rs
+++ b/crates/policy/src/arrival.rs
@@ -13,8 +13,6 @@
     AtMostOnce,
     /// At most once for each key, over all hosts and retries of the caller.
     AtMostOncePerKey {
-        /// Fingerprint of the request.
-        fingerprint: Fingerprint,
         /// The caller's key.
         key: IdempotencyKey,
     },
@@ -36,6 +34,8 @@
 pub struct Arrival {
     /// Class that the caller named, if any.
     pub class: Option<ClassId>,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
     /// Hash of the bearer key; `None` for a route that needs no key.
     pub key_hash: Option<KeyHash>,
     /// Longest output that the caller allows, if it said so.
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -206,6 +206,7 @@
                     attempt: request.attempts,
                     backlog: state.backlog,
                     class: request.facts.class.clone(),
+                    fingerprint: request.facts.fingerprint,
                     in_flight: state.in_flight,
                     others_age: self.neighbors.oldest_age(now),
                     others_backlog: state.others_backlog,
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -10,6 +10,8 @@
     pub(crate) deadline: Time,
     /// When the first token is due.
     pub(crate) due: Time,
+    /// What makes it the same as another request of its team.
+    pub(crate) fingerprint: Fingerprint,
     /// Its priority at an engine, 0 the most urgent.
     pub(crate) engine_priority: u8,
     pub(crate) first_token_target_ms: u64,
@@ -25,7 +27,8 @@
     pub(crate) pause_target: Option<Duration>,
     /// Parts of its prompt in order.
     pub(crate) parts: Vec<PromptPart>,
-    /// Idempotency key to be claimed before anything is sent.
+    /// Idempotency key to be claimed before anything is sent, and the fingerprint that is
+    /// kept with it.
     pub(crate) key: Option<(IdempotencyKey, Fingerprint)>,
     pub(crate) prefix: Option<PrefixHash>,
     /// Whether it came without a key, on a route that needs none.
--- a/crates/policy/src/send_inputs.rs
+++ b/crates/policy/src/send_inputs.rs
@@ -9,6 +9,8 @@
     pub backlog: u64,
     /// Class of the request.
     pub class: ClassId,
+    /// Fingerprint of the request as one of its team.
+    pub fingerprint: Fingerprint,
     /// Requests of this host there, this one included.
     pub in_flight: u32,
     /// Age of the oldest note that the figures of other hosts rest on.
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -38,6 +38,8 @@
 
 /// A request to be sent to a host.
 pub struct Ask {
+    /// Its body; `None` for one that no other request has.
+    pub body: Option<&'static str>,
     pub class: &'static str,
     pub key: &'static str,
     /// Whether its route needs no key.
@@ -49,6 +51,7 @@
 impl Ask {
     pub fn prompt(class: &'static str, key: &'static str, parts: &[(u64, u32)]) -> Self {
         Self {
+            body: None,
             class,
             key,
             open: false,
@@ -65,6 +68,7 @@
 
     pub fn call(class: &'static str) -> Self {
         Self {
+            body: None,
             class,
             key: "shop-key",
             open: false,
@@ -159,8 +163,11 @@
     pub fn ask(&mut self, ask: Ask) -> (RequestId, Vec<Action>) {
         let request = RequestId::new(self.next_request);
         self.next_request += 1;
+        let own_body = request.to_string();
+        let body = ask.body.unwrap_or(&own_body);
         let actions = self.handle(Event::Arrived(Arrival {
             class: Some(ask.class.parse().unwrap()),
+            fingerprint: Fingerprint::of_request("POST", ask.class, body.as_bytes()),
             key_hash: Some(KeyHash::of_key(ask.key)),
             max_output: None,
             prefix: None,
--- a/crates/policy/tests/properties/model.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -116,13 +116,13 @@
         );
         let repeatability = match keyed {
             true => Repeatability::AtMostOncePerKey {
-                fingerprint: Fingerprint::of_request("POST", "/", b""),
                 key: format!("k{id}").parse().unwrap(),
             },
             false => Repeatability::AsConfigured,
         };
         self.handle(Event::Arrived(Arrival {
             class: Some(class.parse().unwrap()),
+            fingerprint: Fingerprint::of_request("POST", "/", id.to_string().as_bytes()),
             key_hash: Some(KeyHash::of_key("shop")),
             max_output: None,
             prefix: None,
--- a/crates/policy/tests/script/mod.rs
+++ b/crates/policy/tests/script/mod.rs
@@ -303,7 +303,6 @@
     };
     let repeatability = match args.text("key") {
         Some(key) => Repeatability::AtMostOncePerKey {
-            fingerprint: Fingerprint::of_request("POST", "/", b""),
             key: key.parse().unwrap(),
         },
         None if args.has("once") => Repeatability::AtMostOnce,
@@ -313,6 +312,7 @@
     for id in args.list("id") {
         output += &host.handle(Event::Arrived(Arrival {
             class: args.text("class").map(|class| class.parse().unwrap()),
+            fingerprint: Fingerprint::of_request("POST", "/", id.as_bytes()),
             key_hash: Some(key_hash),
             max_output: args.text("tokens").map(|tokens| tokens.parse().unwrap()),
             prefix: args.text("prefix").map(|prefix| prefix.parse().unwrap()),
--- a/crates/router/src/caller_request.rs
+++ b/crates/router/src/caller_request.rs
@@ -16,6 +16,7 @@
     pub(crate) body: WholeBody,
     pub(crate) class: Option<ClassId>,
     pub(crate) content_type: String,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) key_hash: KeyHash,
     pub(crate) method: Method,
     pub(crate) repeatability: Repeatability,
@@ -64,6 +65,7 @@
     pub(crate) fn arrival(&self, request: RequestId) -> Arrival {
         Arrival {
             class: self.class.clone(),
+            fingerprint: self.fingerprint,
             key_hash: Some(self.key_hash),
             max_output: self.asked.max_output,
             prefix: self.asked.prefix,
--- a/crates/router/src/caller_service.rs
+++ b/crates/router/src/caller_service.rs
@@ -59,11 +59,9 @@
         };
         let body = WholeBody::read(request.into_body(), &self.limits, &self.bodies).await;
         let body = body.map_err(|error| Box::new(answers::body_refused(&error)))?;
+        let fingerprint = Fingerprint::of_request(method.as_str(), &path_and_query, &body.bytes);
         let repeatability = match key {
-            Some(key) => Repeatability::AtMostOncePerKey {
-                fingerprint: Fingerprint::of_request(method.as_str(), &path_and_query, &body.bytes),
-                key,
-            },
+            Some(key) => Repeatability::AtMostOncePerKey { key },
             None if forbidden => Repeatability::AtMostOnce,
             None => Repeatability::AsConfigured,
         };
@@ -77,6 +75,7 @@
             body,
             class,
             content_type,
+            fingerprint,
             key_hash,
             method,
             repeatability,
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -62,6 +62,7 @@
             "resumes" => order.resume.is_some(),
             "waited_ms" => millis(inputs.waited),
             "due_in_ms" => millis(order.due.since(now)),
+            "fingerprint" => inputs.fingerprint.short(),
             "prompt" => format!("{:x}", inputs.prompt),
             "unread_tokens" => inputs.unread.get(),
             "backlog_tokens" => inputs.backlog,
--- a/crates/router/src/instruction.rs
+++ b/crates/router/src/instruction.rs
@@ -10,7 +10,7 @@
     /// Give a stored answer.
     Replay(StoredAnswer),
     /// Send the request to an upstream.
-    Send(SendOrder),
+    Send(Box<SendOrder>),
 }
 
 impl Instruction {
--- a/crates/router/src/pump.rs
+++ b/crates/router/src/pump.rs
@@ -44,7 +44,7 @@
     pub(crate) async fn run(mut self) {
         while let Some(instruction) = self.task.next_instruction().await {
             let next = match instruction {
-                Instruction::Send(order) => self.attempt(order).await,
+                Instruction::Send(order) => self.attempt(*order).await,
                 Instruction::Refuse(refusal) => self.refuse(&refusal),
                 Instruction::Replay(answer) => self.replay(answer),
                 Instruction::Break(refusal) => self.break_off(&refusal).await,
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -65,7 +65,9 @@
         let body = WholeBody::read(body, &self.limits, &self.bodies).await;
         let body = body.map_err(|error| TurnedAway::bad_body(&error))?;
         let id = RequestId::new(self.next_request.fetch_add(1, Ordering::Relaxed));
-        let arrival = arrival(id, document, route, &head)?;
+        let place = format!("{hostname}{path}");
+        let fingerprint = Fingerprint::of_request(parts.method.as_str(), &place, &body.bytes);
+        let arrival = arrival(id, fingerprint, document, route, &head)?;
         let request = RelayedRequest {
             body,
             head,
@@ -158,6 +160,7 @@
 
 fn arrival(
     request: RequestId,
+    fingerprint: Fingerprint,
     document: &Document,
     route: &Route,
     head: &RequestHead,
@@ -174,6 +177,7 @@
     };
     Ok(Arrival {
         class: Some(route.class.clone()),
+        fingerprint,
         key_hash: head.key.as_deref().map(KeyHash::of_key),
         max_output: head.max_output,
         prefix: None,
--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -1,7 +1,8 @@
 use super::*;
 
 digest!(
-    /// SHA-256 over what makes two requests the same: method, path and body.
+    /// SHA-256 over what makes two requests the same: method, path and body; and, where
+    /// requests of several teams are compared, the team.
     Fingerprint,
     "fingerprint"
 );
@@ -17,4 +18,22 @@
         }
         Self(hasher.finalize().into())
     }
+
+    /// The fingerprint of the same request as one of a team: what one team sends says
+    /// nothing of another team's requests.
+    #[must_use]
+    pub fn of_team(&self, team: &TeamId) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update(self.0);
+        hasher.update(team.as_str());
+        Self(hasher.finalize().into())
+    }
+
+    /// The first digits, by which log lines are compared.
+    pub fn short(&self) -> String {
+        self.0[..8]
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect()
+    }
 }
