--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -8,6 +8,7 @@
 /// What a datagram holds. It goes into the mark, so that one kind is never read as another.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Kind {
+    Crash,
     Load,
     Version,
 }
@@ -15,6 +16,7 @@
 impl Kind {
     const fn label(self) -> &'static [u8] {
         match self {
+            Self::Crash => b"crash",
             Self::Load => b"",
             Self::Version => b"version",
         }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -17,6 +17,7 @@
     types::prelude::*,
 };
 
+mod crash_note;
 mod datagram;
 mod demand;
 mod grant;
@@ -34,6 +35,7 @@
 mod version_note;
 
 pub use {
+    crash_note::{Crash, CrashNote, MAX_CRASHES},
     demand::Demand,
     grant::Grant,
     heartbeat::Heartbeat,
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -45,6 +45,13 @@
         /// The request.
         request: RequestId,
     },
+    /// Look whether anybody listens where an upstream does.
+    CheckListening {
+        /// Where the upstream listens.
+        address: SocketAddr,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// Claim an idempotency key in the platform's table.
     Claim(ClaimRequest),
     /// Fetch the configuration of another host, which has a newer one.
@@ -54,6 +61,8 @@
         /// Version in force here.
         newer_than: Option<ConfigVersion>,
     },
+    /// Log and count an upstream that ended under a request.
+    NoteCrash(CrashNoted),
     /// Ask an ejected upstream whether it is well.
     Probe {
         /// Where it listens.
@@ -104,6 +113,13 @@
     },
     /// Write in the table how a claimed request ended.
     Settle(Settlement),
+    /// Tell other hosts which requests were on upstreams that ended.
+    TellCrashes {
+        /// What to say.
+        note: CrashNote,
+        /// To whom.
+        to: Vec<SocketAddr>,
+    },
     /// Tell other hosts that this one can hand a version of the configuration over.
     TellVersion {
         /// What to say.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -51,8 +51,10 @@
     ) -> Result<(), Refusal> {
         let resolved = self.resolve(&arrival, now)?;
         let rank = Rank::new(resolved.tier, resolved.plan);
+        let fingerprint = arrival.fingerprint.of_team(&resolved.team_id);
         let admitted = self
-            .check_wait(&arrival.target, rank, &resolved.class)
+            .check_barred(&fingerprint, now)
+            .and_then(|()| self.check_wait(&arrival.target, rank, &resolved.class))
             .and_then(|()| self.make_room(now, rank, actions));
         if let Err(refusal) = admitted {
             self.limits.release(&resolved.team_id);
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -27,7 +27,8 @@
         request.note_tokens(now, tokens);
         request.longest_pause = longest_pause;
         let upstream = request.stage.upstream.clone();
-        let lead = now.since(request.stage.sent);
+        let sent = request.stage.sent;
+        let lead = now.since(sent);
         let target = request.facts.target.clone();
         let prefill = std::mem::take(&mut request.stage.prefill);
         let begins = !std::mem::replace(&mut request.stage.streams, true);
@@ -42,6 +43,7 @@
             }
             return;
         }
+        self.crashes.note_alive(&upstream, sent);
         if let Some(lane) = self.lanes.get_mut(&target) {
             lane.note_lead(lead);
         }
@@ -103,6 +105,9 @@
             state.note_success(now.since(request.stage.sent), now);
         }
         let facts = &request.facts;
+        self.crashes
+            .note_alive(&request.stage.upstream, request.stage.sent);
+        self.crashes.note_finished(&facts.fingerprint);
         if let Some(lane) = self.lanes.get_mut(&facts.target) {
             let span = now.since(request.stage.sent);
             lane.rate.note_answer(request.item.cost, span);
@@ -127,6 +132,18 @@
         request.verdict = request.verdict.join(failure.verdict);
         request.runs += u32::from(failure.verdict != Verdict::NotRun);
         self.note_failure(now, &request, failure.cause);
+        match failure.cause {
+            FailureCause::Refused | FailureCause::WrongInstance => {
+                self.note_ended(now, &request.stage.upstream, actions);
+            }
+            FailureCause::Reset | FailureCause::Silent | FailureCause::Truncated => {
+                self.note_broken(now, &request, actions);
+            }
+            FailureCause::Busy
+            | FailureCause::Connect
+            | FailureCause::ErrorStatus
+            | FailureCause::TimedOut => {}
+        }
         if failure.delivered || request.first_token.is_some() {
             self.resume_or_break(now, request, failure, actions);
             return;
@@ -152,7 +169,9 @@
             state.record.note_failure(now);
         }
         match cause {
-            FailureCause::Connect => self.pool.note_unreachable(upstream),
+            FailureCause::Connect | FailureCause::Refused => {
+                self.pool.note_unreachable(upstream);
+            }
             FailureCause::Busy | FailureCause::ErrorStatus | FailureCause::WrongInstance => {
                 self.pool.note_heard(upstream, now);
             }
@@ -173,15 +192,16 @@
     /// A request that may have run, on this attempt or an earlier one, is sent
     /// again only if running twice does no harm.
     fn may_retry(&mut self, now: Time, request: &Request<Running>, failure: &Failure) -> bool {
-        let harmless = request.facts.idempotent || request.verdict == Verdict::NotRun;
-        if !harmless || now > request.facts.deadline {
+        let facts = &request.facts;
+        let harmless = facts.idempotent || request.verdict == Verdict::NotRun;
+        if !harmless || self.is_barred(now, facts) || now > facts.deadline {
             return false;
         }
         let target = &request.facts.target;
         let priority = request.facts.engine_priority;
         if self.options.relay.is_some() && failure.verdict == Verdict::NotRun {
             // One that never left is no load either.
-            let unsent = failure.cause == FailureCause::Connect;
+            let unsent = failure.cause.is_unsent();
             let few = request.tried.len() < MAX_NOT_RUN;
             return few && (unsent || self.retries.take(target, priority, now));
         }
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -39,6 +39,7 @@
     pub(crate) confirmed: Option<Time>,
     /// When the first configuration was read.
     configured: Option<Time>,
+    pub(crate) crashes: Crashes,
     /// Queued requests by the last moment at which they may start.
     pub(crate) deadlines: BTreeSet<(Time, RequestId)>,
     /// Upstreams of the directory; `None` where the configuration names them.
@@ -78,6 +79,7 @@
             configuration: None,
             confirmed: None,
             configured: None,
+            crashes: Crashes::default(),
             deadlines: BTreeSet::new(),
             directory: None,
             lanes: BTreeMap::new(),
@@ -165,10 +167,11 @@
             Event::DirectoryRead { leaving, upstreams } => {
                 let directory = self.directory.get_or_insert_default();
                 directory.read(leaving, upstreams, now);
-                self.follow_directory(now);
+                self.follow_directory(now, actions);
                 self.listed = true;
                 self.serve_if_ready(now);
             }
+            Event::CrashesTold(note) => self.on_crashes_told(now, &note, actions),
             Event::DrainStarted => self.phase = HostPhase::Draining,
             Event::HeartbeatAnswered {
                 answer,
@@ -179,6 +182,11 @@
                 self.on_heartbeat(now, call, &heartbeat, actions);
             }
             Event::HostsListed { hosts } => self.on_hosts_listed(now, hosts),
+            Event::ListeningChecked { listens, upstream } => {
+                if !listens {
+                    self.note_ended(now, &upstream, actions);
+                }
+            }
             Event::LoadReported { report, upstream } => self.on_load_report(now, &upstream, report),
             Event::NoteHeard { from, note } => self.on_note(now, from, note, actions),
             Event::PeersListed { peers } => {
@@ -299,14 +307,19 @@
     }
 
     /// Puts the upstreams of the directory in force.
-    fn follow_directory(&mut self, now: Time) {
+    fn follow_directory(&mut self, now: Time, actions: &mut Vec<Action>) {
         let Some(directory) = &self.directory else {
             return;
         };
+        let listed = directory.upstreams();
+        let unlisted = self
+            .pool
+            .select(|state| !state.is_leaving(now) && !listed.contains_key(&state.id));
         let domain = &self.options.failure_domain;
-        self.pool.apply(directory.upstreams(), domain);
+        self.pool.apply(listed, domain);
         self.pool.note_listed(directory.leaving());
         self.apply_shares(now);
+        self.note_unlisted(now, &unlisted, actions);
     }
 
     /// Upstreams that get no new work, because some source says that they are
@@ -375,7 +388,7 @@
             .as_mut()
             .is_some_and(|directory| directory.expire(now))
         {
-            self.follow_directory(now);
+            self.follow_directory(now, actions);
         }
         while let Some((deadline, request)) = self.deadlines.first().copied() {
             if deadline > now {
@@ -388,6 +401,7 @@
         self.serve_if_ready(now);
         self.tick_peering(now, actions);
         self.tick_neighbors(now, actions);
+        self.tick_crashes(now, actions);
         self.fetch_newer(now, actions);
     }
 
--- /dev/null
+++ b/crates/policy/src/crashes/barring.rs
@@ -0,0 +1,172 @@
+//! What the controller does with signs of crashes.
+
+use super::*;
+
+/// Time between two looks at what can be forgotten.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
+
+impl Controller {
+    /// A connection broke before the answer was whole. One to an upstream that is leaving
+    /// breaks in the end, whatever runs there.
+    pub(crate) fn note_broken(
+        &mut self,
+        now: Time,
+        request: &Request<Running>,
+        actions: &mut Vec<Action>,
+    ) {
+        let upstream = &request.stage.upstream;
+        let Some(state) = self.pool.get(upstream) else {
+            return;
+        };
+        if state.is_leaving(now) {
+            return;
+        }
+        let address = state.definition.address();
+        let asked = self.crashes.suspects.is_open(upstream);
+        let broken = ObservedCrash {
+            at: now,
+            fingerprint: request.facts.fingerprint,
+            has_begun: request.stage.streams,
+            upstream: upstream.clone(),
+        };
+        match self.crashes.suspects.note_broken(broken) {
+            Some(crash) => self.note_own_crashes(now, vec![crash], actions),
+            None if asked => {}
+            None => actions.push(Action::CheckListening {
+                address,
+                upstream: upstream.clone(),
+            }),
+        }
+    }
+
+    /// An upstream has ended: nobody listens at its address, or another one does.
+    pub(crate) fn note_ended(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        actions: &mut Vec<Action>,
+    ) {
+        let crashes = self.crashes.suspects.note_ended(upstream, now);
+        self.note_own_crashes(now, crashes, actions);
+    }
+
+    /// Upstreams are no longer listed.
+    pub(crate) fn note_unlisted(
+        &mut self,
+        now: Time,
+        upstreams: &[UpstreamId],
+        actions: &mut Vec<Action>,
+    ) {
+        for upstream in upstreams {
+            let crashes = self.crashes.suspects.note_unlisted(upstream);
+            self.note_own_crashes(now, crashes, actions);
+        }
+    }
+
+    pub(crate) fn on_crashes_told(
+        &mut self,
+        now: Time,
+        note: &CrashNote,
+        actions: &mut Vec<Action>,
+    ) {
+        for told in &note.crashes {
+            // What broke here at the same upstream is explained, too.
+            self.note_ended(now, &told.upstream, actions);
+            let crash = ObservedCrash::told(told, now);
+            let source = CrashSource::Host(note.host.clone());
+            self.note_crash(now, &crash, source, actions);
+        }
+    }
+
+    pub(crate) fn tick_crashes(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if now >= self.crashes.next_forget {
+            self.crashes.next_forget = now + FORGET_INTERVAL;
+            self.crashes.record.forget(now);
+            self.crashes.suspects.forget(now);
+        }
+        self.tell_crashes(now, actions);
+    }
+
+    fn note_own_crashes(
+        &mut self,
+        now: Time,
+        crashes: Vec<ObservedCrash>,
+        actions: &mut Vec<Action>,
+    ) {
+        for crash in crashes {
+            if self.note_crash(now, &crash, CrashSource::Own, actions) {
+                self.crashes.telling.add(crash, now);
+            }
+        }
+        self.tell_crashes(now, actions);
+    }
+
+    /// Takes a crash; true if it was not known.
+    fn note_crash(
+        &mut self,
+        now: Time,
+        crash: &ObservedCrash,
+        source: CrashSource,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(crashes) = self.crashes.record.note(crash) else {
+            return false;
+        };
+        // A further crash of one request can tell that another one is innocent, not that
+        // it is guilty: only this one may be barred by it.
+        let barred_for = self.crashes.barred_for(&crash.fingerprint, now);
+        actions.push(Action::NoteCrash(CrashNoted {
+            barred_for,
+            crashes,
+            fingerprint: crash.fingerprint,
+            source,
+            upstream: crash.upstream.clone(),
+        }));
+        if barred_for.is_some() {
+            self.refuse_barred(now, &crash.fingerprint, actions);
+        }
+        true
+    }
+
+    /// Refuses the queued requests that are barred now.
+    fn refuse_barred(&mut self, now: Time, fingerprint: &Fingerprint, actions: &mut Vec<Action>) {
+        let queued = self.requests.iter().filter_map(|(id, stage)| match stage {
+            Stage::Queued(request) if request.facts.fingerprint == *fingerprint => Some(*id),
+            _ => None,
+        });
+        let queued: Vec<RequestId> = queued.collect();
+        for id in queued {
+            self.refuse_queued(now, id, RefusalReason::CrashesUpstreams, actions);
+        }
+    }
+
+    fn tell_crashes(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let to: Vec<SocketAddr> = self.neighbors.addresses(&self.options.host).collect();
+        let crashes = self.crashes.telling.take(to.len(), now);
+        if crashes.is_empty() || to.is_empty() {
+            return;
+        }
+        let note = CrashNote {
+            crashes,
+            host: self.options.host.clone(),
+            protocol: peer::PROTOCOL,
+        };
+        actions.push(Action::TellCrashes { note, to });
+    }
+
+    /// Whether no further upstream may get a request.
+    pub(crate) fn is_barred(&self, now: Time, facts: &RequestFacts) -> bool {
+        self.crashes.barred_for(&facts.fingerprint, now).is_some()
+    }
+
+    /// Refuses a request that is barred, without a queue or an upstream.
+    pub(crate) fn check_barred(&self, fingerprint: &Fingerprint, now: Time) -> Result<(), Refusal> {
+        match self.crashes.barred_for(fingerprint, now) {
+            None => Ok(()),
+            Some(left) => Err(Refusal {
+                retry_after: Some(left),
+                ..Refusal::not_run(RefusalReason::CrashesUpstreams)
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/crashes/crash_record.rs
@@ -0,0 +1,166 @@
+use super::*;
+
+/// Points of a crash under a request whose answer had not begun, and under one whose
+/// answer had: the latter had survived its beginning.
+const UNBEGUN_POINTS: u32 = 2;
+const BEGUN_POINTS: u32 = 1;
+
+/// Points from which a request is barred: three upstreams that ended before it began to
+/// answer. Fewer may be chance: a request that comes again after a crash meets a second
+/// one in a storm of them.
+const BAR_POINTS: u32 = 3 * UNBEGUN_POINTS;
+
+/// Time after the last crash for which the request is barred. After it one try shows
+/// whether the upstreams bear it now.
+const BAR_FOR: Duration = Duration::from_secs(600);
+
+/// Time after which a crash is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(3_600);
+
+/// Most requests that are kept: all that were on forty engines of a hundred slots. Some
+/// 300 bytes each.
+const MAX_REQUESTS: usize = 4_096;
+
+/// Most crashes that are kept of one request.
+const MAX_CRASHES: usize = 32;
+
+/// The end of an upstream under a request.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    at: Time,
+    points: u32,
+}
+
+/// The ends under one request.
+#[derive(Debug, Default)]
+struct Ends(BTreeMap<UpstreamId, End>);
+
+impl Ends {
+    fn points(&self) -> u32 {
+        self.0.values().map(|end| end.points).sum()
+    }
+
+    fn last(&self) -> Option<Time> {
+        self.0.values().map(|end| end.at).max()
+    }
+
+    /// Takes an end; true if it was not known. Where the request was there twice, the
+    /// stronger sign counts.
+    fn add(&mut self, crash: &ObservedCrash) -> bool {
+        let points = if crash.has_begun {
+            BEGUN_POINTS
+        } else {
+            UNBEGUN_POINTS
+        };
+        if let Some(known) = self.0.get_mut(&crash.upstream) {
+            known.points = known.points.max(points);
+            return false;
+        }
+        if self.0.len() >= MAX_CRASHES {
+            let oldest = self.0.iter().min_by_key(|(_, end)| end.at);
+            let oldest = oldest.map(|(upstream, _)| upstream.clone());
+            oldest.and_then(|upstream| self.0.remove(&upstream));
+        }
+        let at = crash.at;
+        self.0.insert(crash.upstream.clone(), End { at, points });
+        true
+    }
+}
+
+/// Which upstreams ended under which requests.
+///
+/// What goes wrong without it: a request that crashes each upstream comes again as a new
+/// one, at any host, and each time takes an upstream with all that runs there. Attempts and
+/// retries are counted by request, and nothing joins those of different requests. One would
+/// notice upstreams that end one after the other, faster than they come back.
+///
+/// Crashes are counted by upstream, whose id is new with each start. So the sum is the same
+/// however often, and by however many hosts, one of them is told.
+///
+/// An upstream that ends takes innocent requests along, and one that comes again at once
+/// may meet the guilty one on the next upstream, too. Each end needs one explanation: the
+/// request with most points is taken for guilty first, and what ended under it counts
+/// against no other.
+#[derive(Debug, Default)]
+pub(crate) struct CrashRecord {
+    /// The guilty ones, and when an upstream last ended under them.
+    barred: HashMap<Fingerprint, Time>,
+    requests: HashMap<Fingerprint, Ends>,
+}
+
+impl CrashRecord {
+    /// Takes a crash; the number of this request's crashes, if it was not known.
+    pub(crate) fn note(&mut self, crash: &ObservedCrash) -> Option<usize> {
+        if !self.requests.contains_key(&crash.fingerprint) && self.requests.len() >= MAX_REQUESTS {
+            self.drop_weakest();
+        }
+        let ends = self.requests.entry(crash.fingerprint).or_default();
+        let is_new = ends.add(crash);
+        let crashes = ends.0.len();
+        self.judge();
+        is_new.then_some(crashes)
+    }
+
+    pub(crate) fn barred_for(&self, fingerprint: &Fingerprint, now: Time) -> Option<Duration> {
+        let last = self.barred.get(fingerprint)?;
+        let left = BAR_FOR.saturating_sub(now.since(*last));
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// The request ran to its end.
+    pub(crate) fn clear(&mut self, fingerprint: &Fingerprint) {
+        if self.requests.remove(fingerprint).is_some() {
+            self.judge();
+        }
+    }
+
+    /// The upstream has not ended after all.
+    pub(crate) fn withdraw(&mut self, upstream: &UpstreamId) {
+        for ends in self.requests.values_mut() {
+            ends.0.remove(upstream);
+        }
+        self.drop_empty();
+    }
+
+    pub(crate) fn forget(&mut self, now: Time) {
+        for ends in self.requests.values_mut() {
+            ends.0.retain(|_, end| now.since(end.at) < FORGET_AFTER);
+        }
+        self.drop_empty();
+    }
+
+    fn drop_empty(&mut self) {
+        self.requests.retain(|_, ends| !ends.0.is_empty());
+        self.judge();
+    }
+
+    /// Drops the request with the fewest points, of those the one whose last crash is the
+    /// longest ago: a flood of different requests cannot push a barred one out.
+    fn drop_weakest(&mut self) {
+        let requests = self.requests.iter();
+        let weakest = requests.min_by_key(|(_, ends)| (ends.points(), ends.last()));
+        if let Some(fingerprint) = weakest.map(|(fingerprint, _)| *fingerprint) {
+            self.requests.remove(&fingerprint);
+        }
+    }
+
+    /// Works out who is guilty, the same on all hosts that know the same crashes.
+    fn judge(&mut self) {
+        self.barred.clear();
+        let requests = self.requests.iter();
+        let mut suspects: Vec<(&Fingerprint, &Ends)> = requests
+            .filter(|(_, ends)| ends.points() >= BAR_POINTS)
+            .collect();
+        suspects.sort_by_key(|(fingerprint, ends)| (Reverse(ends.points()), **fingerprint));
+        let mut explained: BTreeSet<&UpstreamId> = BTreeSet::new();
+        for (fingerprint, ends) in suspects {
+            let open = ends.0.iter();
+            let open = open.filter(|(upstream, _)| !explained.contains(upstream));
+            let points: u32 = open.map(|(_, end)| end.points).sum();
+            if let (BAR_POINTS.., Some(last)) = (points, ends.last()) {
+                self.barred.insert(*fingerprint, last);
+                explained.extend(ends.0.keys());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/crashes/mod.rs
@@ -0,0 +1,47 @@
+//! Requests that crash the upstreams that run them.
+//!
+//! In: requests whose connection broke, signs that an upstream has ended or lives, what
+//! other hosts saw. Out: which requests no upstream may get, and what the other hosts are
+//! to be told.
+
+use super::*;
+
+mod barring;
+mod crash_record;
+mod observed_crash;
+mod suspects;
+mod telling;
+
+pub use observed_crash::{CrashNoted, CrashSource};
+
+use {
+    crash_record::CrashRecord, observed_crash::ObservedCrash, suspects::Suspects, telling::Telling,
+};
+
+/// What a host knows of such requests.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes {
+    next_forget: Time,
+    record: CrashRecord,
+    suspects: Suspects,
+    telling: Telling,
+}
+
+impl Crashes {
+    /// How long a request is still barred; `None` if it is not.
+    pub(crate) fn barred_for(&self, fingerprint: &Fingerprint, now: Time) -> Option<Duration> {
+        self.record.barred_for(fingerprint, now)
+    }
+
+    /// An upstream answered a request that was sent to it at a moment.
+    pub(crate) fn note_alive(&mut self, upstream: &UpstreamId, sent: Time) {
+        if self.suspects.note_alive(upstream, sent) {
+            self.record.withdraw(upstream);
+        }
+    }
+
+    /// A request ran to its end.
+    pub(crate) fn note_finished(&mut self, fingerprint: &Fingerprint) {
+        self.record.clear(fingerprint);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/crashes/observed_crash.rs
@@ -0,0 +1,57 @@
+use super::*;
+
+/// An upstream that ended under a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct ObservedCrash {
+    pub(crate) at: Time,
+    pub(crate) fingerprint: Fingerprint,
+    /// Whether its answer had begun by then.
+    pub(crate) has_begun: bool,
+    pub(crate) upstream: UpstreamId,
+}
+
+impl ObservedCrash {
+    /// What another host tells of a crash.
+    pub(crate) fn told(crash: &peer::Crash, now: Time) -> Self {
+        Self {
+            at: now - Duration::from_millis(u64::from(crash.age_ms)),
+            fingerprint: crash.fingerprint,
+            has_begun: crash.has_begun,
+            upstream: crash.upstream.clone(),
+        }
+    }
+
+    pub(crate) fn to_told(&self, now: Time) -> peer::Crash {
+        let age_ms = now.since(self.at).as_millis();
+        peer::Crash {
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            fingerprint: self.fingerprint,
+            has_begun: self.has_begun,
+            upstream: self.upstream.clone(),
+        }
+    }
+}
+
+/// Who saw a crash.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CrashSource {
+    /// Another host.
+    Host(HostId),
+    /// This host.
+    Own,
+}
+
+/// A crash that was not known before, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CrashNoted {
+    /// For how long no upstream gets the request; `None` if it is not barred.
+    pub barred_for: Option<Duration>,
+    /// Upstreams that are known to have ended under this request.
+    pub crashes: usize,
+    /// The request, as one of its team.
+    pub fingerprint: Fingerprint,
+    /// Who saw it.
+    pub source: CrashSource,
+    /// The upstream.
+    pub upstream: UpstreamId,
+}
--- /dev/null
+++ b/crates/policy/src/crashes/suspects.rs
@@ -0,0 +1,76 @@
+use super::*;
+
+/// Time between a broken connection and a sign that the upstream has ended for the two to
+/// be one event: entries of upstreams that ended lapse within some four seconds.
+const CONFIRM_WITHIN: Duration = Duration::from_secs(10);
+
+/// Requests whose connections broke, until it is known whether the upstream ended.
+///
+/// What goes wrong if each broken connection counts: an upstream that resets connections,
+/// or loses answers, and lives on, bars requests that do no harm. One would notice refusals
+/// with `crashes_upstreams` while no upstream starts again.
+#[derive(Debug, Default)]
+pub(crate) struct Suspects {
+    broken: HashMap<UpstreamId, Vec<ObservedCrash>>,
+    /// Upstreams that ended, and when that was noticed.
+    ended: HashMap<UpstreamId, Time>,
+}
+
+impl Suspects {
+    /// Notes a broken connection; gives it back if the upstream is known to have ended, so
+    /// that it is a crash.
+    pub(crate) fn note_broken(&mut self, broken: ObservedCrash) -> Option<ObservedCrash> {
+        if self.ended.contains_key(&broken.upstream) {
+            return Some(broken);
+        }
+        let upstream = broken.upstream.clone();
+        self.broken.entry(upstream).or_default().push(broken);
+        None
+    }
+
+    /// Whether it is open why connections to an upstream broke.
+    pub(crate) fn is_open(&self, upstream: &UpstreamId) -> bool {
+        self.broken.contains_key(upstream)
+    }
+
+    /// An upstream has ended; gives the requests that were there.
+    pub(crate) fn note_ended(&mut self, upstream: &UpstreamId, now: Time) -> Vec<ObservedCrash> {
+        self.ended.insert(upstream.clone(), now);
+        self.confirm(upstream)
+    }
+
+    /// An upstream's entry is gone. One that leaves is not listed either, and ends later in
+    /// good order: only what broke before counts.
+    pub(crate) fn note_unlisted(&mut self, upstream: &UpstreamId) -> Vec<ObservedCrash> {
+        self.confirm(upstream)
+    }
+
+    /// An upstream answered a request sent at a moment, so it had not ended before; true if
+    /// that was believed.
+    pub(crate) fn note_alive(&mut self, upstream: &UpstreamId, sent: Time) -> bool {
+        if let Some(broken) = self.broken.get_mut(upstream) {
+            broken.retain(|broken| broken.at >= sent);
+            if broken.is_empty() {
+                self.broken.remove(upstream);
+            }
+        }
+        let believed = self.ended.get(upstream).is_some_and(|at| *at < sent);
+        if believed {
+            self.ended.remove(upstream);
+        }
+        believed
+    }
+
+    pub(crate) fn forget(&mut self, now: Time) {
+        let recent = |at: Time| now.since(at) < CONFIRM_WITHIN;
+        self.ended.retain(|_, at| recent(*at));
+        for broken in self.broken.values_mut() {
+            broken.retain(|broken| recent(broken.at));
+        }
+        self.broken.retain(|_, broken| !broken.is_empty());
+    }
+
+    fn confirm(&mut self, upstream: &UpstreamId) -> Vec<ObservedCrash> {
+        self.broken.remove(upstream).unwrap_or_default()
+    }
+}
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -46,6 +46,8 @@
     ConfigurationPacked(ConfigVersion),
     /// A version of the configuration was read.
     ConfigurationRead(Arc<Numbered>),
+    /// Another host told which requests were on upstreams that ended.
+    CrashesTold(CrashNote),
     /// The host was asked to stop.
     DrainStarted,
     /// The configuration in force was the newest one at a moment.
@@ -83,6 +85,13 @@
         /// All hosts of the list.
         hosts: Vec<PeerHost>,
     },
+    /// It was looked whether anybody listens where an upstream does.
+    ListeningChecked {
+        /// Whether somebody does, or it cannot be told.
+        listens: bool,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// An upstream reported its load.
     LoadReported {
         /// The report.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,12 +5,13 @@
 use {
     config::{Class, Document, Numbered, Plan, Scheduling, Team, Upstream},
     peer::{
-        Demand, Echo, Grant, Heartbeat, HeartbeatAnswer, LoadNote, PeerHost, PeerPhase, PromptRead,
-        UpstreamLoad, VersionNote,
+        CrashNote, Demand, Echo, Grant, Heartbeat, HeartbeatAnswer, LoadNote, PeerHost, PeerPhase,
+        PromptRead, UpstreamLoad, VersionNote,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom},
     serde::{Deserialize, Serialize},
     std::{
+        cmp::Reverse,
         collections::{BTreeMap, BTreeSet, VecDeque},
         fmt::{self, Display, Formatter},
         net::SocketAddr,
@@ -31,6 +32,7 @@
 mod claim_request;
 mod claims;
 mod controller;
+mod crashes;
 mod directory_view;
 mod dispatch;
 mod ejection;
@@ -92,6 +94,7 @@
     claim_answer::ClaimAnswer,
     claim_request::ClaimRequest,
     controller::{Controller, ControllerOptions},
+    crashes::{CrashNoted, CrashSource},
     event::Event,
     fetch_end::FetchEnd,
     host_phase::HostPhase,
@@ -111,6 +114,7 @@
 use {
     affinity::Affinity,
     claims::settle,
+    crashes::Crashes,
     directory_view::DirectoryView,
     failure::Failure,
     fair_queue::FairQueue,
--- a/crates/policy/src/refusal_reason.rs
+++ b/crates/policy/src/refusal_reason.rs
@@ -10,6 +10,8 @@
     ClassNotAllowed,
     /// This host does not know whether its configuration is the newest.
     ConfigurationStale,
+    /// Identical requests crashed the upstreams that ran them.
+    CrashesUpstreams,
     /// The request waited until its class's deadline.
     DeadlinePassed,
     /// The request could not start within its class's deadline.
@@ -53,6 +55,7 @@
             Self::AnswerNotKept => "answer_not_kept",
             Self::ClassNotAllowed => "class_not_allowed",
             Self::ConfigurationStale => "configuration_stale",
+            Self::CrashesUpstreams => "crashes_upstreams",
             Self::DeadlinePassed => "deadline_passed",
             Self::DeadlineUnreachable => "deadline_unreachable",
             Self::InProgress => "request_in_progress",
@@ -88,6 +91,7 @@
             self,
             Self::AnswerNotKept
                 | Self::ClassNotAllowed
+                | Self::CrashesUpstreams
                 | Self::InProgress
                 | Self::KeyReused
                 | Self::OutcomeUnknown
@@ -110,6 +114,7 @@
             Self::ConfigurationStale => {
                 "the host cannot tell whether its configuration is the newest"
             }
+            Self::CrashesUpstreams => "identical requests crashed the upstreams that ran them",
             Self::DeadlinePassed => "the request waited until the deadline of its class",
             Self::DeadlineUnreachable => {
                 "the request cannot start within the deadline of its class"
--- a/crates/policy/src/refusing.rs
+++ b/crates/policy/src/refusing.rs
@@ -37,9 +37,10 @@
         if let Some(attempt) = request.claimed_by {
             settle(&request, attempt, request.verdict, None, actions);
         }
+        let barred_for = self.crashes.barred_for(&request.facts.fingerprint, now);
         let refusal = Refusal {
             reason,
-            retry_after: Some(self.spread(FAILED_RETURN)),
+            retry_after: Some(barred_for.unwrap_or_else(|| self.spread(FAILED_RETURN))),
             verdict: request.verdict,
         };
         self.finish_refused(now, &request, refusal, actions);
--- a/crates/policy/src/resuming.rs
+++ b/crates/policy/src/resuming.rs
@@ -22,7 +22,8 @@
         let Some(mut request) = self.move_stream(now, request, failure, actions) else {
             return;
         };
-        let worth_it = failure.cause != FailureCause::ErrorStatus;
+        let worth_it =
+            failure.cause != FailureCause::ErrorStatus && !self.is_barred(now, &request.facts);
         if resumes && worth_it && request.stage.resumes < MAX_RESUMES {
             request.stage.resumes += 1;
             let attempt = request.stage.attempt;
@@ -66,6 +67,7 @@
         let allowed = facts.resumable
             && now < facts.deadline
             && failure.cause != FailureCause::TimedOut
+            && !self.is_barred(now, facts)
             && self.has_attempts_left(&request);
         if !allowed {
             return Some(request);
--- /dev/null
+++ b/crates/policy/tests/installation/crashes.rs
@@ -0,0 +1,373 @@
+//! Requests that crash the upstreams that run them, and innocent ones beside them.
+
+use {
+    crate::support::{Ask, Host, address, engines, lookup, refused, sent, upstreams},
+    peer::CrashNote,
+    policy::{Action, Event, Refusal, SendOrder},
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+    types::prelude::*,
+};
+
+/// Time for which a request is barred.
+const BARRED_S: u64 = 600;
+
+/// A stream that must not run twice, the same each time.
+fn stream(body: &'static str) -> Ask {
+    Ask {
+        body: Some(body),
+        ..Ask::prompt("question", "first-key", &[(1, 500), (2, 100)])
+    }
+}
+
+fn fatal() -> Ask {
+    stream("fatal")
+}
+
+/// Sends a request that is sent on.
+fn send(host: &mut Host, ask: Ask) -> (RequestId, SendOrder) {
+    let (request, actions) = host.ask(ask);
+    (request, sent(&actions).unwrap())
+}
+
+/// The connection to an upstream breaks under a request.
+fn breaks(host: &mut Host, request: RequestId, order: &SendOrder) -> Vec<Action> {
+    let (cause, verdict) = (FailureCause::Reset, Verdict::MayHaveRun);
+    host.fail(order, request, cause, verdict, false)
+}
+
+/// Nobody listens at an upstream's address any more.
+fn ends(host: &mut Host, upstream: &UpstreamId) -> Vec<Action> {
+    host.handle(Event::ListeningChecked {
+        listens: false,
+        upstream: upstream.clone(),
+    })
+}
+
+/// A request comes, and the upstream that it is sent to ends under it. The directory lists
+/// enough others.
+fn crash(host: &mut Host, ask: Ask) -> UpstreamId {
+    let (request, order) = send(host, ask);
+    breaks(host, request, &order);
+    ends(host, &order.upstream);
+    // It is not chosen again before it is ejected.
+    let mut left = engines(20);
+    left.extend(upstreams());
+    let gone = ended_so_far(host);
+    left.retain(|id, _| !gone.contains(id));
+    host.read_directory(left, &[]);
+    order.upstream
+}
+
+/// Upstreams that ended under a request at this host.
+fn ended_so_far(host: &Host) -> BTreeSet<UpstreamId> {
+    let noted = host.actions.iter().filter_map(|action| match action {
+        Action::NoteCrash(noted) => Some(noted.upstream.clone()),
+        _ => None,
+    });
+    noted.collect()
+}
+
+fn told(actions: &[Action]) -> Vec<(CrashNote, Vec<SocketAddr>)> {
+    let told = actions.iter().filter_map(|action| match action {
+        Action::TellCrashes { note, to } => Some((note.clone(), to.clone())),
+        _ => None,
+    });
+    told.collect()
+}
+
+/// Gives each host what the others told so far; every second datagram to it is lost.
+fn exchange_half(hosts: &mut [Host]) {
+    for from in 0..hosts.len() {
+        for (number, (note, to)) in told(&hosts[from].actions).into_iter().enumerate() {
+            for to in to {
+                let to = (0..hosts.len()).find(|host| address(*host) == to);
+                if let Some(to) = to.filter(|to| (number + to) % 2 == 0) {
+                    hosts[to].handle(Event::CrashesTold(note.clone()));
+                }
+            }
+        }
+    }
+}
+
+fn refusal(host: &mut Host, ask: Ask) -> Option<Refusal> {
+    refused(&host.ask(ask).1)
+}
+
+/// Symptom: the fourth upstream ends. Events: three hosts see one end each under the same
+/// request; half of what they tell each other is lost. Cause: each knows only its own.
+#[test]
+fn hosts_that_saw_one_crash_each_bar_the_request_together() {
+    let mut hosts: Vec<Host> = (0..5).map(Host::new).collect();
+    for host in &mut hosts[..3] {
+        host.read_directory(engines(20), &[]);
+    }
+    // Each on an upstream of its own: the others have heard of no crash yet.
+    for (number, host) in hosts[..3].iter_mut().enumerate() {
+        let mut left = engines(20);
+        left.retain(|id, _| id.name() == format!("engine-{number}"));
+        host.read_directory(left, &[]);
+        crash(host, fatal());
+    }
+    for host in &mut hosts {
+        host.pass(1_500);
+    }
+    exchange_half(&mut hosts);
+    for host in &mut hosts {
+        let refusal = refusal(host, fatal()).unwrap();
+        assert_eq!(refusal.reason.code(), "crashes_upstreams");
+        assert_eq!(refusal.verdict, Verdict::NotRun);
+        let back = refusal.retry_after.unwrap();
+        assert!(back > Duration::from_secs(BARRED_S - 10), "{back:?}");
+        // The same of another team, and another one of this team.
+        let of_other = Ask {
+            key: "shop-key",
+            ..fatal()
+        };
+        assert_eq!(refused(&host.ask(of_other).1), None);
+        assert_eq!(refused(&host.ask(stream("harmless")).1), None);
+    }
+}
+
+/// Symptom: harmless requests are refused for ten minutes. Events: an upstream resets
+/// connections, or loses answers, and lives on. Cause: a broken connection is taken for
+/// the upstream's end.
+#[test]
+fn broken_connections_of_an_upstream_that_lives_bar_nobody() {
+    let mut host = Host::new(0);
+    for _ in 0..12 {
+        host.pass(200);
+        let (request, order) = send(&mut host, lookup());
+        breaks(&mut host, request, &order);
+        host.handle(Event::ListeningChecked {
+            listens: true,
+            upstream: order.upstream,
+        });
+        let (request, order) = send(&mut host, fatal());
+        breaks(&mut host, request, &order);
+        // It refuses connections for a moment, and answers then.
+        ends(&mut host, &order.upstream);
+        host.pass(10);
+        let (request, later) = send(&mut host, stream("harmless"));
+        host.finish(&later, request);
+    }
+    assert_eq!(refusal(&mut host, stream("harmless")), None);
+    // At most two of three upstreams were never heard again.
+    assert_eq!(refusal(&mut host, fatal()), None);
+}
+
+/// Symptom: innocent callers are refused after a storm of crashes. Events: their streams
+/// run on three upstreams that a guilty request ends one after the other. Cause: all that
+/// was there counts as guilty.
+#[test]
+fn requests_that_share_the_upstreams_of_a_guilty_one_are_not_barred() {
+    for has_begun in [false, true] {
+        let mut host = Host::new(0);
+        host.read_directory(engines(20), &[]);
+        for _ in 0..4 {
+            let (guilty, order) = send(&mut host, fatal());
+            let (innocent, beside) = send(&mut host, stream("innocent"));
+            assert_eq!(beside.upstream, order.upstream, "both have one home");
+            if has_begun {
+                host.handle(Event::Progressed {
+                    attempt: beside.attempt,
+                    longest_pause: Duration::ZERO,
+                    request: innocent,
+                    tokens: Tokens::new(5),
+                });
+            }
+            breaks(&mut host, innocent, &beside);
+            breaks(&mut host, guilty, &order);
+            ends(&mut host, &order.upstream);
+            let mut left = engines(20);
+            let gone = ended_so_far(&host);
+            left.retain(|id, _| !gone.contains(id));
+            host.read_directory(left, &[]);
+            if refusal(&mut host, fatal()).is_some() {
+                break;
+            }
+        }
+        let barred = ["innocent", "fatal"].map(|body| refusal(&mut host, stream(body)).is_some());
+        // Where nothing tells the two apart one of them is barred, and not both.
+        assert_eq!(barred.iter().filter(|barred| **barred).count(), 1);
+        if has_begun {
+            assert_eq!(barred, [false, true]);
+        }
+    }
+}
+
+/// Symptom: a harmless request that is asked for all day is refused. Events: three replicas
+/// crash in an hour while one of many identical requests is there; all others are answered.
+/// Cause: crashes add up whatever happens between them.
+#[test]
+fn a_request_that_ran_to_its_end_is_cleared() {
+    let mut host = Host::new(0);
+    for _ in 0..5 {
+        crash(&mut host, fatal());
+        let (request, order) = send(&mut host, fatal());
+        host.finish(&order, request);
+    }
+    assert_eq!(refusal(&mut host, fatal()), None);
+}
+
+/// Symptom: a request that may be repeated ends four upstreams by itself. Events: each
+/// attempt of it ends one; the third end is known when the next attempt is chosen, or while
+/// it waits in the queue. Cause: only new requests are looked at.
+#[test]
+fn attempts_that_are_left_are_not_made_of_a_barred_request() {
+    let repeatable = || Ask {
+        body: Some("fatal"),
+        ..lookup()
+    };
+    let mut host = Host::new(0);
+    let (request, first) = send(&mut host, repeatable());
+    ends(&mut host, &first.upstream);
+    let second = sent(&breaks(&mut host, request, &first)).unwrap();
+    assert_ne!(second.upstream, first.upstream);
+    ends(&mut host, &second.upstream);
+    breaks(&mut host, request, &second);
+    let mut left = upstreams();
+    left.retain(|id, _| ![&first.upstream, &second.upstream].contains(&id));
+    host.read_directory(left, &[]);
+    let (request, third) = send(&mut host, repeatable());
+    host.read_directory(upstreams(), &[]);
+    ends(&mut host, &third.upstream);
+    let actions = breaks(&mut host, request, &third);
+    assert_eq!(sent(&actions), None);
+    let refusal = refused(&actions).unwrap();
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+}
+
+/// Symptom: a barred request still runs. Events: it waits for an upstream when another host
+/// tells of the third end. Cause: only newcomers are looked at.
+#[test]
+fn a_queued_request_is_refused_once_it_is_barred() {
+    let mut teller = Host::new(1);
+    teller.read_directory(engines(20), &[]);
+    for _ in 0..3 {
+        crash(&mut teller, fatal());
+    }
+    teller.pass(2_000);
+    let mut host = Host::new(0);
+    host.read_directory(std::collections::BTreeMap::new(), &[]);
+    let (_, actions) = host.ask(fatal());
+    assert_eq!((sent(&actions), refused(&actions)), (None, None));
+    let mut after = Vec::new();
+    for (note, _) in told(&teller.actions) {
+        after.extend(host.handle(Event::CrashesTold(note)));
+    }
+    assert_eq!(refused(&after).unwrap().reason.code(), "crashes_upstreams");
+}
+
+/// Symptom: a request stays refused after the upstreams were mended; or it takes three more
+/// of them each time that it is let through. Cause: the record ends too late, or whole.
+#[test]
+fn after_a_while_one_try_is_made() {
+    let mut host = Host::new(0);
+    host.read_directory(engines(20), &[]);
+    for _ in 0..3 {
+        crash(&mut host, fatal());
+    }
+    assert!(refusal(&mut host, fatal()).is_some());
+    host.now = host.now.plus_ms(1_000 * BARRED_S);
+    let as_of = host.now;
+    host.handle(Event::ConfigurationConfirmed { as_of });
+    crash(&mut host, fatal());
+    assert!(refusal(&mut host, fatal()).is_some());
+}
+
+/// Symptom: a guilty request is let through again. Events: its caller, or another one, has
+/// many different requests on upstreams that end. Cause: the record is bounded, and the
+/// oldest goes first.
+#[test]
+fn a_flood_of_other_requests_pushes_no_barred_one_out() {
+    let mut host = Host::new(0);
+    host.read_directory(engines(20), &[]);
+    for _ in 0..3 {
+        crash(&mut host, fatal());
+    }
+    for number in 0..6_000_u32 {
+        let note = CrashNote {
+            crashes: vec![peer::Crash {
+                age_ms: 0,
+                fingerprint: Fingerprint::of_request("POST", "/", &number.to_be_bytes()),
+                has_begun: false,
+                upstream: format!("other-{}", number / 100).parse().unwrap(),
+            }],
+            host: "host-1".parse().unwrap(),
+            protocol: peer::PROTOCOL,
+        };
+        host.handle(Event::CrashesTold(note));
+    }
+    assert!(refusal(&mut host, fatal()).is_some());
+}
+
+/// Symptom: callers of a planned stop are refused later. Events: upstreams that leave end
+/// while requests run. Cause: their end is taken for a crash.
+#[test]
+fn the_end_of_an_upstream_that_leaves_is_no_crash() {
+    let mut host = Host::new(0);
+    let (request, order) = send(&mut host, fatal());
+    host.read_directory(upstreams(), &[order.upstream.name()]);
+    breaks(&mut host, request, &order);
+    ends(&mut host, &order.upstream);
+    host.read_directory(upstreams(), &[]);
+    assert!(ended_so_far(&host).is_empty());
+}
+
+/// Symptom: an upstream without power ends under a request, and nobody counts it. Events:
+/// connections to it break for want of an answer, nobody refuses new ones, and its entry
+/// lapses some seconds later. Cause: only a refused connection is a sign of its end.
+#[test]
+fn an_entry_that_lapses_tells_of_a_crash() {
+    let mut host = Host::new(0);
+    let (request, order) = send(&mut host, fatal());
+    let (cause, verdict) = (FailureCause::Silent, Verdict::MayHaveRun);
+    host.fail(&order, request, cause, verdict, false);
+    host.pass(3_000);
+    let mut left = upstreams();
+    left.remove(&order.upstream);
+    host.read_directory(left, &[]);
+    assert_eq!(ended_so_far(&host), BTreeSet::from([order.upstream]));
+}
+
+/// Symptom: a crash takes the hosts' links. Events: an upstream ends under all the requests
+/// that 381 hosts can have there. Cause: each is told to all hosts at once, over and over.
+///
+/// Each crash is told three times, and a host sends no more than 200 kB a second for it.
+#[test]
+fn telling_is_bounded_by_hosts_and_crashes() {
+    let mut host = Host::new(0);
+    host.list_hosts(381);
+    host.read_directory(engines(1), &[]);
+    let asked: Vec<(RequestId, SendOrder)> =
+        (0..20).map(|_| send(&mut host, stream_of_own())).collect();
+    for (request, order) in &asked {
+        breaks(&mut host, *request, order);
+    }
+    ends(&mut host, &asked[0].1.upstream);
+    host.pass(15_000);
+    let notes = told(&host.actions);
+    let crashes: usize = notes.iter().map(|(note, _)| note.crashes.len()).sum();
+    assert_eq!(crashes, 3 * asked.len());
+    let sent = notes.iter().map(|(note, to)| {
+        assert_eq!(to.len(), 380);
+        note.to_datagram("token").len() * to.len()
+    });
+    let sent: usize = sent.sum();
+    assert!(sent <= 15 * 200_000, "{sent} bytes in 15 s");
+    // A host told of all crashes tells nobody.
+    let mut other = Host::new(1);
+    for (note, _) in notes {
+        other.handle(Event::CrashesTold(note));
+    }
+    other.pass(2_000);
+    assert!(told(&other.actions).is_empty());
+}
+
+/// A stream that no other request is the same as.
+fn stream_of_own() -> Ask {
+    Ask {
+        body: None,
+        ..fatal()
+    }
+}
--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod attempts;
+mod crashes;
 mod incarnations;
 mod knowledge;
 mod newer_configuration;
--- a/crates/policy/tests/properties/model.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -251,6 +251,9 @@
             }
             Action::Cancel { .. }
             | Action::AnswerHeartbeat { .. }
+            | Action::CheckListening { .. }
+            | Action::NoteCrash(_)
+            | Action::TellCrashes { .. }
             | Action::FetchConfiguration { .. }
             | Action::Probe { .. }
             | Action::ReadConfiguration
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -8,8 +8,10 @@
         }
         Action::Break { refusal, request } => format!("break {request}: {}", refused(refusal)),
         Action::Cancel { request, .. } => format!("cancel {request}"),
+        Action::CheckListening { upstream, .. } => format!("look whether {upstream} listens"),
         Action::Claim(claim) => format!("claim {} for {}", claim.key, claim.request),
         Action::FetchConfiguration { address, .. } => format!("fetch configuration of {address}"),
+        Action::NoteCrash(noted) => format!("{} crashed {}", noted.crashes, noted.upstream),
         Action::Probe { upstream, .. } => format!("probe {upstream}"),
         Action::ReadConfiguration => "read the configuration".to_string(),
         Action::Record(outcome) => record(outcome),
@@ -28,6 +30,9 @@
         }
         Action::SendHeartbeat { host, .. } => format!("heartbeat to {host}"),
         Action::SendNotes { notes } => format!("notes to {} hosts", notes.len()),
+        Action::TellCrashes { note, to } => {
+            format!("tell {} hosts of {} crashes", to.len(), note.crashes.len())
+        }
         Action::TellVersion { note, to } => {
             format!("tell {} hosts of version {}", to.len(), note.version)
         }
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -99,6 +99,7 @@
         | RefusalReason::OutcomeUnknown => StatusCode::CONFLICT,
         RefusalReason::ClassNotAllowed => StatusCode::FORBIDDEN,
         RefusalReason::ConfigurationStale
+        | RefusalReason::CrashesUpstreams
         | RefusalReason::DeadlinePassed
         | RefusalReason::DeadlineUnreachable
         | RefusalReason::NoUpstream
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -177,6 +177,9 @@
             }
             // The task that found its caller gone has cut the stream itself.
             Action::Cancel { .. } => {}
+            Action::CheckListening { address, upstream } => {
+                self.probe(address, ProbeQuestion::Listening, upstream);
+            }
             Action::Claim(claim) => self.claim(claim),
             // Where the ring is full, one is under way.
             Action::FetchConfiguration {
@@ -189,11 +192,15 @@
                 };
                 let _ = self.thread.fetches.try_send(job);
             }
+            Action::NoteCrash(noted) => {
+                let now = self.thread.clock.now();
+                self.decisions.crash_noted(now, &noted);
+            }
             Action::Probe {
                 address,
                 path,
                 upstream,
-            } => self.probe(address, path, upstream),
+            } => self.probe(address, ProbeQuestion::Health(path), upstream),
             Action::ReadConfiguration => self.thread.read_configuration.notify_one(),
             Action::Record(outcome) => self.end(&outcome),
             Action::Refuse { refusal, request } => {
@@ -220,6 +227,11 @@
                 }
             }
             Action::Settle(settlement) => self.settle(settlement),
+            Action::TellCrashes { note, to } => {
+                if let Some(sender) = &self.thread.notes {
+                    sender.tell_crashes(&note, &to);
+                }
+            }
             Action::TellVersion { note, to } => {
                 if let Some(sender) = &self.thread.notes {
                     sender.tell_version(&note, &to);
@@ -307,11 +319,12 @@
         let _ = self.thread.peers.try_send(job);
     }
 
-    fn probe(&mut self, address: SocketAddr, path: String, upstream: UpstreamId) {
+    /// Where the ring is full the answer fails to come, and other signs must do.
+    fn probe(&mut self, address: SocketAddr, question: ProbeQuestion, upstream: UpstreamId) {
         debug!(self.thread.logger, "controller: probe"; "upstream" => %upstream);
         let job = ProbeJob {
             address,
-            path,
+            question,
             upstream,
         };
         let _ = self.thread.probes.try_send(job);
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -126,6 +126,25 @@
         );
     }
 
+    /// An upstream ended under a request.
+    pub(crate) fn crash_noted(&mut self, now: Time, noted: &CrashNoted) {
+        let (source, from) = match &noted.source {
+            CrashSource::Host(host) => ("told", Some(host.to_string())),
+            CrashSource::Own => ("own", None),
+        };
+        counter!("rhubarbcove_crashes_noted_total", "source" => source).increment(1);
+        if !self.budget.take(LineKind::Important, now) {
+            return;
+        }
+        warn!(self.logger, "crashes: upstream ended under a request";
+            "fingerprint" => noted.fingerprint.short(),
+            "upstream" => %noted.upstream,
+            "crashes" => noted.crashes,
+            "barred_for_s" => noted.barred_for.map(|left| left.as_secs()),
+            "from" => from,
+        );
+    }
+
     /// A request was refused before anything had to be decided.
     pub(crate) fn turned_away(&mut self, now: Time, id: &str, reason: &str, known: &Knowledge) {
         if !self.budget.take(LineKind::Important, now) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,14 +26,14 @@
         Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
     },
     peer::{
-        Heartbeat, HeartbeatAnswer, LoadNote, MessageError, PeerClient, PeerHandler, PeerHost,
-        PeerServer, TableNews, TableRow, TablesNews, VersionNote,
+        CrashNote, Heartbeat, HeartbeatAnswer, LoadNote, MessageError, PeerClient, PeerHandler,
+        PeerHost, PeerServer, TableNews, TableRow, TablesNews, VersionNote,
     },
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
-        Event, FetchEnd, HostPhase, Outcome, OutcomeEnd, PrefixHash, Refusal, RefusalReason,
-        RelayRules, Repeatability, RoomRules, Routed, SendOrder, Settlement, StoredAnswer, Target,
-        WasteCause,
+        CrashNoted, CrashSource, Event, FetchEnd, HostPhase, Outcome, OutcomeEnd, PrefixHash,
+        Refusal, RefusalReason, RelayRules, Repeatability, RoomRules, Routed, SendOrder,
+        Settlement, StoredAnswer, Target, WasteCause,
     },
     ports::{
         Clock, Directory, DirectoryUpdate, HeadError, Judgement, Offer, Passing, Protocol, Reading,
@@ -71,7 +71,7 @@
     types::prelude::*,
     upstream::{
         Answer, Call, CallFailure, Connections, EngineAdapter, ServiceAdapter, StreamItem,
-        TokenStream, UpstreamSender,
+        TokenStream, UpstreamSender, is_listening,
     },
 };
 
@@ -182,7 +182,7 @@
     peer_thread::PeerThread,
     platform_job::PlatformJob,
     platform_thread::PlatformThread,
-    probe_job::ProbeJob,
+    probe_job::{ProbeJob, ProbeQuestion},
     pump::Pump,
     pumps::Pumps,
     relay::Relay,
--- a/crates/router/src/note_sender.rs
+++ b/crates/router/src/note_sender.rs
@@ -18,9 +18,17 @@
 
     /// Tells hosts of a version that this one can hand over; lost ones hear it from others.
     pub(crate) fn tell_version(&self, note: &VersionNote, to: &[SocketAddr]) {
-        let datagram = note.to_datagram(&self.token);
+        self.send_to_all(&note.to_datagram(&self.token), to);
+    }
+
+    /// Tells hosts which requests were on upstreams that ended.
+    pub(crate) fn tell_crashes(&self, note: &CrashNote, to: &[SocketAddr]) {
+        self.send_to_all(&note.to_datagram(&self.token), to);
+    }
+
+    fn send_to_all(&self, datagram: &[u8], to: &[SocketAddr]) {
         for address in to {
-            let _ = self.socket.send_to(&datagram, address);
+            let _ = self.socket.send_to(datagram, address);
         }
     }
 }
--- a/crates/router/src/note_thread.rs
+++ b/crates/router/src/note_thread.rs
@@ -51,11 +51,12 @@
 }
 
 fn read(from: SocketAddr, datagram: &[u8], token: &str) -> Result<Event, MessageError> {
-    match LoadNote::from_datagram(datagram, token) {
-        Ok(note) => Ok(Event::NoteHeard { from, note }),
-        Err(_) => {
-            let note = VersionNote::from_datagram(datagram, token)?;
-            Ok(Event::VersionTold { from, note })
-        }
+    if let Ok(note) = LoadNote::from_datagram(datagram, token) {
+        return Ok(Event::NoteHeard { from, note });
+    }
+    if let Ok(note) = CrashNote::from_datagram(datagram, token) {
+        return Ok(Event::CrashesTold(note));
     }
+    let note = VersionNote::from_datagram(datagram, token)?;
+    Ok(Event::VersionTold { from, note })
 }
--- a/crates/router/src/upstream_thread.rs
+++ b/crates/router/src/upstream_thread.rs
@@ -110,13 +110,23 @@
 ) {
     while let Ok(ProbeJob {
         address,
-        path,
+        question,
         upstream,
     }) = probes.recv_async().await
     {
-        let healthy = adapter.is_healthy(address, &path).await;
-        info!(logger, "upstreams: probed"; "upstream" => %upstream, "healthy" => healthy);
-        let event = Event::ProbeAnswered { healthy, upstream };
+        let event = match question {
+            ProbeQuestion::Health(path) => {
+                let healthy = adapter.is_healthy(address, &path).await;
+                info!(logger, "upstreams: probed"; "upstream" => %upstream, "healthy" => healthy);
+                Event::ProbeAnswered { healthy, upstream }
+            }
+            ProbeQuestion::Listening => {
+                let listens = is_listening(address).await;
+                info!(logger, "upstreams: looked whether it listens";
+                    "upstream" => %upstream, "listens" => listens);
+                Event::ListeningChecked { listens, upstream }
+            }
+        };
         let _ = events.send_async(RingEvent::Happened(event)).await;
     }
 }
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -5,7 +5,7 @@
 
 /// Longest time to connect. A handshake takes a few milliseconds; an upstream
 /// that lost its power answers none, and each request would wait this long.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time after which bytes that were sent and not acknowledged end a connection,
 /// and in which a silent peer must answer a keep-alive probe. Without it, a
@@ -95,7 +95,13 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| failure)?
-            .map_err(|_| failure)?;
+            .map_err(|error| {
+                if is_refusal(&error) {
+                    CallFailure::not_run(FailureCause::Refused)
+                } else {
+                    failure
+                }
+            })?;
         watch_peer(&stream).map_err(|_| failure)?;
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| failure)?;
         let mut tasks = lock(&self.tasks);
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -31,6 +31,7 @@
 mod connections;
 mod engine;
 mod event_stream;
+mod listening;
 mod service;
 mod stream_item;
 
@@ -41,10 +42,13 @@
     connections::{Connections, UpstreamSender},
     engine::EngineAdapter,
     event_stream::TokenStream,
+    listening::is_listening,
     service::ServiceAdapter,
     stream_item::StreamItem,
 };
 
+use {connections::CONNECT_TIMEOUT, listening::is_refusal};
+
 /// Header by which an upstream tells that it did not run a request.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
 
