Take an upstream for ended only if another one of its domain is seen to listen

Change: a refused connection counts once another upstream of the same failure domain listens; where there is none, the entry that lapses tells it. An upstream that is still listed 7 s later has not ended, and what was counted for it is taken back. First crashes that another host saw are not logged a second time: with 195 hosts they would be most lines.

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -133,7 +133,7 @@
         request.runs += u32::from(failure.verdict != Verdict::NotRun);
         self.note_failure(now, &request, failure.cause);
         match failure.cause {
-            FailureCause::Refused | FailureCause::WrongInstance => {
+            FailureCause::WrongInstance => {
                 self.note_ended(now, &request.stage.upstream, actions);
             }
             FailureCause::Reset | FailureCause::Silent | FailureCause::Truncated => {
@@ -169,9 +169,7 @@
             state.record.note_failure(now);
         }
         match cause {
-            FailureCause::Connect | FailureCause::Refused => {
-                self.pool.note_unreachable(upstream);
-            }
+            FailureCause::Connect => self.pool.note_unreachable(upstream),
             FailureCause::Busy | FailureCause::ErrorStatus | FailureCause::WrongInstance => {
                 self.pool.note_heard(upstream, now);
             }
@@ -201,7 +199,7 @@
         let priority = request.facts.engine_priority;
         if self.options.relay.is_some() && failure.verdict == Verdict::NotRun {
             // One that never left is no load either.
-            let unsent = failure.cause.is_unsent();
+            let unsent = failure.cause == FailureCause::Connect;
             let few = request.tried.len() < MAX_NOT_RUN;
             return few && (unsent || self.retries.take(target, priority, now));
         }
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -43,7 +43,7 @@
     /// Queued requests by the last moment at which they may start.
     pub(crate) deadlines: BTreeSet<(Time, RequestId)>,
     /// Upstreams of the directory; `None` where the configuration names them.
-    directory: Option<DirectoryView>,
+    pub(crate) directory: Option<DirectoryView>,
     pub(crate) lanes: BTreeMap<Target, Lane>,
     pub(crate) length: LengthEstimate,
     pub(crate) limits: TeamLimits,
@@ -182,11 +182,10 @@
                 self.on_heartbeat(now, call, &heartbeat, actions);
             }
             Event::HostsListed { hosts } => self.on_hosts_listed(now, hosts),
-            Event::ListeningChecked { listens, upstream } => {
-                if !listens {
-                    self.note_ended(now, &upstream, actions);
-                }
-            }
+            Event::ListeningChecked {
+                listening,
+                upstream,
+            } => self.on_listening_checked(now, &upstream, listening, actions),
             Event::LoadReported { report, upstream } => self.on_load_report(now, &upstream, report),
             Event::NoteHeard { from, note } => self.on_note(now, from, note, actions),
             Event::PeersListed { peers } => {
--- a/crates/policy/src/crashes/barring.rs
+++ b/crates/policy/src/crashes/barring.rs
@@ -5,6 +5,10 @@
 /// Time between two looks at what can be forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time in which the entry of an upstream that ended has lapsed: three of its heartbeats
+/// of 1.2 s, and as much again for the news to get here.
+const LAPSED_WITHIN: Duration = Duration::from_secs(7);
+
 impl Controller {
     /// A connection broke before the answer was whole. One to an upstream that is leaving
     /// breaks in the end, whatever runs there.
@@ -21,8 +25,6 @@
         if state.is_leaving(now) {
             return;
         }
-        let address = state.definition.address();
-        let asked = self.crashes.suspects.is_open(upstream);
         let broken = ObservedCrash {
             at: now,
             fingerprint: request.facts.fingerprint,
@@ -31,15 +33,11 @@
         };
         match self.crashes.suspects.note_broken(broken) {
             Some(crash) => self.note_own_crashes(now, vec![crash], actions),
-            None if asked => {}
-            None => actions.push(Action::CheckListening {
-                address,
-                upstream: upstream.clone(),
-            }),
+            None => self.check_listening(now, upstream, actions),
         }
     }
 
-    /// An upstream has ended: nobody listens at its address, or another one does.
+    /// An upstream has ended.
     pub(crate) fn note_ended(
         &mut self,
         now: Time,
@@ -81,12 +79,26 @@
     pub(crate) fn tick_crashes(&mut self, now: Time, actions: &mut Vec<Action>) {
         if now >= self.crashes.next_forget {
             self.crashes.next_forget = now + FORGET_INTERVAL;
+            self.withdraw_listed(now);
             self.crashes.record.forget(now);
             self.crashes.suspects.forget(now);
         }
         self.tell_crashes(now, actions);
     }
 
+    /// An upstream that is listed long after its supposed end has not ended.
+    fn withdraw_listed(&mut self, now: Time) {
+        let Some(directory) = self.directory.as_ref().filter(|read| read.is_reached()) else {
+            return;
+        };
+        let ended = self.crashes.suspects.ended_before(now - LAPSED_WITHIN);
+        let listed = ended.filter(|upstream| directory.lists(upstream));
+        for upstream in listed.cloned().collect::<Vec<_>>() {
+            self.crashes.suspects.forget_end(&upstream);
+            self.crashes.record.withdraw(&upstream);
+        }
+    }
+
     fn note_own_crashes(
         &mut self,
         now: Time,
--- a/crates/policy/src/crashes/mod.rs
+++ b/crates/policy/src/crashes/mod.rs
@@ -11,6 +11,7 @@
 mod observed_crash;
 mod suspects;
 mod telling;
+mod witnesses;
 
 pub use observed_crash::{CrashNoted, CrashSource};
 
--- a/crates/policy/src/crashes/suspects.rs
+++ b/crates/policy/src/crashes/suspects.rs
@@ -4,6 +4,9 @@
 /// be one event: entries of upstreams that ended lapse within some four seconds.
 const CONFIRM_WITHIN: Duration = Duration::from_secs(10);
 
+/// Time between two looks at whether an upstream listens.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Requests whose connections broke, until it is known whether the upstream ended.
 ///
 /// What goes wrong if each broken connection counts: an upstream that resets connections,
@@ -14,6 +17,11 @@
     broken: HashMap<UpstreamId, Vec<ObservedCrash>>,
     /// Upstreams that ended, and when that was noticed.
     ended: HashMap<UpstreamId, Time>,
+    /// When it was last looked whether an upstream listens.
+    looked_at: HashMap<UpstreamId, Time>,
+    /// Upstreams at whose address nobody listens, by failure domain: until another one of
+    /// the domain is seen to listen, the whole domain may be out of reach.
+    refusing: BTreeMap<FailureDomainId, BTreeSet<UpstreamId>>,
 }
 
 impl Suspects {
@@ -28,9 +36,42 @@
         None
     }
 
-    /// Whether it is open why connections to an upstream broke.
-    pub(crate) fn is_open(&self, upstream: &UpstreamId) -> bool {
-        self.broken.contains_key(upstream)
+    /// Whether to look now if an upstream listens: many connections to it break at once.
+    pub(crate) fn take_look(&mut self, upstream: &UpstreamId, now: Time) -> bool {
+        let looked_at = self.looked_at.get(upstream);
+        if looked_at.is_some_and(|at| now.since(*at) < LOOK_INTERVAL) {
+            return false;
+        }
+        self.looked_at.insert(upstream.clone(), now);
+        true
+    }
+
+    /// Nobody listens at an upstream's address.
+    pub(crate) fn note_refusing(&mut self, upstream: &UpstreamId, domain: &FailureDomainId) {
+        let refusing = self.refusing.entry(domain.clone()).or_default();
+        refusing.insert(upstream.clone());
+    }
+
+    /// Whether somebody was seen not to listen.
+    pub(crate) fn is_refusing(&self, upstream: &UpstreamId) -> bool {
+        let mut domains = self.refusing.values();
+        domains.any(|refusing| refusing.contains(upstream))
+    }
+
+    /// A domain is in reach: gives the upstreams there at whose addresses nobody listens.
+    pub(crate) fn take_refusing(&mut self, domain: &FailureDomainId) -> BTreeSet<UpstreamId> {
+        self.refusing.remove(domain).unwrap_or_default()
+    }
+
+    /// Upstreams whose end was noticed before a moment.
+    pub(crate) fn ended_before(&self, moment: Time) -> impl Iterator<Item = &UpstreamId> {
+        let ended = self.ended.iter().filter(move |(_, at)| **at < moment);
+        ended.map(|(upstream, _)| upstream)
+    }
+
+    /// An upstream has not ended after all.
+    pub(crate) fn forget_end(&mut self, upstream: &UpstreamId) {
+        self.ended.remove(upstream);
     }
 
     /// An upstream has ended; gives the requests that were there.
@@ -64,10 +105,16 @@
     pub(crate) fn forget(&mut self, now: Time) {
         let recent = |at: Time| now.since(at) < CONFIRM_WITHIN;
         self.ended.retain(|_, at| recent(*at));
+        self.looked_at.retain(|_, at| recent(*at));
         for broken in self.broken.values_mut() {
             broken.retain(|broken| recent(broken.at));
         }
         self.broken.retain(|_, broken| !broken.is_empty());
+        let broken = &self.broken;
+        for refusing in self.refusing.values_mut() {
+            refusing.retain(|upstream| broken.contains_key(upstream));
+        }
+        self.refusing.retain(|_, refusing| !refusing.is_empty());
     }
 
     fn confirm(&mut self, upstream: &UpstreamId) -> Vec<ObservedCrash> {
--- /dev/null
+++ b/crates/policy/src/crashes/witnesses.rs
@@ -0,0 +1,77 @@
+//! Whether an upstream has ended, or is only out of reach.
+//!
+//! What goes wrong if a refused connection tells of an end: a cut between failure domains
+//! resets connections and refuses new ones, and a host on its far side takes all upstreams
+//! beyond it for ended. One would notice harmless requests barred by the hosts of one
+//! domain. So another upstream of the same domain must be seen to listen.
+
+use super::*;
+
+impl Controller {
+    /// Looks whether an upstream listens, to which a connection broke.
+    pub(crate) fn check_listening(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.crashes.suspects.is_refusing(upstream) {
+            self.ask_witness(now, upstream, actions);
+            return;
+        }
+        if let Some(state) = self.pool.get(upstream)
+            && self.crashes.suspects.take_look(upstream, now)
+        {
+            actions.push(Action::CheckListening {
+                address: state.definition.address(),
+                upstream: upstream.clone(),
+            });
+        }
+    }
+
+    pub(crate) fn on_listening_checked(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        listening: Listening,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(state) = self.pool.get(upstream) else {
+            return;
+        };
+        let domain = state.definition.failure_domain().clone();
+        match listening {
+            Listening::Unknown => {}
+            Listening::No => {
+                self.crashes.suspects.note_refusing(upstream, &domain);
+                self.ask_witness(now, upstream, actions);
+            }
+            Listening::Yes => {
+                for ended in self.crashes.suspects.take_refusing(&domain) {
+                    self.note_ended(now, &ended, actions);
+                }
+            }
+        }
+    }
+
+    /// Looks whether another upstream of the same domain listens. Where there is none, the
+    /// entry that lapses is the only sign.
+    fn ask_witness(&self, now: Time, upstream: &UpstreamId, actions: &mut Vec<Action>) {
+        let Some(state) = self.pool.get(upstream) else {
+            return;
+        };
+        let domain = state.definition.failure_domain();
+        let witness = self.pool.states.iter().find(|state| {
+            state.definition.failure_domain() == domain
+                && state.health.is_well()
+                && !state.is_leaving(now)
+                && !self.crashes.suspects.is_refusing(&state.id)
+        });
+        if let Some(witness) = witness {
+            actions.push(Action::CheckListening {
+                address: witness.definition.address(),
+                upstream: witness.id.clone(),
+            });
+        }
+    }
+}
--- a/crates/policy/src/directory_view.rs
+++ b/crates/policy/src/directory_view.rs
@@ -30,6 +30,16 @@
         &self.upstreams
     }
 
+    /// Whether the directory answers, as far as is known.
+    pub(crate) const fn is_reached(&self) -> bool {
+        !self.lost
+    }
+
+    /// Whether the directory lists an upstream.
+    pub(crate) fn lists(&self, upstream: &UpstreamId) -> bool {
+        self.upstreams.contains_key(upstream) && !self.missing.contains_key(upstream)
+    }
+
     /// Upstreams that are leaving.
     pub(crate) fn leaving(&self) -> BTreeSet<UpstreamId> {
         self.leaving.clone()
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -87,8 +87,8 @@
     },
     /// It was looked whether anybody listens where an upstream does.
     ListeningChecked {
-        /// Whether somebody does, or it cannot be told.
-        listens: bool,
+        /// What was seen.
+        listening: Listening,
         /// The upstream.
         upstream: UpstreamId,
     },
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,7 +18,7 @@
         sync::Arc,
         time::Duration,
     },
-    types::prelude::*,
+    types::{Listening, prelude::*},
 };
 
 mod action;
--- a/crates/policy/tests/installation/crashes.rs
+++ b/crates/policy/tests/installation/crashes.rs
@@ -2,10 +2,15 @@
 
 use {
     crate::support::{Ask, Host, address, engines, lookup, refused, sent, upstreams},
+    config::Upstream,
     peer::CrashNote,
     policy::{Action, Event, Refusal, SendOrder},
-    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
-    types::prelude::*,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+    types::{Listening, prelude::*},
 };
 
 /// Time for which a request is barred.
@@ -35,14 +40,31 @@
     host.fail(order, request, cause, verdict, false)
 }
 
-/// Nobody listens at an upstream's address any more.
+/// Nobody listens at an upstream's address any more; whoever else is looked at listens.
 fn ends(host: &mut Host, upstream: &UpstreamId) -> Vec<Action> {
+    let mut actions = look(host, upstream, Listening::No);
+    for witness in looked_at(&actions) {
+        actions.extend(look(host, &witness, Listening::Yes));
+    }
+    actions
+}
+
+fn look(host: &mut Host, upstream: &UpstreamId, listening: Listening) -> Vec<Action> {
     host.handle(Event::ListeningChecked {
-        listens: false,
+        listening,
         upstream: upstream.clone(),
     })
 }
 
+/// Upstreams that are to be looked at.
+fn looked_at(actions: &[Action]) -> Vec<UpstreamId> {
+    let looked_at = actions.iter().filter_map(|action| match action {
+        Action::CheckListening { upstream, .. } => Some(upstream.clone()),
+        _ => None,
+    });
+    looked_at.collect()
+}
+
 /// A request comes, and the upstream that it is sent to ends under it. The directory lists
 /// enough others.
 fn crash(host: &mut Host, ask: Ask) -> UpstreamId {
@@ -67,6 +89,14 @@
     noted.collect()
 }
 
+/// One engine, and the replicas of the service.
+fn only_engine(number: usize) -> BTreeMap<UpstreamId, Upstream> {
+    let name = format!("engine-{number}");
+    let mut left = upstreams();
+    left.retain(|id, _| id.name() == name || id.name().starts_with("shop"));
+    left
+}
+
 fn told(actions: &[Action]) -> Vec<(CrashNote, Vec<SocketAddr>)> {
     let told = actions.iter().filter_map(|action| match action {
         Action::TellCrashes { note, to } => Some((note.clone(), to.clone())),
@@ -103,9 +133,7 @@
     }
     // Each on an upstream of its own: the others have heard of no crash yet.
     for (number, host) in hosts[..3].iter_mut().enumerate() {
-        let mut left = engines(20);
-        left.retain(|id, _| id.name() == format!("engine-{number}"));
-        host.read_directory(left, &[]);
+        host.read_directory(only_engine(number), &[]);
         crash(host, fatal());
     }
     for host in &mut hosts {
@@ -138,10 +166,7 @@
         host.pass(200);
         let (request, order) = send(&mut host, lookup());
         breaks(&mut host, request, &order);
-        host.handle(Event::ListeningChecked {
-            listens: true,
-            upstream: order.upstream,
-        });
+        look(&mut host, &order.upstream, Listening::Yes);
         let (request, order) = send(&mut host, fatal());
         breaks(&mut host, request, &order);
         // It refuses connections for a moment, and answers then.
@@ -151,7 +176,52 @@
         host.finish(&later, request);
     }
     assert_eq!(refusal(&mut host, stream("harmless")), None);
-    // At most two of three upstreams were never heard again.
+    assert_eq!(refusal(&mut host, fatal()), None);
+}
+
+/// Symptom: two hosts refuse requests of their callers that do no harm. Events: their
+/// failure domain is cut off from another one; connections are reset, and new ones refused.
+/// Cause: upstreams out of reach are taken for ended.
+#[test]
+fn upstreams_beyond_a_cut_have_not_ended() {
+    let mut host = Host::new(0);
+    let mut used = Vec::new();
+    for _ in 0..4 {
+        // Another one is chosen each time.
+        let leaving: Vec<&str> = used.iter().map(UpstreamId::name).collect();
+        host.read_directory(engines(20), &leaving);
+        let (request, order) = send(&mut host, fatal());
+        let mut asked = looked_at(&breaks(&mut host, request, &order));
+        // Whoever is looked at refuses.
+        while let Some(upstream) = asked.pop() {
+            asked.extend(looked_at(&look(&mut host, &upstream, Listening::No)));
+        }
+        used.push(order.upstream);
+    }
+    assert!(ended_so_far(&host).is_empty());
+}
+
+/// Symptom: harmless requests stay refused for ten minutes. Events: upstreams refuse
+/// connections of one host, or of all, for some seconds. Cause: that they have ended is
+/// believed on, though their entries stay.
+#[test]
+fn an_upstream_that_stays_listed_has_not_ended() {
+    let mut host = Host::new(0);
+    let mut used = Vec::new();
+    for _ in 0..3 {
+        // Another one is chosen each time.
+        let leaving: Vec<&str> = used.iter().map(UpstreamId::name).collect();
+        host.read_directory(engines(20), &leaving);
+        let (request, order) = send(&mut host, fatal());
+        breaks(&mut host, request, &order);
+        ends(&mut host, &order.upstream);
+        used.push(order.upstream);
+    }
+    host.read_directory(engines(20), &[]);
+    assert!(refusal(&mut host, fatal()).is_some());
+    host.pass(9_000);
+    let as_of = host.now;
+    host.handle(Event::ConfigurationConfirmed { as_of });
     assert_eq!(refusal(&mut host, fatal()), None);
 }
 
@@ -248,7 +318,7 @@
     }
     teller.pass(2_000);
     let mut host = Host::new(0);
-    host.read_directory(std::collections::BTreeMap::new(), &[]);
+    host.read_directory(BTreeMap::new(), &[]);
     let (_, actions) = host.ask(fatal());
     assert_eq!((sent(&actions), refused(&actions)), (None, None));
     let mut after = Vec::new();
@@ -338,7 +408,7 @@
 fn telling_is_bounded_by_hosts_and_crashes() {
     let mut host = Host::new(0);
     host.list_hosts(381);
-    host.read_directory(engines(1), &[]);
+    host.read_directory(only_engine(0), &[]);
     let asked: Vec<(RequestId, SendOrder)> =
         (0..20).map(|_| send(&mut host, stream_of_own())).collect();
     for (request, order) in &asked {
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -133,7 +133,10 @@
             CrashSource::Own => ("own", None),
         };
         counter!("rhubarbcove_crashes_noted_total", "source" => source).increment(1);
-        if !self.budget.take(LineKind::Important, now) {
+        // A first crash that another host saw is in that host's log. With many hosts these
+        // would be most lines.
+        let is_news = noted.source == CrashSource::Own || noted.crashes > 1;
+        if !is_news || !self.budget.take(LineKind::Important, now) {
             return;
         }
         warn!(self.logger, "crashes: upstream ended under a request";
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -71,7 +71,7 @@
     types::prelude::*,
     upstream::{
         Answer, Call, CallFailure, Connections, EngineAdapter, ServiceAdapter, StreamItem,
-        TokenStream, UpstreamSender, is_listening,
+        TokenStream, UpstreamSender, check_listening,
     },
 };
 
--- a/crates/router/src/upstream_thread.rs
+++ b/crates/router/src/upstream_thread.rs
@@ -121,10 +121,13 @@
                 Event::ProbeAnswered { healthy, upstream }
             }
             ProbeQuestion::Listening => {
-                let listens = is_listening(address).await;
+                let listening = check_listening(address).await;
                 info!(logger, "upstreams: looked whether it listens";
-                    "upstream" => %upstream, "listens" => listens);
-                Event::ListeningChecked { listens, upstream }
+                    "upstream" => %upstream, "listening" => format!("{listening:?}"));
+                Event::ListeningChecked {
+                    listening,
+                    upstream,
+                }
             }
         };
         let _ = events.send_async(RingEvent::Happened(event)).await;
--- a/crates/types/src/failure_cause.rs
+++ b/crates/types/src/failure_cause.rs
@@ -10,8 +10,6 @@
     Connect,
     /// The upstream answered with a server error.
     ErrorStatus,
-    /// Nobody listens at the upstream's address.
-    Refused,
     /// The upstream closed or reset the connection.
     Reset,
     /// The upstream was silent for too long.
@@ -31,18 +29,12 @@
         !matches!(self, Self::Busy | Self::TimedOut)
     }
 
-    /// Whether nothing of the request can have left, as there was no connection.
-    pub const fn is_unsent(self) -> bool {
-        matches!(self, Self::Connect | Self::Refused)
-    }
-
     /// The cause as it stands in logs and reports.
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Busy => "busy",
             Self::Connect => "connect",
             Self::ErrorStatus => "error-status",
-            Self::Refused => "refused",
             Self::Reset => "reset",
             Self::Silent => "silent",
             Self::TimedOut => "timed-out",
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -28,6 +28,7 @@
 mod idempotency_key;
 mod incarnation;
 mod key_hash;
+mod listening;
 mod load_report;
 mod model_id;
 mod parse_id_error;
@@ -51,7 +52,7 @@
     collections::HashSet, config_version::ConfigVersion, failure_cause::FailureCause,
     failure_domain_id::FailureDomainId, fence::Fence, fingerprint::Fingerprint, host_id::HostId,
     idempotency_key::IdempotencyKey, incarnation::Incarnation, key_hash::KeyHash,
-    load_report::LoadReport, model_id::ModelId, parse_id_error::ParseIdError,
+    listening::Listening, load_report::LoadReport, model_id::ModelId, parse_id_error::ParseIdError,
     parse_quantity_error::ParseQuantityError, prompt_part::PromptPart, rate::Rate,
     rendezvous::rendezvous_weight, request_id::RequestId, route_id::RouteId, service_id::ServiceId,
     team_id::TeamId, tier::Tier, time::Time, tokens::Tokens, upstream_id::UpstreamId,
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -95,13 +95,7 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| failure)?
-            .map_err(|error| {
-                if is_refusal(&error) {
-                    CallFailure::not_run(FailureCause::Refused)
-                } else {
-                    failure
-                }
-            })?;
+            .map_err(|_| failure)?;
         watch_peer(&stream).map_err(|_| failure)?;
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| failure)?;
         let mut tasks = lock(&self.tasks);
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -22,7 +22,7 @@
         time::{Duration, Instant},
     },
     tokio::{net::TcpStream, task::JoinSet, time::timeout},
-    types::prelude::*,
+    types::{Listening, prelude::*},
 };
 
 mod answer;
@@ -42,12 +42,12 @@
     connections::{Connections, UpstreamSender},
     engine::EngineAdapter,
     event_stream::TokenStream,
-    listening::is_listening,
+    listening::check_listening,
     service::ServiceAdapter,
     stream_item::StreamItem,
 };
 
-use {connections::CONNECT_TIMEOUT, listening::is_refusal};
+use connections::CONNECT_TIMEOUT;
 
 /// Header by which an upstream tells that it did not run a request.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
