Keep crashes in the store, for hosts that start later or are cut off

What callers saw, in a test: three engines had ended under a request and all hosts refused it; then one host after the other was started again, as in a release, and the request ended six engines more.

Cause: what hosts know of crashes ended with their processes, and was told by datagrams alone, which a cut between failure domains stops while both sides reach the store.

Ruled out: a table of its own (one more held question for each host that follows); keeping each crash (an ordinary one leaves a trace of all that ran there, and would be a call of each host that had some of it); other hosts answering whoever starts (none is left when all are killed).

Change: from the second crash of one request on, the host that saw one writes it into the table of hosts, which few hosts follow for all. One whose upstream is listed long after its supposed end is passed over.

Why it holds: rows add up like what hosts tell each other, as a set. With domains cut off from each other at most one crash of each is not in the store.

No call without a request that met two crashes.

--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -61,6 +61,8 @@
         /// Version in force here.
         newer_than: Option<ConfigVersion>,
     },
+    /// Keep crashes in the store, for hosts that start later.
+    KeepCrashes(Vec<Crash>),
     /// Log and count an upstream that ended under a request.
     NoteCrash(CrashNoted),
     /// Ask an ejected upstream whether it is well.
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -171,6 +171,7 @@
                 self.listed = true;
                 self.serve_if_ready(now);
             }
+            Event::CrashesListed(crashes) => self.on_crashes_listed(now, &crashes, actions),
             Event::CrashesTold(note) => self.on_crashes_told(now, &note, actions),
             Event::DrainStarted => self.phase = HostPhase::Draining,
             Event::HeartbeatAnswered {
--- a/crates/policy/src/crashes/barring.rs
+++ b/crates/policy/src/crashes/barring.rs
@@ -76,6 +76,23 @@
         }
     }
 
+    pub(crate) fn on_crashes_listed(
+        &mut self,
+        now: Time,
+        crashes: &[Crash],
+        actions: &mut Vec<Action>,
+    ) {
+        for listed in crashes {
+            let crash = ObservedCrash::told(listed, now);
+            let lapsed = now.since(crash.at) >= LAPSED_WITHIN;
+            if lapsed && self.is_listed(&crash.upstream) {
+                continue;
+            }
+            self.note_ended(now, &crash.upstream, actions);
+            self.note_crash(now, &crash, CrashSource::Store, actions);
+        }
+    }
+
     pub(crate) fn tick_crashes(&mut self, now: Time, actions: &mut Vec<Action>) {
         if now >= self.crashes.next_forget {
             self.crashes.next_forget = now + FORGET_INTERVAL;
@@ -88,17 +105,20 @@
 
     /// An upstream that is listed long after its supposed end has not ended.
     fn withdraw_listed(&mut self, now: Time) {
-        let Some(directory) = self.directory.as_ref().filter(|read| read.is_reached()) else {
-            return;
-        };
         let ended = self.crashes.suspects.ended_before(now - LAPSED_WITHIN);
-        let listed = ended.filter(|upstream| directory.lists(upstream));
+        let listed = ended.filter(|upstream| self.is_listed(upstream));
         for upstream in listed.cloned().collect::<Vec<_>>() {
             self.crashes.suspects.forget_end(&upstream);
             self.crashes.record.withdraw(&upstream);
         }
     }
 
+    /// Whether the directory lists an upstream now.
+    fn is_listed(&self, upstream: &UpstreamId) -> bool {
+        let directory = self.directory.as_ref();
+        directory.is_some_and(|directory| directory.is_reached() && directory.lists(upstream))
+    }
+
     fn note_own_crashes(
         &mut self,
         now: Time,
@@ -121,11 +141,12 @@
         source: CrashSource,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let Some(crashes) = self.crashes.record.note(crash) else {
+        let Some(crashes) = self.crashes.record.note(crash, source == CrashSource::Own) else {
             return false;
         };
         // A further crash of one request can tell that another one is innocent, not that
         // it is guilty: only this one may be barred by it.
+        self.keep_crashes(now, &crash.fingerprint, actions);
         let barred_for = self.crashes.barred_for(&crash.fingerprint, now);
         actions.push(Action::NoteCrash(CrashNoted {
             barred_for,
@@ -140,6 +161,18 @@
         true
     }
 
+    /// Has own crashes of a request kept, where there is a store for them.
+    fn keep_crashes(&mut self, now: Time, fingerprint: &Fingerprint, actions: &mut Vec<Action>) {
+        if self.options.relay.is_none() {
+            return;
+        }
+        let to_keep = self.crashes.record.take_to_keep(fingerprint);
+        if !to_keep.is_empty() {
+            let crashes = to_keep.iter().map(|crash| crash.to_told(now));
+            actions.push(Action::KeepCrashes(crashes.collect()));
+        }
+    }
+
     /// Refuses the queued requests that are barred now.
     fn refuse_barred(&mut self, now: Time, fingerprint: &Fingerprint, actions: &mut Vec<Action>) {
         let queued = self.requests.iter().filter_map(|(id, stage)| match stage {
--- a/crates/policy/src/crashes/crash_record.rs
+++ b/crates/policy/src/crashes/crash_record.rs
@@ -10,6 +10,10 @@
 /// one in a storm of them.
 const BAR_POINTS: u32 = 3 * UNBEGUN_POINTS;
 
+/// Crashes of one request from which they are kept in the store. One alone is what any
+/// crash leaves of all that ran there, and would be a call of each host.
+const KEEP_FROM: usize = 2;
+
 /// Time after the last crash for which the request is barred. After it one try shows
 /// whether the upstreams bear it now.
 const BAR_FOR: Duration = Duration::from_secs(600);
@@ -28,6 +32,8 @@
 #[derive(Clone, Copy, Debug)]
 struct End {
     at: Time,
+    /// Whether this host saw it, and has not had it kept.
+    is_to_keep: bool,
     points: u32,
 }
 
@@ -46,7 +52,7 @@
 
     /// Takes an end; true if it was not known. Where the request was there twice, the
     /// stronger sign counts.
-    fn add(&mut self, crash: &ObservedCrash) -> bool {
+    fn add(&mut self, crash: &ObservedCrash, is_own: bool) -> bool {
         let points = if crash.has_begun {
             BEGUN_POINTS
         } else {
@@ -61,8 +67,12 @@
             let oldest = oldest.map(|(upstream, _)| upstream.clone());
             oldest.and_then(|upstream| self.0.remove(&upstream));
         }
-        let at = crash.at;
-        self.0.insert(crash.upstream.clone(), End { at, points });
+        let end = End {
+            at: crash.at,
+            is_to_keep: is_own,
+            points,
+        };
+        self.0.insert(crash.upstream.clone(), end);
         true
     }
 }
@@ -90,17 +100,36 @@
 
 impl CrashRecord {
     /// Takes a crash; the number of this request's crashes, if it was not known.
-    pub(crate) fn note(&mut self, crash: &ObservedCrash) -> Option<usize> {
+    pub(crate) fn note(&mut self, crash: &ObservedCrash, is_own: bool) -> Option<usize> {
         if !self.requests.contains_key(&crash.fingerprint) && self.requests.len() >= MAX_REQUESTS {
             self.drop_weakest();
         }
         let ends = self.requests.entry(crash.fingerprint).or_default();
-        let is_new = ends.add(crash);
+        let is_new = ends.add(crash, is_own);
         let crashes = ends.0.len();
         self.judge();
         is_new.then_some(crashes)
     }
 
+    /// Own crashes of a request that are to be kept in the store; each is given once.
+    pub(crate) fn take_to_keep(&mut self, fingerprint: &Fingerprint) -> Vec<ObservedCrash> {
+        let ends = self.requests.get_mut(fingerprint);
+        let Some(ends) = ends.filter(|ends| ends.0.len() >= KEEP_FROM) else {
+            return Vec::new();
+        };
+        let to_keep = ends.0.iter_mut().filter(|(_, end)| end.is_to_keep);
+        let to_keep = to_keep.map(|(upstream, end)| {
+            end.is_to_keep = false;
+            ObservedCrash {
+                at: end.at,
+                fingerprint: *fingerprint,
+                has_begun: end.points == BEGUN_POINTS,
+                upstream: upstream.clone(),
+            }
+        });
+        to_keep.collect()
+    }
+
     pub(crate) fn barred_for(&self, fingerprint: &Fingerprint, now: Time) -> Option<Duration> {
         let last = self.barred.get(fingerprint)?;
         let left = BAR_FOR.saturating_sub(now.since(*last));
--- a/crates/policy/src/crashes/observed_crash.rs
+++ b/crates/policy/src/crashes/observed_crash.rs
@@ -39,6 +39,8 @@
     Host(HostId),
     /// This host.
     Own,
+    /// A host that kept it in the store.
+    Store,
 }
 
 /// A crash that was not known before, for the log.
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -46,6 +46,8 @@
     ConfigurationPacked(ConfigVersion),
     /// A version of the configuration was read.
     ConfigurationRead(Arc<Numbered>),
+    /// Crashes that hosts keep in the store; those that were told before among them.
+    CrashesListed(Vec<Crash>),
     /// Another host told which requests were on upstreams that ended.
     CrashesTold(CrashNote),
     /// The host was asked to stop.
--- a/crates/policy/tests/installation/crashes.rs
+++ b/crates/policy/tests/installation/crashes.rs
@@ -441,3 +441,65 @@
         ..fatal()
     }
 }
+
+fn kept(actions: &[Action]) -> Vec<Vec<peer::Crash>> {
+    let kept = actions.iter().filter_map(|action| match action {
+        Action::KeepCrashes(crashes) => Some(crashes.clone()),
+        _ => None,
+    });
+    kept.collect()
+}
+
+/// Symptom: each crash costs a call to the store from each host that had a request there.
+/// Events: an upstream ends under many requests, once. Cause: all of them are kept.
+///
+/// From the second crash of one request on, each is kept once, by the host that saw it.
+#[test]
+fn crashes_are_kept_in_the_store_once_a_request_has_two() {
+    let mut host = Host::new(0);
+    host.read_directory(engines(20), &[]);
+    let first = crash(&mut host, fatal());
+    crash(&mut host, stream("harmless"));
+    assert!(kept(&host.actions).is_empty());
+    let second = crash(&mut host, fatal());
+    let names = |crashes: &[peer::Crash]| -> BTreeSet<UpstreamId> {
+        crashes.iter().map(|crash| crash.upstream.clone()).collect()
+    };
+    let all = kept(&host.actions);
+    assert_eq!(all.len(), 1);
+    assert_eq!(names(&all[0]), BTreeSet::from([first, second]));
+    let third = crash(&mut host, fatal());
+    let all = kept(&host.actions);
+    assert_eq!(all.len(), 2);
+    assert_eq!(names(&all[1]), BTreeSet::from([third]));
+}
+
+/// Symptom: hosts of another failure domain go on sending a barred request. Events: domains
+/// are cut off from each other, and all reach the store. Cause: only datagrams tell of it.
+#[test]
+fn a_host_that_nobody_told_learns_from_the_store() {
+    let mut seeing = Host::new(0);
+    seeing.read_directory(engines(20), &[]);
+    for _ in 0..3 {
+        crash(&mut seeing, fatal());
+    }
+    let listed: Vec<peer::Crash> = kept(&seeing.actions).concat();
+    let mut other = Host::new(1);
+    other.handle(Event::CrashesListed(listed.clone()));
+    assert!(refusal(&mut other, fatal()).is_some());
+    // What it was told is neither told nor kept by it again.
+    other.pass(2_000);
+    assert!(told(&other.actions).is_empty() && kept(&other.actions).is_empty());
+    // An upstream that is listed long after its supposed end had not ended.
+    let mut late = Host::new(2);
+    late.now = late.now.plus_ms(100_000);
+    let as_of = late.now;
+    late.handle(Event::ConfigurationConfirmed { as_of });
+    late.read_directory(engines(20), &[]);
+    let old = listed.into_iter().map(|crash| peer::Crash {
+        age_ms: 60_000,
+        ..crash
+    });
+    late.handle(Event::CrashesListed(old.collect()));
+    assert_eq!(refusal(&mut late, fatal()), None);
+}
--- a/crates/policy/tests/properties/model.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -252,6 +252,7 @@
             Action::Cancel { .. }
             | Action::AnswerHeartbeat { .. }
             | Action::CheckListening { .. }
+            | Action::KeepCrashes(_)
             | Action::NoteCrash(_)
             | Action::TellCrashes { .. }
             | Action::FetchConfiguration { .. }
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -11,6 +11,7 @@
         Action::CheckListening { upstream, .. } => format!("look whether {upstream} listens"),
         Action::Claim(claim) => format!("claim {} for {}", claim.key, claim.request),
         Action::FetchConfiguration { address, .. } => format!("fetch configuration of {address}"),
+        Action::KeepCrashes(crashes) => format!("keep {} crashes", crashes.len()),
         Action::NoteCrash(noted) => format!("{} crashed {}", noted.crashes, noted.upstream),
         Action::Probe { upstream, .. } => format!("probe {upstream}"),
         Action::ReadConfiguration => "read the configuration".to_string(),
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -34,6 +34,8 @@
         /// When the question was sent that was answered so.
         as_of: Time,
     },
+    /// Crashes that hosts keep in the store; those that were told before among them.
+    Crashes(Vec<Crash>),
     /// The installation's store gives no answer.
     Lost {
         /// What went wrong.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -9,7 +9,7 @@
     flate2::{Compression, read::GzDecoder, write::GzEncoder},
     hyper::{HeaderMap, StatusCode, http::request::Parts},
     nix::time::{ClockId, clock_gettime},
-    peer::{PeerHost, TableNews},
+    peer::{Crash, PeerHost, TableNews},
     std::{
         collections::{BTreeMap, BTreeSet},
         fmt::{self, Display, Formatter},
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -17,6 +17,8 @@
     pub(crate) clock: Clock,
     pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
     pub(crate) controller: Controller,
+    /// Where crashes go that are to be kept.
+    pub(crate) crashes: flume::Sender<Vec<Crash>>,
     pub(crate) events: flume::Receiver<RingEvent>,
     pub(crate) fetches: flume::Sender<FetchJob>,
     pub(crate) ledger: Arc<Mutex<Ledger>>,
@@ -192,6 +194,13 @@
                 };
                 let _ = self.thread.fetches.try_send(job);
             }
+            // Where the ring is full the store has been away for long; the other hosts were
+            // told directly.
+            Action::KeepCrashes(crashes) => {
+                if self.thread.crashes.try_send(crashes).is_err() {
+                    warn!(self.thread.logger, "crashes: not kept in the store");
+                }
+            }
             Action::NoteCrash(noted) => {
                 let now = self.thread.clock.now();
                 self.decisions.crash_noted(now, &noted);
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -131,6 +131,7 @@
         let (source, from) = match &noted.source {
             CrashSource::Host(host) => ("told", Some(host.to_string())),
             CrashSource::Own => ("own", None),
+            CrashSource::Store => ("store", None),
         };
         counter!("rhubarbcove_crashes_noted_total", "source" => source).increment(1);
         // A first crash that another host saw is in that host's log. With many hosts these
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -8,6 +8,7 @@
 /// What the thread is given.
 pub(crate) struct DirectoryThread {
     pub(crate) clock: Clock,
+    pub(crate) crashes: flume::Receiver<Vec<Crash>>,
     pub(crate) directory: Box<dyn Directory>,
     pub(crate) events: flume::Sender<RingEvent>,
     pub(crate) fetcher: ConfigurationFetcher,
@@ -36,6 +37,7 @@
         let (sender, updates) = flume::bounded(UPDATE_RING);
         let Self {
             clock,
+            crashes,
             directory,
             events,
             fetcher,
@@ -54,7 +56,7 @@
             logger,
         };
         tokio::select! {
-            () = directory.follow(clock, sender, offers) => {}
+            () = directory.follow(clock, sender, offers, crashes) => {}
             () = passing.run(&updates) => {}
             () = fetcher.run() => {}
             () = shutdown.started() => {}
@@ -118,6 +120,7 @@
                 confirm(&self.handout, as_of);
                 Event::ConfigurationConfirmed { as_of }
             }
+            DirectoryUpdate::Crashes(crashes) => Event::CrashesListed(crashes),
             DirectoryUpdate::Lost { error } => {
                 warn!(logger, "directory: lost"; "error" => error);
                 self.heard().note_lost();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,8 +26,8 @@
         Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
     },
     peer::{
-        CrashNote, Heartbeat, HeartbeatAnswer, LoadNote, MessageError, PeerClient, PeerHandler,
-        PeerHost, PeerServer, TableNews, TableRow, TablesNews, VersionNote,
+        Crash, CrashNote, Heartbeat, HeartbeatAnswer, LoadNote, MessageError, PeerClient,
+        PeerHandler, PeerHost, PeerServer, TableNews, TableRow, TablesNews, VersionNote,
     },
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
--- a/crates/router/src/rings.rs
+++ b/crates/router/src/rings.rs
@@ -6,6 +6,9 @@
 /// Configurations of other hosts that may wait to be taken; one is fetched at a time.
 pub(crate) const OFFER_RING: usize = 4;
 
+/// Crashes that may wait to be kept in the store.
+pub(crate) const CRASH_RING: usize = 64;
+
 /// Fetches that may wait; the controller asks for one at a time.
 const FETCH_RING: usize = 4;
 
@@ -20,6 +23,7 @@
 
 /// The bounded rings that join the threads of a host.
 pub(crate) struct Rings {
+    pub(crate) crashes: (flume::Sender<Vec<Crash>>, flume::Receiver<Vec<Crash>>),
     pub(crate) events: (flume::Sender<RingEvent>, flume::Receiver<RingEvent>),
     pub(crate) fetches: (flume::Sender<FetchJob>, flume::Receiver<FetchJob>),
     pub(crate) peers: (flume::Sender<PeerJob>, flume::Receiver<PeerJob>),
@@ -30,6 +34,7 @@
 impl Rings {
     pub(crate) fn new() -> Self {
         Self {
+            crashes: flume::bounded(CRASH_RING),
             events: flume::bounded(EVENT_RING),
             fetches: flume::bounded(FETCH_RING),
             peers: flume::bounded(PEER_RING),
--- a/crates/router/src/wiring.rs
+++ b/crates/router/src/wiring.rs
@@ -48,6 +48,7 @@
         let thread = ControllerThread {
             clock: self.shared.clock,
             configuration: Arc::clone(&self.shared.configuration),
+            crashes: self.rings.crashes.0.clone(),
             controller: Controller::new(controller_options(&self.settings)),
             events: self.rings.events.1.clone(),
             fetches: self.rings.fetches.0.clone(),
@@ -71,6 +72,7 @@
         let thread = DirectoryThread {
             heard: Arc::clone(&self.shared.heard),
             clock: self.shared.clock,
+            crashes: self.rings.crashes.1.clone(),
             directory,
             events: self.events(),
             fetcher: ConfigurationFetcher {
