Suspect requests less that ran to their end lately

The test has three names, as equal points are told apart by fingerprint; it fails without the change.

--- a/crates/peer/src/crash_note.rs
+++ b/crates/peer/src/crash_note.rs
@@ -10,8 +10,9 @@
     pub age_ms: u32,
     /// The request, as one of its team.
     pub fingerprint: Fingerprint,
-    /// Whether its answer had begun by then.
-    pub has_begun: bool,
+    /// Whether little speaks against the request: its answer had begun, or an identical one
+    /// had lately run to its end.
+    pub is_weak: bool,
     /// The upstream; its id holds the start, where upstreams tell it.
     pub upstream: UpstreamId,
 }
--- a/crates/policy/src/crashes/barring.rs
+++ b/crates/policy/src/crashes/barring.rs
@@ -25,10 +25,11 @@
         if state.is_leaving(now) {
             return;
         }
+        let fingerprint = request.facts.fingerprint;
         let broken = ObservedCrash {
             at: now,
-            fingerprint: request.facts.fingerprint,
-            has_begun: request.stage.streams,
+            fingerprint,
+            is_weak: request.stage.streams || self.crashes.finished.contains(&fingerprint),
             upstream: upstream.clone(),
         };
         match self.crashes.suspects.note_broken(broken) {
--- a/crates/policy/src/crashes/crash_record.rs
+++ b/crates/policy/src/crashes/crash_record.rs
@@ -1,14 +1,14 @@
 use super::*;
 
-/// Points of a crash under a request whose answer had not begun, and under one whose
-/// answer had: the latter had survived its beginning.
-const UNBEGUN_POINTS: u32 = 2;
-const BEGUN_POINTS: u32 = 1;
+/// Points of a crash under a request that may have begun just then, and under one whose
+/// answer had begun, or the like of which had lately run to its end.
+const STRONG_POINTS: u32 = 2;
+const WEAK_POINTS: u32 = 1;
 
-/// Points from which a request is barred: three upstreams that ended before it began to
-/// answer. Fewer may be chance: a request that comes again after a crash meets a second
+/// Points from which a request is barred: three upstreams that may have ended as it began
+/// to run. Fewer may be chance: a request that comes again after a crash meets a second
 /// one in a storm of them.
-const BAR_POINTS: u32 = 3 * UNBEGUN_POINTS;
+const BAR_POINTS: u32 = 3 * STRONG_POINTS;
 
 /// Crashes of one request from which they are kept in the store. One alone is what any
 /// crash leaves of all that ran there, and would be a call of each host.
@@ -53,10 +53,10 @@
     /// Takes an end; true if it was not known. Where the request was there twice, the
     /// stronger sign counts.
     fn add(&mut self, crash: &ObservedCrash, is_own: bool) -> bool {
-        let points = if crash.has_begun {
-            BEGUN_POINTS
+        let points = if crash.is_weak {
+            WEAK_POINTS
         } else {
-            UNBEGUN_POINTS
+            STRONG_POINTS
         };
         if let Some(known) = self.0.get_mut(&crash.upstream) {
             known.points = known.points.max(points);
@@ -123,7 +123,7 @@
             ObservedCrash {
                 at: end.at,
                 fingerprint: *fingerprint,
-                has_begun: end.points == BEGUN_POINTS,
+                is_weak: end.points == WEAK_POINTS,
                 upstream: upstream.clone(),
             }
         });
--- a/crates/policy/src/crashes/mod.rs
+++ b/crates/policy/src/crashes/mod.rs
@@ -8,6 +8,7 @@
 
 mod barring;
 mod crash_record;
+mod finished;
 mod observed_crash;
 mod suspects;
 mod telling;
@@ -16,12 +17,14 @@
 pub use observed_crash::{CrashNoted, CrashSource};
 
 use {
-    crash_record::CrashRecord, observed_crash::ObservedCrash, suspects::Suspects, telling::Telling,
+    crash_record::CrashRecord, finished::Finished, observed_crash::ObservedCrash,
+    suspects::Suspects, telling::Telling,
 };
 
 /// What a host knows of such requests.
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
+    finished: Finished,
     next_forget: Time,
     record: CrashRecord,
     suspects: Suspects,
@@ -43,6 +46,7 @@
 
     /// A request ran to its end.
     pub(crate) fn note_finished(&mut self, fingerprint: &Fingerprint) {
+        self.finished.note(*fingerprint);
         self.record.clear(fingerprint);
     }
 }
--- a/crates/policy/src/crashes/observed_crash.rs
+++ b/crates/policy/src/crashes/observed_crash.rs
@@ -5,8 +5,9 @@
 pub(crate) struct ObservedCrash {
     pub(crate) at: Time,
     pub(crate) fingerprint: Fingerprint,
-    /// Whether its answer had begun by then.
-    pub(crate) has_begun: bool,
+    /// Whether little speaks against the request: its answer had begun, or an identical one
+    /// had lately run to its end.
+    pub(crate) is_weak: bool,
     pub(crate) upstream: UpstreamId,
 }
 
@@ -16,7 +17,7 @@
         Self {
             at: now - Duration::from_millis(u64::from(crash.age_ms)),
             fingerprint: crash.fingerprint,
-            has_begun: crash.has_begun,
+            is_weak: crash.is_weak,
             upstream: crash.upstream.clone(),
         }
     }
@@ -26,7 +27,7 @@
         peer::Crash {
             age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
             fingerprint: self.fingerprint,
-            has_begun: self.has_begun,
+            is_weak: self.is_weak,
             upstream: self.upstream.clone(),
         }
     }
--- a/crates/policy/tests/installation/crashes.rs
+++ b/crates/policy/tests/installation/crashes.rs
@@ -230,14 +230,14 @@
 /// was there counts as guilty.
 #[test]
 fn requests_that_share_the_upstreams_of_a_guilty_one_are_not_barred() {
-    for has_begun in [false, true] {
+    for is_weak in [false, true] {
         let mut host = Host::new(0);
         host.read_directory(engines(20), &[]);
         for _ in 0..4 {
             let (guilty, order) = send(&mut host, fatal());
             let (innocent, beside) = send(&mut host, stream("innocent"));
             assert_eq!(beside.upstream, order.upstream, "both have one home");
-            if has_begun {
+            if is_weak {
                 host.handle(Event::Progressed {
                     attempt: beside.attempt,
                     longest_pause: Duration::ZERO,
@@ -259,7 +259,7 @@
         let barred = ["innocent", "fatal"].map(|body| refusal(&mut host, stream(body)).is_some());
         // Where nothing tells the two apart one of them is barred, and not both.
         assert_eq!(barred.iter().filter(|barred| **barred).count(), 1);
-        if has_begun {
+        if is_weak {
             assert_eq!(barred, [false, true]);
         }
     }
@@ -360,7 +360,7 @@
             crashes: vec![peer::Crash {
                 age_ms: 0,
                 fingerprint: Fingerprint::of_request("POST", "/", &number.to_be_bytes()),
-                has_begun: false,
+                is_weak: false,
                 upstream: format!("other-{}", number / 100).parse().unwrap(),
             }],
             host: "host-1".parse().unwrap(),
@@ -442,6 +442,34 @@
     }
 }
 
+/// Symptom: what many callers ask for all day is refused after a storm of crashes. Events:
+/// it waits on three upstreams that a guilty request ends, and so looks like it. Cause: that
+/// it has run a hundred times counts for nothing.
+#[test]
+fn a_request_that_ran_before_is_less_suspect() {
+    // Whichever has the lower fingerprint.
+    for name in ["popular", "asked for by many", "usual"] {
+        let mut host = Host::new(0);
+        host.read_directory(engines(20), &[]);
+        let (request, order) = send(&mut host, stream(name));
+        host.finish(&order, request);
+        for _ in 0..3 {
+            let (popular, beside) = send(&mut host, stream(name));
+            let (guilty, order) = send(&mut host, fatal());
+            assert_eq!(beside.upstream, order.upstream, "both have one home");
+            breaks(&mut host, popular, &beside);
+            breaks(&mut host, guilty, &order);
+            ends(&mut host, &order.upstream);
+            let mut left = engines(20);
+            let gone = ended_so_far(&host);
+            left.retain(|id, _| !gone.contains(id));
+            host.read_directory(left, &[]);
+        }
+        assert_eq!(refusal(&mut host, stream(name)), None);
+        assert!(refusal(&mut host, fatal()).is_some());
+    }
+}
+
 fn kept(actions: &[Action]) -> Vec<Vec<peer::Crash>> {
     let kept = actions.iter().filter_map(|action| match action {
         Action::KeepCrashes(crashes) => Some(crashes.clone()),
