Let no knowledge look younger than it is on a host that has just started

Cause: another host tells how long ago its configuration was known to be the newest. For a host that started a moment ago that lies before the start of its clock, where there are no moments, so it counted from the start; the others took that over, and went on with each host that started.

Ruled out: the store's stalled answers (both readings were given up), requests long under way (they were sent late).

Change: the clock reads two hours at its start.

Why it holds: every age that is told is shorter than that or as good as forgotten, so no moment is cut off. The same cut made told crashes and drains younger.

--- a/crates/ports/src/clock.rs
+++ b/crates/ports/src/clock.rs
@@ -1,5 +1,14 @@
 use super::*;
 
+/// Reading of the clock at its start.
+///
+/// What goes wrong with zero: another host says that it knew the newest configuration three
+/// seconds ago, this host started a moment ago, and no moment lies before the start. So the
+/// knowledge counts from the start and looks younger than it is, and the others take it over.
+/// One would notice removed keys that work on for seconds wherever hosts start while the store
+/// is away. Whatever is told with an age is younger than this, or as good as forgotten.
+const AT_START: Duration = Duration::from_secs(2 * 60 * 60);
+
 /// The host's clock: monotonic, and it counts the time in which the machine is
 /// suspended.
 ///
@@ -20,10 +29,10 @@
         }
     }
 
-    /// Time since the start.
+    /// The present moment.
     pub fn now(&self) -> Time {
         let passed = since_boot().saturating_sub(self.start);
-        Time::from_us(passed.as_micros() as u64)
+        Time::from_us((AT_START + passed).as_micros() as u64)
     }
 }
 
