Hold nothing against a request that ran to its end after the crash

It was cleared each time it ran, and held again: what hosts tell three times, and all that is kept in the store at each change of the table of hosts, counted anew. A host that had just started did not know it to be harmless and collected eight ends.

Change: what happened before the like ran to its end is no news; what happens after it is a weak sign, whoever tells it. Weak signs are not kept in the store.

The test fails before. Left: two strong signs of a request that is harmless stay in the store for an hour, for hosts that start meanwhile.

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -107,7 +107,7 @@
         let facts = &request.facts;
         self.crashes
             .note_alive(&request.stage.upstream, request.stage.sent);
-        self.crashes.note_finished(&facts.fingerprint);
+        self.crashes.note_finished(&facts.fingerprint, now);
         if let Some(lane) = self.lanes.get_mut(&facts.target) {
             let span = now.since(request.stage.sent);
             lane.rate.note_answer(request.item.cost, span);
--- a/crates/policy/src/crashes/barring.rs
+++ b/crates/policy/src/crashes/barring.rs
@@ -29,7 +29,7 @@
         let broken = ObservedCrash {
             at: now,
             fingerprint,
-            is_weak: request.stage.streams || self.crashes.finished.contains(&fingerprint),
+            is_weak: request.stage.streams,
             upstream: upstream.clone(),
         };
         match self.crashes.suspects.note_broken(broken) {
@@ -142,11 +142,9 @@
         source: CrashSource,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let Some(crashes) = self.crashes.record.note(crash, source == CrashSource::Own) else {
+        let Some(crashes) = self.crashes.note(crash, &source) else {
             return false;
         };
-        // A further crash of one request can tell that another one is innocent, not that
-        // it is guilty: only this one may be barred by it.
         self.keep_crashes(now, &crash.fingerprint, actions);
         let barred_for = self.crashes.barred_for(&crash.fingerprint, now);
         actions.push(Action::NoteCrash(CrashNoted {
--- a/crates/policy/src/crashes/crash_record.rs
+++ b/crates/policy/src/crashes/crash_record.rs
@@ -69,7 +69,8 @@
         }
         let end = End {
             at: crash.at,
-            is_to_keep: is_own,
+            // One that says little is not worth a call.
+            is_to_keep: is_own && !crash.is_weak,
             points,
         };
         self.0.insert(crash.upstream.clone(), end);
@@ -123,7 +124,7 @@
             ObservedCrash {
                 at: end.at,
                 fingerprint: *fingerprint,
-                is_weak: end.points == WEAK_POINTS,
+                is_weak: false,
                 upstream: upstream.clone(),
             }
         });
--- a/crates/policy/src/crashes/finished.rs
+++ b/crates/policy/src/crashes/finished.rs
@@ -3,21 +3,22 @@
 /// Requests that are remembered: what a host serves in some minutes.
 const MAX_FINISHED: usize = 2_048;
 
-/// Requests that ran to their end lately.
+/// Requests that ran to their end lately, and when.
 ///
 /// What goes wrong without it: a request that many callers send all day is on each upstream
-/// that a guilty one ends, and nothing tells the two apart. One would notice the harmless
-/// one barred for minutes after a storm of crashes.
+/// that a guilty one ends, and nothing tells the two apart; or it is cleared, and what other
+/// hosts tell again, or keep in the store, is held against it anew. One would notice the
+/// harmless one barred for minutes after a storm of crashes.
 #[derive(Debug, Default)]
 pub(crate) struct Finished {
-    known: HashSet<Fingerprint>,
+    known: HashMap<Fingerprint, Time>,
     /// The same, the oldest first.
     order: VecDeque<Fingerprint>,
 }
 
 impl Finished {
-    pub(crate) fn note(&mut self, fingerprint: Fingerprint) {
-        if !self.known.insert(fingerprint) {
+    pub(crate) fn note(&mut self, fingerprint: Fingerprint, now: Time) {
+        if self.known.insert(fingerprint, now).is_some() {
             return;
         }
         self.order.push_back(fingerprint);
@@ -28,7 +29,8 @@
         }
     }
 
-    pub(crate) fn contains(&self, fingerprint: &Fingerprint) -> bool {
-        self.known.contains(fingerprint)
+    /// When the like of a request ran to its end last.
+    pub(crate) fn last(&self, fingerprint: &Fingerprint) -> Option<Time> {
+        self.known.get(fingerprint).copied()
     }
 }
--- a/crates/policy/src/crashes/mod.rs
+++ b/crates/policy/src/crashes/mod.rs
@@ -44,9 +44,23 @@
         }
     }
 
+    /// Takes a crash; the number of this request's crashes, if that is news. One after which
+    /// the like ran to its end is none.
+    fn note(&mut self, crash: &ObservedCrash, source: &CrashSource) -> Option<usize> {
+        let finished = self.finished.last(&crash.fingerprint);
+        if finished.is_some_and(|at| at > crash.at) {
+            return None;
+        }
+        let crash = ObservedCrash {
+            is_weak: crash.is_weak || finished.is_some(),
+            ..crash.clone()
+        };
+        self.record.note(&crash, *source == CrashSource::Own)
+    }
+
     /// A request ran to its end.
-    pub(crate) fn note_finished(&mut self, fingerprint: &Fingerprint) {
-        self.finished.note(*fingerprint);
+    pub(crate) fn note_finished(&mut self, fingerprint: &Fingerprint, now: Time) {
+        self.finished.note(*fingerprint, now);
         self.record.clear(fingerprint);
     }
 }
--- a/crates/policy/tests/installation/crashes.rs
+++ b/crates/policy/tests/installation/crashes.rs
@@ -470,6 +470,39 @@
     }
 }
 
+/// Symptom: what many callers ask for all day is refused, an hour after the first crash.
+/// Events: ordinary crashes of upstreams, now and then, each under one of them; it is cleared
+/// each time, and then told again, or read from the store. Cause: old news count anew.
+#[test]
+fn what_is_told_again_after_a_request_ran_is_no_news() {
+    let mut host = Host::new(0);
+    host.read_directory(engines(20), &[]);
+    let told = |number: u32| CrashNote {
+        crashes: vec![peer::Crash {
+            age_ms: 900,
+            fingerprint: Fingerprint::of_request("POST", "question", b"popular")
+                .of_team(&"first".parse().unwrap()),
+            is_weak: false,
+            upstream: format!("other-{number}").parse().unwrap(),
+        }],
+        host: "host-1".parse().unwrap(),
+        protocol: peer::PROTOCOL,
+    };
+    for number in 0..8 {
+        host.pass(1_000);
+        host.handle(Event::CrashesTold(told(number)));
+        let (request, order) = send(&mut host, stream("popular"));
+        host.finish(&order, request);
+        host.pass(100);
+        host.handle(Event::CrashesTold(told(number)));
+        host.handle(Event::CrashesListed(told(number).crashes));
+        let as_of = host.now;
+        host.handle(Event::ConfigurationConfirmed { as_of });
+    }
+    assert_eq!(refusal(&mut host, stream("popular")), None);
+    assert!(kept(&host.actions).is_empty());
+}
+
 fn kept(actions: &[Action]) -> Vec<Vec<peer::Crash>> {
     let kept = actions.iter().filter_map(|action| match action {
         Action::KeepCrashes(crashes) => Some(crashes.clone()),
