--- a/crates/policy/src/overload/congestion.rs
+++ b/crates/policy/src/overload/congestion.rs
@@ -50,8 +50,8 @@
 /// notice 503 of urgent classes while long prompts of the least urgent one begin.
 ///
 /// No host knows what is at an upstream, but each sees what is refused. So each lets fewer
-/// of the least urgent class through while a tenth or more is refused, and more again while
-/// it is not: together they keep the upstreams just full.
+/// of the least urgent class through while too large a share of its attempts is refused, and
+/// more again as less is: together they keep the upstreams just full.
 #[derive(Debug, Default)]
 pub(crate) struct Congestion {
     asked: BTreeMap<ClassId, Asked>,
--- a/crates/policy/tests/installation/crashes.rs
+++ b/crates/policy/tests/installation/crashes.rs
@@ -71,13 +71,17 @@
     let (request, order) = send(host, ask);
     breaks(host, request, &order);
     ends(host, &order.upstream);
-    // It is not chosen again before it is ejected.
+    read_without_ended(host);
+    order.upstream
+}
+
+/// The directory is read again, and lists whatever has not ended.
+fn read_without_ended(host: &mut Host) {
     let mut left = engines(20);
     left.extend(upstreams());
     let gone = ended_so_far(host);
     left.retain(|id, _| !gone.contains(id));
     host.read_directory(left, &[]);
-    order.upstream
 }
 
 /// Upstreams that ended under a request at this host.
@@ -248,10 +252,7 @@
             breaks(&mut host, innocent, &beside);
             breaks(&mut host, guilty, &order);
             ends(&mut host, &order.upstream);
-            let mut left = engines(20);
-            let gone = ended_so_far(&host);
-            left.retain(|id, _| !gone.contains(id));
-            host.read_directory(left, &[]);
+            read_without_ended(&mut host);
             if refusal(&mut host, fatal()).is_some() {
                 break;
             }
@@ -460,10 +461,7 @@
             breaks(&mut host, popular, &beside);
             breaks(&mut host, guilty, &order);
             ends(&mut host, &order.upstream);
-            let mut left = engines(20);
-            let gone = ended_so_far(&host);
-            left.retain(|id, _| !gone.contains(id));
-            host.read_directory(left, &[]);
+            read_without_ended(&mut host);
         }
         assert_eq!(refusal(&mut host, stream(name)), None);
         assert!(refusal(&mut host, fatal()).is_some());
