Tell other hosts when a request ran to its end of which crashes were told

Change: a host that told of a crash tells in the same way when the like ran to its end since, once; earlier crashes then say nothing against it.

Why it holds: whoever holds an end against a request holds it by its own word or by another host's, and both are taken back by the first run anywhere after it.

The test has one host that was told of four ends; it stays barred where the news are not taken.

--- a/crates/peer/src/crash_note.rs
+++ b/crates/peer/src/crash_note.rs
@@ -17,10 +17,21 @@
     pub upstream: UpstreamId,
 }
 
+/// A request that ran to its end, so that earlier crashes say nothing against it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Cleared {
+    /// How long ago it did.
+    pub age_ms: u32,
+    /// The request, as one of its team.
+    pub fingerprint: Fingerprint,
+}
+
 /// Tells another host, in one datagram, which requests were on upstreams that ended. One
 /// may be lost: each crash is told several times.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashNote {
+    /// Requests of which the sender had told crashes, and that ran to their end there since.
+    pub cleared: Vec<Cleared>,
     /// What the sender saw itself. What it heard is not passed on.
     pub crashes: Vec<Crash>,
     /// The sender.
@@ -39,6 +50,7 @@
     pub fn from_datagram(datagram: &[u8], token: &str) -> Result<Self, MessageError> {
         let note: Self = datagram::open(datagram::Kind::Crash, token, datagram)?;
         MessageError::check_protocol(note.protocol)?;
+        MessageError::check_size("cleared", note.cleared.len(), MAX_CRASHES)?;
         MessageError::check_size("crashes", note.crashes.len(), MAX_CRASHES)?;
         Ok(note)
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -35,7 +35,7 @@
 mod version_note;
 
 pub use {
-    crash_note::{Crash, CrashNote, MAX_CRASHES},
+    crash_note::{Cleared, Crash, CrashNote, MAX_CRASHES},
     demand::Demand,
     grant::Grant,
     heartbeat::Heartbeat,
--- a/crates/policy/src/crashes/barring.rs
+++ b/crates/policy/src/crashes/barring.rs
@@ -29,7 +29,7 @@
         let broken = ObservedCrash {
             at: now,
             fingerprint,
-            is_weak: request.stage.streams,
+            is_weak: request.stage.streams || self.crashes.finished.last(&fingerprint).is_some(),
             upstream: upstream.clone(),
         };
         match self.crashes.suspects.note_broken(broken) {
@@ -68,6 +68,10 @@
         note: &CrashNote,
         actions: &mut Vec<Action>,
     ) {
+        for cleared in &note.cleared {
+            let age = Duration::from_millis(u64::from(cleared.age_ms));
+            self.crashes.note_ran(&cleared.fingerprint, now - age);
+        }
         for told in &note.crashes {
             // What broke here at the same upstream is explained, too.
             self.note_ended(now, &told.upstream, actions);
@@ -100,6 +104,7 @@
             self.withdraw_listed(now);
             self.crashes.record.forget(now);
             self.crashes.suspects.forget(now);
+            self.crashes.telling.forget(now);
         }
         self.tell_crashes(now, actions);
     }
@@ -186,14 +191,9 @@
 
     fn tell_crashes(&mut self, now: Time, actions: &mut Vec<Action>) {
         let to: Vec<SocketAddr> = self.neighbors.addresses(&self.options.host).collect();
-        let crashes = self.crashes.telling.take(to.len(), now);
-        if crashes.is_empty() || to.is_empty() {
+        let note = self.crashes.telling.take(&self.options.host, to.len(), now);
+        let Some(note) = note.filter(|_| !to.is_empty()) else {
             return;
-        }
-        let note = CrashNote {
-            crashes,
-            host: self.options.host.clone(),
-            protocol: peer::PROTOCOL,
         };
         actions.push(Action::TellCrashes { note, to });
     }
--- a/crates/policy/src/crashes/crash_record.rs
+++ b/crates/policy/src/crashes/crash_record.rs
@@ -19,7 +19,7 @@
 const BAR_FOR: Duration = Duration::from_secs(600);
 
 /// Time after which a crash is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(3_600);
+pub(crate) const FORGET_AFTER: Duration = Duration::from_secs(3_600);
 
 /// Most requests that are kept: all that were on forty engines of a hundred slots. Some
 /// 300 bytes each.
@@ -137,10 +137,11 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// The request ran to its end.
-    pub(crate) fn clear(&mut self, fingerprint: &Fingerprint) {
-        if self.requests.remove(fingerprint).is_some() {
-            self.judge();
+    /// The request ran to its end at a moment.
+    pub(crate) fn clear(&mut self, fingerprint: &Fingerprint, at: Time) {
+        if let Some(ends) = self.requests.get_mut(fingerprint) {
+            ends.0.retain(|_, end| end.at > at);
+            self.drop_empty();
         }
     }
 
--- a/crates/policy/src/crashes/finished.rs
+++ b/crates/policy/src/crashes/finished.rs
@@ -18,9 +18,11 @@
 
 impl Finished {
     pub(crate) fn note(&mut self, fingerprint: Fingerprint, now: Time) {
-        if self.known.insert(fingerprint, now).is_some() {
+        if let Some(last) = self.known.get_mut(&fingerprint) {
+            *last = now.max(*last);
             return;
         }
+        self.known.insert(fingerprint, now);
         self.order.push_back(fingerprint);
         if self.order.len() > MAX_FINISHED
             && let Some(oldest) = self.order.pop_front()
--- a/crates/policy/src/crashes/mod.rs
+++ b/crates/policy/src/crashes/mod.rs
@@ -60,7 +60,13 @@
 
     /// A request ran to its end.
     pub(crate) fn note_finished(&mut self, fingerprint: &Fingerprint, now: Time) {
-        self.finished.note(*fingerprint, now);
-        self.record.clear(fingerprint);
+        self.telling.note_finished(fingerprint, now);
+        self.note_ran(fingerprint, now);
+    }
+
+    /// A request ran to its end, here or at another host.
+    fn note_ran(&mut self, fingerprint: &Fingerprint, at: Time) {
+        self.finished.note(*fingerprint, at);
+        self.record.clear(fingerprint, at);
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,8 +5,8 @@
 use {
     config::{Class, Document, Numbered, Plan, Scheduling, Team, Upstream},
     peer::{
-        Crash, CrashNote, Demand, Echo, Grant, Heartbeat, HeartbeatAnswer, LoadNote, PeerHost,
-        PeerPhase, PromptRead, UpstreamLoad, VersionNote,
+        Cleared, Crash, CrashNote, Demand, Echo, Grant, Heartbeat, HeartbeatAnswer, LoadNote,
+        PeerHost, PeerPhase, PromptRead, UpstreamLoad, VersionNote,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom},
     serde::{Deserialize, Serialize},
--- a/crates/policy/tests/installation/crashes.rs
+++ b/crates/policy/tests/installation/crashes.rs
@@ -358,6 +358,7 @@
     }
     for number in 0..6_000_u32 {
         let note = CrashNote {
+            cleared: Vec::new(),
             crashes: vec![peer::Crash {
                 age_ms: 0,
                 fingerprint: Fingerprint::of_request("POST", "/", &number.to_be_bytes()),
@@ -476,6 +477,7 @@
     let mut host = Host::new(0);
     host.read_directory(engines(20), &[]);
     let told = |number: u32| CrashNote {
+        cleared: Vec::new(),
         crashes: vec![peer::Crash {
             age_ms: 900,
             fingerprint: Fingerprint::of_request("POST", "question", b"popular")
@@ -501,6 +503,35 @@
     assert!(kept(&host.actions).is_empty());
 }
 
+/// Symptom: one host refuses what many callers ask for all day, and all others serve it.
+/// Events: it has just started, and hears of four ends under that request before it has seen
+/// one run; once it is barred there it never sees one. Cause: crashes are told, and not that
+/// the request ran since.
+#[test]
+fn a_host_that_bars_a_harmless_request_alone_hears_that_it_ran_elsewhere() {
+    let mut others: Vec<Host> = (1..5).map(Host::new).collect();
+    let mut started = Host::new(0);
+    for (number, other) in others.iter_mut().enumerate() {
+        other.read_directory(only_engine(number % 3), &[]);
+        crash(other, stream("popular"));
+        for (note, _) in told(&other.actions) {
+            started.handle(Event::CrashesTold(note));
+        }
+        other.actions.clear();
+    }
+    assert!(refusal(&mut started, stream("popular")).is_some());
+    let other = &mut others[0];
+    other.pass(500);
+    let (request, order) = send(other, stream("popular"));
+    other.finish(&order, request);
+    other.pass(1_000);
+    started.pass(1_500);
+    for (note, _) in told(&other.actions) {
+        started.handle(Event::CrashesTold(note));
+    }
+    assert_eq!(refusal(&mut started, stream("popular")), None);
+}
+
 fn kept(actions: &[Action]) -> Vec<Vec<peer::Crash>> {
     let kept = actions.iter().filter_map(|action| match action {
         Action::KeepCrashes(crashes) => Some(crashes.clone()),
