Hand large tables on from several hosts, compressed, and only what changed

Logs of a domain of 100 hosts: the one that asks the store knows all upstreams after 7 s, most others never do; they lose it for seconds (160 'directory: lost' in a domain's first 14 s) and refuse keys, as nobody tells them that the configuration is the newest.

Cause: that host sends each other one every row as JSON in base64, 400 B each: 120 MB over a link of 10 Mbit/s, and walks all 3,000 rows for each question. Ruled out: the store (3 readings of 1.3 MB), the configuration (2.5 KB, there within 0.7 s), notes.

Test: a hundred hosts over such links in virtual time.

--- a/crates/peer/src/handing.rs
+++ b/crates/peer/src/handing.rs
@@ -5,7 +5,17 @@
 
 /// Path of the tables that few hosts read for all; the revisions up to which the asking
 /// host knows the upstreams' and the hosts' are appended, 0 for one that it does not know.
-pub const TABLES_PATH: &str = "/tables/after/";
+pub const TABLES_PATH: &str = "/tables/changed-after/";
+
+/// Path of a copy of the tables, however old; the same revisions are appended.
+pub const TABLES_COPY_PATH: &str = "/tables/copied-after/";
+
+/// Where the asking host serves other hosts, so that they can be referred to it.
+pub const LISTENS_HEADER: &str = "rhubarbcove-listens";
+
+/// Hosts that can pass a large answer on, separated by commas, of a host that is busy with
+/// sending it.
+pub const REFERRED_HEADER: &str = "rhubarbcove-referred";
 
 /// Milliseconds since the sender's configuration was known to be the newest one.
 pub const AGE_HEADER: &str = "rhubarbcove-age-ms";
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,11 +6,13 @@
 //! for a promise to hold.
 
 use {
+    flate2::{Compression, read::GzDecoder, write::GzEncoder},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     sha2::{Digest, Sha256},
     std::{
         collections::BTreeMap,
         fmt::{self, Display, Formatter},
+        io::{Read, Write},
         net::SocketAddr,
     },
     subtle::ConstantTimeEq,
--- a/crates/peer/src/message_error.rs
+++ b/crates/peer/src/message_error.rs
@@ -5,6 +5,8 @@
 pub enum MessageError {
     /// It is not a note of a host with the same secret.
     NotANote,
+    /// It does not hold news of tables.
+    NotNews,
     /// It has a version that this host does not speak.
     Protocol {
         /// The version.
@@ -45,6 +47,7 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotANote => f.write_str("datagram is not a note of a host with the same secret"),
+            Self::NotNews => f.write_str("message does not hold news of tables"),
             Self::Protocol { found } => write!(f, "message has protocol version {found}"),
             Self::Size { found, max, part } => {
                 write!(f, "message has {found} {part}, at most {max} are allowed")
--- a/crates/peer/src/table_news.rs
+++ b/crates/peer/src/table_news.rs
@@ -11,6 +11,16 @@
     pub whole: bool,
 }
 
+/// Bytes from which news are compressed.
+const MIN_COMPRESSED: usize = 1_024;
+
+/// Most bytes that news have when they are decompressed: 10,000 rows of 3 KB.
+const MAX_BYTES: u64 = 32 * 1024 * 1024;
+
+/// First byte of encoded news: how the rest is written.
+const PLAIN: u8 = 0;
+const COMPRESSED: u8 = 1;
+
 /// News of all tables that few hosts read for the others.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TablesNews {
@@ -19,3 +29,42 @@
     /// The upstreams.
     pub upstreams: TableNews,
 }
+
+impl TablesNews {
+    /// Rows in all tables.
+    pub const fn rows(&self) -> usize {
+        self.hosts.rows.len() + self.upstreams.rows.len()
+    }
+
+    /// The news as hosts send them, compressed where that is worth it.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, MessageError> {
+        let plain = postcard::to_allocvec(self).map_err(|_| MessageError::NotNews)?;
+        if plain.len() < MIN_COMPRESSED {
+            return Ok([&[PLAIN], &plain[..]].concat());
+        }
+        let mut encoder = GzEncoder::new(vec![COMPRESSED], Compression::fast());
+        encoder
+            .write_all(&plain)
+            .and_then(|()| encoder.finish())
+            .map_err(|_| MessageError::NotNews)
+    }
+
+    /// Reads news of another host.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, MessageError> {
+        let (kind, rest) = bytes.split_first().ok_or(MessageError::NotNews)?;
+        let mut decompressed = Vec::new();
+        let plain = match *kind {
+            PLAIN => rest,
+            COMPRESSED => {
+                let decoder = GzDecoder::new(rest);
+                decoder
+                    .take(MAX_BYTES)
+                    .read_to_end(&mut decompressed)
+                    .map_err(|_| MessageError::NotNews)?;
+                &decompressed
+            }
+            _ => return Err(MessageError::NotNews),
+        };
+        postcard::from_bytes(plain).map_err(|_| MessageError::NotNews)
+    }
+}
--- a/crates/peer/src/table_row.rs
+++ b/crates/peer/src/table_row.rs
@@ -6,11 +6,9 @@
     /// Its key.
     pub key: String,
     /// Whether it was removed.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub removed: bool,
     /// Revision of the store at which it was written or removed.
     pub revision: u64,
-    /// Its value as the store writes it; empty if it was removed.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
-    pub value: String,
+    /// Its value; empty if it was removed.
+    pub value: Vec<u8>,
 }
--- /dev/null
+++ b/crates/policy/benches/installation/main.rs
@@ -0,0 +1,70 @@
+//! Time of the decisions of a host in an installation, by the engines that it knows: a
+//! prompt placed, a tick beside a running stream, a changed table of upstreams, and one
+//! just after the store's return.
+//!
+//! `cargo bench -p rhubarbcove-policy --bench installation`
+
+#![allow(missing_docs, dead_code, clippy::unwrap_used)]
+
+use {
+    policy::Event,
+    std::time::{Duration, Instant},
+    support::{Ask, Host, engines, sent},
+};
+
+#[path = "../../tests/installation/support.rs"]
+mod support;
+
+const ROUNDS: u32 = 200;
+
+fn main() {
+    println!("engines  placed us   tick us  table ms  table after the store's return ms");
+    for count in [60, 200, 1_000, 3_000] {
+        let mut host = Host::new(0);
+        host.list_hosts(300);
+        host.read_directory(engines(count), &[]);
+        let placed = each(ROUNDS, |round| place(&mut host, round));
+        place(&mut host, 0);
+        let tick = each(ROUNDS, |_| host.pass(10));
+        let table = each(20, |round| change_table(&mut host, count, round));
+        host.handle(Event::DirectoryReached(false));
+        host.handle(Event::DirectoryReached(true));
+        let regained = each(4, |round| change_table(&mut host, count, round));
+        println!(
+            "{count:>7} {:>10.1} {:>9.1} {:>9.2} {:>9.2}",
+            placed.as_secs_f64() * 1e6,
+            tick.as_secs_f64() * 1e6,
+            table.as_secs_f64() * 1e3,
+            regained.as_secs_f64() * 1e3,
+        );
+    }
+}
+
+/// Mean time of some work.
+fn each(rounds: u32, mut work: impl FnMut(u32)) -> Duration {
+    let start = Instant::now();
+    for round in 0..rounds {
+        work(round);
+    }
+    start.elapsed() / rounds
+}
+
+fn place(host: &mut Host, round: u32) {
+    let parts = [
+        (u64::from(round % 40), 6_000),
+        (1_000 + u64::from(round), 2_000),
+    ];
+    let (request, actions) = host.ask(Ask::prompt("draft", "first-key", &parts));
+    let order = sent(&actions).unwrap();
+    if round % 8 != 0 {
+        host.finish(&order, request);
+    }
+}
+
+/// One engine less, and another one less in the next round.
+fn change_table(host: &mut Host, count: usize, round: u32) {
+    let mut listed = engines(count);
+    let gone = format!("engine-{round}").parse().unwrap();
+    listed.remove(&gone);
+    host.read_directory(listed, &[]);
+}
--- a/crates/policy/src/directory_view.rs
+++ b/crates/policy/src/directory_view.rs
@@ -67,11 +67,10 @@
             for (id, definition) in known {
                 // One that said it was leaving has left, and one that started again
                 // is listed as its new incarnation.
-                let again = self
-                    .upstreams
-                    .keys()
-                    .any(|listed| id.is_replaced_by(listed));
-                if again || self.upstreams.contains_key(&id) || self.leaving.contains(&id) {
+                if self.upstreams.contains_key(&id) || self.leaving.contains(&id) {
+                    continue;
+                }
+                if self.is_replaced(&id) {
                     continue;
                 }
                 self.missing.entry(id.clone()).or_insert(until);
@@ -95,6 +94,17 @@
         self.missing.len() != before
     }
 
+    /// Whether a newer incarnation of an upstream is listed: ids are in the order of names
+    /// and then of starts, so it would follow.
+    fn is_replaced(&self, id: &UpstreamId) -> bool {
+        let mut later = self
+            .upstreams
+            .range((Bound::Excluded(id), Bound::Unbounded));
+        later
+            .next()
+            .is_some_and(|(listed, _)| id.is_replaced_by(listed))
+    }
+
     fn grace_until(&self, now: Time) -> Option<Time> {
         let until = self.regained? + LAPSE_GRACE;
         (now < until).then_some(until)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
         collections::{BTreeMap, BTreeSet, VecDeque},
         fmt::{self, Display, Formatter},
         net::SocketAddr,
+        ops::Bound,
         sync::Arc,
         time::Duration,
     },
@@ -83,6 +84,7 @@
 mod target;
 mod team_limits;
 mod track_record;
+mod transfers;
 mod upstream_state;
 mod urgency;
 mod waste;
@@ -109,6 +111,7 @@
     settlement::Settlement,
     stored_answer::StoredAnswer,
     target::Target,
+    transfers::{TransferSearch, TransferSlots},
     waste::WasteCause,
 };
 
--- /dev/null
+++ b/crates/policy/tests/transfers.rs
@@ -0,0 +1,172 @@
+//! Hosts of a failure domain that start together and get the table of upstreams from each
+//! other over thin links, in virtual time.
+
+use {
+    policy::{TransferSearch, TransferSlots},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    types::Time,
+};
+
+/// Bytes a second of each host's link: 10 Mbit/s.
+const LINK_BYTES_PER_S: f64 = 1_250_000.0;
+
+/// Time for a question and an answer without rows.
+const QUESTION_MS: u64 = 2;
+
+/// Longest pause of a host that found nobody with a free slot.
+const MAX_PAUSE_MS: u64 = 200;
+
+const STEP_MS: u64 = 1;
+
+/// What a host does.
+enum Doing {
+    /// Waits, and asks the first host then.
+    Paused {
+        until_ms: u64,
+    },
+    /// Asks others than the first one.
+    Searching {
+        search: TransferSearch,
+        at_ms: u64,
+    },
+    Receiving {
+        from: usize,
+        slot: u64,
+        left: f64,
+    },
+    Done {
+        at_ms: u64,
+    },
+}
+
+struct Domain {
+    doing: Vec<Doing>,
+    now_ms: u64,
+    rng: SmallRng,
+    slots: Vec<TransferSlots>,
+    table_bytes: f64,
+}
+
+fn address(host: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + host as u16))
+}
+
+impl Domain {
+    /// The first host has the table, the others start.
+    fn new(hosts: usize, table_bytes: f64, seed: u64) -> Self {
+        let doing = (0..hosts).map(|host| match host {
+            0 => Doing::Done { at_ms: 0 },
+            _ => Doing::Paused { until_ms: 0 },
+        });
+        Self {
+            doing: doing.collect(),
+            now_ms: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            slots: (0..hosts).map(|_| TransferSlots::default()).collect(),
+            table_bytes,
+        }
+    }
+
+    /// Milliseconds until all hosts have the table.
+    fn fill(&mut self, most_ms: u64) -> Option<u64> {
+        while self.now_ms < most_ms {
+            if self
+                .doing
+                .iter()
+                .all(|doing| matches!(doing, Doing::Done { .. }))
+            {
+                let times = self.doing.iter().map(|doing| match doing {
+                    Doing::Done { at_ms } => *at_ms,
+                    _ => self.now_ms,
+                });
+                return times.max();
+            }
+            self.step();
+            self.now_ms += STEP_MS;
+        }
+        None
+    }
+
+    fn step(&mut self) {
+        let mut sending: BTreeMap<usize, usize> = BTreeMap::new();
+        for doing in &self.doing {
+            if let Doing::Receiving { from, .. } = doing {
+                *sending.entry(*from).or_default() += 1;
+            }
+        }
+        for host in 0..self.doing.len() {
+            self.act(host, &sending);
+        }
+    }
+
+    fn act(&mut self, host: usize, sending: &BTreeMap<usize, usize>) {
+        let now_ms = self.now_ms;
+        match &mut self.doing[host] {
+            Doing::Done { .. } => {}
+            Doing::Paused { until_ms } if *until_ms > now_ms => {}
+            Doing::Paused { .. } => self.ask(host, 0, TransferSearch::default()),
+            Doing::Searching { at_ms, .. } if *at_ms > now_ms => {}
+            Doing::Searching { search, .. } => {
+                let mut search = std::mem::take(search);
+                match search.next(&mut self.rng) {
+                    Some(next) => self.ask(host, usize::from(next.port()) - 1_000, search),
+                    None => {
+                        let pause_ms = self.rng.random_range(MAX_PAUSE_MS / 2..=MAX_PAUSE_MS);
+                        let until_ms = now_ms + pause_ms;
+                        self.doing[host] = Doing::Paused { until_ms };
+                    }
+                }
+            }
+            Doing::Receiving { from, slot, left } => {
+                let rate = LINK_BYTES_PER_S / sending[from] as f64;
+                *left -= rate * STEP_MS as f64 / 1_000.0;
+                if *left <= 0.0 {
+                    let (from, slot) = (*from, *slot);
+                    self.slots[from].end(slot);
+                    self.doing[host] = Doing::Done { at_ms: now_ms };
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, host: usize, from: usize, mut search: TransferSearch) {
+        let has_table = matches!(self.doing[from], Doing::Done { .. });
+        let now = Time::from_ms(self.now_ms);
+        let slot = has_table.then(|| self.slots[from].begin(now, Some(address(host))));
+        if let Some(Some(slot)) = slot {
+            let left = self.table_bytes;
+            self.doing[host] = Doing::Receiving { from, slot, left };
+            return;
+        }
+        if has_table {
+            search.refer(self.slots[from].recipients());
+        }
+        let at_ms = self.now_ms + QUESTION_MS;
+        self.doing[host] = Doing::Searching { search, at_ms };
+    }
+}
+
+/// Guards against hosts that never serve again after all of them were killed, as each gets
+/// a part of one thin link.
+#[test]
+fn a_hundred_hosts_that_start_together_get_the_table_in_time() {
+    for seed in 0..8 {
+        let filled_ms = Domain::new(100, 150_000.0, seed).fill(15_000);
+        assert!(
+            filled_ms.is_some_and(|filled_ms| filled_ms <= 5_000),
+            "seed {seed}: {filled_ms:?}"
+        );
+    }
+}
+
+/// Guards against slots that stay taken where a receiver was lost on the way.
+#[test]
+fn a_lost_receiver_holds_a_slot_for_a_few_seconds_only() {
+    let mut slots = TransferSlots::default();
+    let start = Time::from_ms(0);
+    while slots.begin(start, Some(address(1))).is_some() {}
+    assert_eq!(slots.begin(start + Duration::from_secs(1), None), None);
+    assert!(slots.begin(start + Duration::from_secs(4), None).is_some());
+    assert!(slots.recipients().is_empty(), "nobody got it whole");
+}
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -38,8 +38,18 @@
 mod table_reading;
 
 pub use {
-    clock::Clock, directory::Directory, directory_update::DirectoryUpdate, head_error::HeadError,
-    header_number::header_number, judgement::Judgement, offer::Offer, passing::Passing,
-    protocol::Protocol, reading::Reading, request_head::RequestHead, shared_table::SharedTable,
-    source_document::SourceDocument, table_reading::TableReading,
+    clock::Clock,
+    directory::Directory,
+    directory_update::DirectoryUpdate,
+    head_error::HeadError,
+    header_number::header_number,
+    judgement::Judgement,
+    offer::Offer,
+    passing::Passing,
+    protocol::Protocol,
+    reading::Reading,
+    request_head::RequestHead,
+    shared_table::SharedTable,
+    source_document::SourceDocument,
+    table_reading::{TableReading, TableSource},
 };
--- a/crates/ports/src/table_reading.rs
+++ b/crates/ports/src/table_reading.rs
@@ -1,11 +1,22 @@
 use super::*;
 
+/// Where a host heard what is in a table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TableSource {
+    /// Another host told it, some time after the store did.
+    Host,
+    /// The store itself.
+    Store,
+}
+
 /// What the installation's store said of one of its tables, for hosts that do not ask the
 /// store themselves.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TableReading {
     /// What it said.
     pub news: TableNews,
+    /// Who said it.
+    pub source: TableSource,
     /// The table.
     pub table: SharedTable,
 }
--- a/crates/router/src/heard_tables.rs
+++ b/crates/router/src/heard_tables.rs
@@ -8,8 +8,8 @@
 /// entries for gone that have only lapsed, which are back within two seconds.
 const TOLD_OF_RETURN: Duration = Duration::from_millis(2_000);
 
-/// What this host heard from the installation's store itself, for hosts that ask it in the
-/// store's place.
+/// What this host knows of the installation's tables, for hosts that ask it in the store's
+/// place. What another host told is passed on as a copy only, as it may be old.
 #[derive(Debug, Default)]
 pub(crate) struct HeardTables {
     /// When the store last said something of the upstreams.
@@ -20,11 +20,10 @@
     upstreams: TableCopy,
 }
 
-/// What another host is told.
+/// Whether another host is told what the tables hold.
 #[derive(Debug, Eq, PartialEq)]
 pub(crate) enum TablesTold {
     News {
-        news: TablesNews,
         /// How long ago the store was found again, if that was a moment ago.
         regained: Option<Duration>,
     },
@@ -34,17 +33,35 @@
 }
 
 impl HeardTables {
-    /// Takes what the store said just now.
+    /// Takes what the store or another host said just now.
     pub(crate) fn take(&mut self, now: Time, reading: TableReading) {
         match reading.table {
             SharedTable::Hosts => self.hosts.take(reading.news),
             SharedTable::Upstreams => {
-                self.heard = Some(now);
+                if reading.source == TableSource::Store {
+                    self.heard = Some(now);
+                }
                 self.upstreams.take(reading.news);
             }
         }
     }
 
+    /// What a host lacks that knows the tables up to these revisions, as far as it is known
+    /// here.
+    pub(crate) fn news_after(&self, upstreams: u64, hosts: u64) -> Option<TablesNews> {
+        Some(TablesNews {
+            hosts: self.hosts.after(hosts)?,
+            upstreams: self.upstreams.after(upstreams)?,
+        })
+    }
+
+    /// Rows that such a host lacks, at the most; `None` if it lacks nothing of the upstreams.
+    pub(crate) fn rows_after(&self, upstreams: u64, hosts: u64) -> Option<usize> {
+        let (known_to, upstream_rows) = self.upstreams.rows_after(upstreams)?;
+        let (_, host_rows) = self.hosts.rows_after(hosts)?;
+        (known_to > upstreams).then_some(upstream_rows + host_rows)
+    }
+
     /// The store gives no answer. What it said before is kept, as hosts that know as much
     /// need only the changes after its return.
     pub(crate) fn note_lost(&mut self) {
@@ -57,8 +74,8 @@
         self.regained = Some(now);
     }
 
-    /// What a host is told that knows the tables up to these revisions.
-    pub(crate) fn after(&self, now: Time, upstreams: u64, hosts: u64) -> TablesTold {
+    /// Whether other hosts are told what the tables hold.
+    pub(crate) fn told(&self, now: Time) -> TablesTold {
         if self.is_lost {
             return TablesTold::StoreLost;
         }
@@ -66,13 +83,11 @@
         if !self.heard.is_some_and(fresh) {
             return TablesTold::Unknown;
         }
-        let news = self.upstreams.after(upstreams).zip(self.hosts.after(hosts));
-        let Some((upstreams, hosts)) = news else {
+        if !(self.upstreams.is_known() && self.hosts.is_known()) {
             return TablesTold::Unknown;
-        };
+        }
         let regained = self.regained.map(|at| now.since(at));
         TablesTold::News {
-            news: TablesNews { hosts, upstreams },
             regained: regained.filter(|since| *since < TOLD_OF_RETURN),
         }
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -33,11 +33,11 @@
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
         CrashNoted, CrashSource, Event, FetchEnd, HostPhase, Outcome, OutcomeEnd, PrefixHash,
         Refusal, RefusalReason, RelayRules, Repeatability, RoomRules, Routed, SendOrder,
-        Settlement, StoredAnswer, Target, WasteCause,
+        Settlement, StoredAnswer, Target, TransferSlots, WasteCause,
     },
     ports::{
         Clock, Directory, DirectoryUpdate, HeadError, Judgement, Offer, Passing, Protocol, Reading,
-        RequestHead, SharedTable, SourceDocument, TableReading, header_number,
+        RequestHead, SharedTable, SourceDocument, TableReading, TableSource, header_number,
     },
     rand::Rng,
     serde::{Deserialize, Serialize},
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -4,8 +4,8 @@
 use {
     super::*,
     peer::handing::{
-        AGE_HEADER, DOCUMENT_PATH, LOST_HEADER, REGAINED_HEADER, REVISION_HEADER, TABLES_PATH,
-        VERSION_HEADER, bearer,
+        AGE_HEADER, DOCUMENT_PATH, LISTENS_HEADER, LOST_HEADER, REFERRED_HEADER, REGAINED_HEADER,
+        REVISION_HEADER, TABLES_COPY_PATH, TABLES_PATH, VERSION_HEADER, bearer,
     },
 };
 
@@ -17,6 +17,9 @@
 /// that lost their power on the way do not keep all others from it.
 const LENT_FOR: Duration = Duration::from_secs(3);
 
+/// Rows from which an answer counts as large: about 10 KB of upstreams.
+const LARGE_ROWS: usize = 256;
+
 /// Serves the configuration to hosts with the same secret.
 ///
 /// What goes wrong without it: the store turns a host away and serves the others;
@@ -29,7 +32,9 @@
     pub(crate) handout: Arc<ArcSwapOption<Handout>>,
     pub(crate) heard: Arc<Mutex<HeardTables>>,
     pub(crate) lending: Lending,
+    pub(crate) packed: Arc<Mutex<PackedNews>>,
     pub(crate) token: String,
+    pub(crate) transfers: Arc<Mutex<TransferSlots>>,
 }
 
 impl PeerService {
@@ -45,8 +50,12 @@
         if let Some(newer_than) = document.and_then(|rest| rest.parse().ok()) {
             return self.document(newer_than);
         }
-        match path.strip_prefix(TABLES_PATH).and_then(revisions) {
-            Some((upstreams, hosts)) => self.tables(upstreams, hosts),
+        let to = listens(request.headers());
+        if let Some((upstreams, hosts)) = path.strip_prefix(TABLES_PATH).and_then(revisions) {
+            return self.tables(upstreams, hosts, to);
+        }
+        match path.strip_prefix(TABLES_COPY_PATH).and_then(revisions) {
+            Some((upstreams, hosts)) => self.copy(upstreams, hosts, to),
             None => text_answer(StatusCode::NOT_FOUND, "text/plain", "no such path\n"),
         }
     }
@@ -64,21 +73,17 @@
     }
 
     /// What the store said of its tables, and how old the configuration is.
-    fn tables(&self, upstreams: u64, hosts: u64) -> Response<AnswerBody> {
-        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+    fn tables(&self, upstreams: u64, hosts: u64, to: Option<SocketAddr>) -> Response<AnswerBody> {
+        let told = lock(&self.heard).told(self.clock.now());
         let handout = self.handout.load_full();
-        let refused = || text_answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "unknown\n");
-        match (heard.after(self.clock.now(), upstreams, hosts), handout) {
+        match (told, handout) {
             (TablesTold::StoreLost, _) => {
                 let mut response = refused();
                 response.headers_mut().insert(LOST_HEADER, 1.into());
                 response
             }
-            (TablesTold::News { news, regained }, Some(handout)) => {
-                let Ok(body) = serde_json::to_vec(&news) else {
-                    return refused();
-                };
-                let mut response = text_answer(StatusCode::OK, "application/json", body);
+            (TablesTold::News { regained }, Some(handout)) => {
+                let mut response = self.send_news(upstreams, hosts, to);
                 let headers = response.headers_mut();
                 if let Some(since) = regained {
                     headers.insert(REGAINED_HEADER, (since.as_millis() as u64).into());
@@ -90,6 +95,60 @@
         }
     }
 
+    /// A copy of the tables, for a host that found the one busy that asks the store.
+    fn copy(&self, upstreams: u64, hosts: u64, to: Option<SocketAddr>) -> Response<AnswerBody> {
+        match lock(&self.heard).rows_after(upstreams, hosts) {
+            Some(_) => self.send_news(upstreams, hosts, to),
+            None => refused(),
+        }
+    }
+
+    /// Sends what changed after the revisions; where that is large and others get it
+    /// already, refers to hosts that have it.
+    fn send_news(
+        &self,
+        upstreams: u64,
+        hosts: u64,
+        to: Option<SocketAddr>,
+    ) -> Response<AnswerBody> {
+        let rows = lock(&self.heard).rows_after(upstreams, hosts);
+        let slot = if rows.unwrap_or_default() < LARGE_ROWS {
+            None
+        } else {
+            match lock(&self.transfers).begin(self.clock.now(), to) {
+                None => return self.refer(),
+                taken => taken,
+            }
+        };
+        let sending = slot.map(|number| Sending {
+            number,
+            transfers: Arc::clone(&self.transfers),
+        });
+        let news = lock(&self.heard).news_after(upstreams, hosts);
+        let packed = news.map(|news| lock(&self.packed).pack(news));
+        let Some(Ok(bytes)) = packed else {
+            return refused();
+        };
+        let body = match sending {
+            Some(sending) => Bytes::from_owner(Sent {
+                bytes,
+                _sending: sending,
+            }),
+            None => bytes,
+        };
+        text_answer(StatusCode::OK, "application/octet-stream", body)
+    }
+
+    fn refer(&self) -> Response<AnswerBody> {
+        let mut response = text_answer(StatusCode::TOO_MANY_REQUESTS, "text/plain", "busy\n");
+        let recipients = lock(&self.transfers).recipients();
+        let recipients: Vec<String> = recipients.iter().map(SocketAddr::to_string).collect();
+        if let Ok(value) = recipients.join(",").parse() {
+            response.headers_mut().insert(REFERRED_HEADER, value);
+        }
+        response
+    }
+
     fn hand_over(&self, handout: &Handout, packed: Bytes) -> Response<AnswerBody> {
         let mut response = text_answer(StatusCode::OK, "application/gzip", packed);
         let headers = response.headers_mut();
@@ -107,6 +166,65 @@
     }
 }
 
+fn refused() -> Response<AnswerBody> {
+    text_answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "unknown\n")
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Where the asking host serves others, if it says so.
+fn listens(headers: &HeaderMap) -> Option<SocketAddr> {
+    headers.get(LISTENS_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+/// A slot for a large answer; it is given back with this value.
+struct Sending {
+    number: u64,
+    transfers: Arc<Mutex<TransferSlots>>,
+}
+
+impl Drop for Sending {
+    fn drop(&mut self) {
+        lock(&self.transfers).end(self.number);
+    }
+}
+
+/// Bytes of a large answer on their way.
+struct Sent {
+    bytes: Bytes,
+    _sending: Sending,
+}
+
+impl AsRef<[u8]> for Sent {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// The large news packed last: hosts that start together ask for the same.
+#[derive(Default)]
+pub(crate) struct PackedNews {
+    last: Option<(TablesNews, Bytes)>,
+}
+
+impl PackedNews {
+    fn pack(&mut self, news: TablesNews) -> Result<Bytes, MessageError> {
+        if news.rows() < LARGE_ROWS {
+            return Ok(news.to_bytes()?.into());
+        }
+        if let Some((last, bytes)) = &self.last
+            && *last == news
+        {
+            return Ok(bytes.clone());
+        }
+        let bytes = Bytes::from(news.to_bytes()?);
+        self.last = Some((news, bytes.clone()));
+        Ok(bytes)
+    }
+}
+
 /// The revisions of a question for the tables.
 fn revisions(path: &str) -> Option<(u64, u64)> {
     let (upstreams, hosts) = path.split_once('/')?;
@@ -123,7 +241,7 @@
 impl Lending {
     /// Bytes to be sent to one more host; `None` if there are enough.
     fn lend(&self, bytes: Bytes) -> Option<Bytes> {
-        let mut began = self.began.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut began = lock(&self.began);
         began.retain(|_, began| began.elapsed() < LENT_FOR);
         if began.len() >= MAX_LENT {
             return None;
@@ -153,11 +271,6 @@
 
 impl Drop for Lent {
     fn drop(&mut self) {
-        let mut began = self
-            .lending
-            .began
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        began.remove(&self.number);
+        lock(&self.lending.began).remove(&self.number);
     }
 }
--- a/crates/router/src/table_copy.rs
+++ b/crates/router/src/table_copy.rs
@@ -7,6 +7,9 @@
 /// A table of the installation's store as this host heard it.
 #[derive(Debug, Default)]
 pub(crate) struct TableCopy {
+    /// Revision and key of each row: what changed after a revision is found without a look
+    /// at all rows.
+    by_revision: BTreeSet<(u64, String)>,
     known: Option<Span>,
     /// The removed ones that are remembered, among them.
     rows: BTreeMap<String, TableRow>,
@@ -39,7 +42,7 @@
                 // Told as a change, so whoever knows the table up to `before` lacks it.
                 row.revision = news.revision;
             }
-            self.rows.insert(row.key.clone(), row);
+            self.insert(row);
         }
         let from = self.known.map_or(news.revision, |known| known.from);
         self.known = Some(Span {
@@ -48,33 +51,70 @@
         });
     }
 
+    /// Whether the table was ever read whole.
+    pub(crate) const fn is_known(&self) -> bool {
+        self.known.is_some()
+    }
+
     /// What has changed after a revision; all rows if that is too long ago. `None` if the
     /// table is not known.
     pub(crate) fn after(&self, revision: u64) -> Option<TableNews> {
         let known = self.known?;
         let whole = revision < known.from;
-        let wanted = |row: &&TableRow| {
-            if whole {
-                !row.removed
-            } else {
-                row.revision > revision
-            }
+        let rows = if whole {
+            let rows = self.rows.values().filter(|row| !row.removed);
+            rows.cloned().collect()
+        } else {
+            let changed = self.changed_after(revision);
+            let mut rows: Vec<TableRow> = changed.cloned().collect();
+            rows.sort_by(|a, b| a.key.cmp(&b.key));
+            rows
         };
         Some(TableNews {
             revision: known.to,
-            rows: self.rows.values().filter(wanted).cloned().collect(),
+            rows,
             whole,
         })
     }
 
+    /// Revision up to which the table is known, and how many rows it has to tell after
+    /// another one, at the most.
+    pub(crate) fn rows_after(&self, revision: u64) -> Option<(u64, usize)> {
+        let known = self.known?;
+        let rows = if revision < known.from {
+            self.rows.len()
+        } else {
+            self.changed_after(revision).count()
+        };
+        Some((known.to, rows))
+    }
+
+    fn changed_after(&self, revision: u64) -> impl Iterator<Item = &TableRow> {
+        let first = (revision.saturating_add(1), String::new());
+        let changed = self.by_revision.range(first..);
+        changed.filter_map(|(_, key)| self.rows.get(key))
+    }
+
+    fn insert(&mut self, row: TableRow) {
+        let place = (row.revision, row.key.clone());
+        if let Some(before) = self.rows.insert(row.key.clone(), row) {
+            self.by_revision.remove(&(before.revision, before.key));
+        }
+        self.by_revision.insert(place);
+    }
+
     fn remove_missing(&mut self, news: &TableNews) {
         let read: BTreeSet<&str> = news.rows.iter().map(|row| row.key.as_str()).collect();
-        for row in self.rows.values_mut() {
-            if !row.removed && !read.contains(row.key.as_str()) {
-                row.removed = true;
-                row.revision = news.revision;
-                row.value = String::new();
-            }
+        let is_missing = |row: &&TableRow| !row.removed && !read.contains(row.key.as_str());
+        let missing = self.rows.values().filter(is_missing);
+        let missing: Vec<String> = missing.map(|row| row.key.clone()).collect();
+        for key in missing {
+            self.insert(TableRow {
+                key,
+                removed: true,
+                revision: news.revision,
+                value: Vec::new(),
+            });
         }
     }
 
@@ -86,8 +126,14 @@
         let excess = revisions.len().checked_sub(MAX_REMOVED + 1)?;
         revisions.sort_unstable();
         let last = revisions[excess];
-        self.rows
-            .retain(|_, row| !row.removed || row.revision > last);
+        let by_revision = &mut self.by_revision;
+        self.rows.retain(|_, row| {
+            let keep = !row.removed || row.revision > last;
+            if !keep {
+                by_revision.remove(&(row.revision, row.key.clone()));
+            }
+            keep
+        });
         Some(last)
     }
 }
--- a/crates/router/src/wiring.rs
+++ b/crates/router/src/wiring.rs
@@ -168,7 +168,9 @@
             clock: self.shared.clock,
             handout: Arc::clone(&self.shared.handout),
             lending: Lending::default(),
+            packed: Arc::default(),
             token,
+            transfers: Arc::default(),
         };
         self.serve("peers", listener, move |request| {
             std::future::ready(service.answer(&request))
--- a/crates/router/tests/unit/table_copy.rs
+++ b/crates/router/tests/unit/table_copy.rs
@@ -5,14 +5,14 @@
         key: key.to_string(),
         removed: false,
         revision,
-        value: format!("{key}@{revision}"),
+        value: format!("{key}@{revision}").into_bytes(),
     }
 }
 
 fn removed(key: &str, revision: u64) -> TableRow {
     TableRow {
         removed: true,
-        value: String::new(),
+        value: Vec::new(),
         ..row(key, revision)
     }
 }
@@ -32,7 +32,7 @@
     };
     let rows = news.rows.iter().map(|row| match row.removed {
         true => format!("-{}", row.key),
-        false => row.value.clone(),
+        false => String::from_utf8(row.value.clone()).unwrap(),
     });
     let rows: Vec<String> = rows.collect();
     let kind = if news.whole { "all" } else { "changes" };
