Place prompts among a few engines where notes come too late

Logs of all hosts: of 245 of them that ended without an answer, 220 were sent to one engine of 95, and waited there until their callers left; each host had one to four there, and believed that others had eleven.

Cause: with 66 hosts a note comes every few seconds. An engine that the last notes made look idle, or that keeps a part shared by all, is the cheapest for every host at the same moment. Ruled out: refusals (none of them were), retries, the order at the engine.

Change: where notes are over a second apart, a prompt is placed among three engines of its side in the order of its shared parts, and three of all in the order of its own: the same on every host, another for each prompt. With notes in time nothing changes. What is usual is taken from 64 engines. Weights stay as they were, so homes do, too.

Test: 333 of 528 prompts of 66 hosts on one engine before, at most an eighth now.

--- a/crates/policy/benches/installation/main.rs
+++ b/crates/policy/benches/installation/main.rs
@@ -56,7 +56,7 @@
     ];
     let (request, actions) = host.ask(Ask::prompt("draft", "first-key", &parts));
     let order = sent(&actions).unwrap();
-    if round % 8 != 0 {
+    if !round.is_multiple_of(8) {
         host.finish(&order, request);
     }
 }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -113,6 +113,7 @@
             pace_ms,
             rank,
             self.stream_share(&facts.target),
+            self.neighbors.candidates(),
         );
         self.pool.choose(&wish, now, &mut self.rng)
     }
--- a/crates/policy/src/neighbors.rs
+++ b/crates/policy/src/neighbors.rs
@@ -44,6 +44,14 @@
 /// ended, and its load with it.
 pub(crate) const VALID: Duration = Duration::from_millis(2_500);
 
+/// Time between two notes up to which what they tell of an engine is still there when a
+/// prompt is placed: a prompt is read in some 0.1 to 0.2 s, and runs for a second.
+const TIMELY: Duration = Duration::from_millis(1_000);
+
+/// Engines among which a prompt is placed where notes come too late to tell their load: the
+/// first one is its home, the others take over in an order that is the same on all hosts.
+const CANDIDATES: usize = 3;
+
 /// Another host.
 #[derive(Debug)]
 struct Neighbor {
@@ -126,6 +134,11 @@
         notes.map(|note| note.host.clone()).collect()
     }
 
+    /// Hosts that were ever listed or heard.
+    pub(crate) fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// Where all other hosts listen.
     pub(crate) fn addresses(&self, own: &HostId) -> impl Iterator<Item = SocketAddr> {
         let others = self.hosts.iter().filter(move |(host, _)| *host != own);
@@ -165,6 +178,19 @@
         told
     }
 
+    /// Engines to which the choice for a prompt is narrowed; `None` while notes tell the
+    /// load of all of them in time.
+    ///
+    /// Guards against all hosts sending their overflow to the one engine that the last notes
+    /// made look best: each knows only its own part of what is there.
+    pub(crate) fn candidates(&self) -> Option<usize> {
+        if self.hosts.is_empty() {
+            return None;
+        }
+        let is_timely = self.interval(self.told.len(), 0) <= TIMELY;
+        (!is_timely).then_some(CANDIDATES)
+    }
+
     fn interval(&self, loads: usize, reads: usize) -> Duration {
         let hosts = self.hosts.len() as f64;
         let contents = LOAD_BYTES * loads as f64 + READ_BYTES * reads as f64;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -54,6 +54,9 @@
 /// are no less late, share fewer engines and are lost together with one.
 const NOT_QUIET_COST: f64 = 10_000.0;
 
+/// Engines from which is told what is usual.
+const USUAL_SAMPLE: usize = 64;
+
 impl Pool {
     /// The engine with the least expected work before a prompt's first token,
     /// one that the request has not failed on if there is one.
@@ -78,14 +81,46 @@
     let own = chains.last().map_or(0, |(chain, _)| chain);
     // Of equal ones each prompt takes another: the first one would get those of all hosts.
     let order = |state: &UpstreamState| weight_of(&state.id, own);
-    states.min_by(|a, b| {
-        let by_cost = prompt.cost(a).total_cmp(&prompt.cost(b));
-        by_cost.then_with(|| order(b).cmp(&order(a)))
-    })
+    let cheapest = |states: Vec<&'a UpstreamState>| {
+        let costs = states.into_iter().map(|state| (prompt.cost(state), state));
+        let least = costs.min_by(|(a_cost, a), (b_cost, b)| {
+            let by_cost = a_cost.total_cmp(b_cost);
+            by_cost.then_with(|| order(b).cmp(&order(a)))
+        });
+        least.map(|(_, state)| state)
+    };
+    let Some(count) = wish.candidates else {
+        return cheapest(states.collect());
+    };
+    let side = |state: &&UpstreamState| prompt.is_own_side(state);
+    let mut candidates = heaviest(states.clone().filter(side), prompt.chain, count);
+    candidates.extend(heaviest(states, own, count));
+    cheapest(candidates)
+}
+
+/// The engines of greatest weight for a key.
+fn heaviest<'a>(
+    states: impl Iterator<Item = &'a UpstreamState>,
+    key: u64,
+    count: usize,
+) -> Vec<&'a UpstreamState> {
+    let mut heaviest: Vec<(u64, &UpstreamState)> = Vec::with_capacity(count + 1);
+    for state in states {
+        let weight = weight_of(&state.id, key);
+        if heaviest.len() == count && heaviest.last().is_some_and(|(least, _)| weight <= *least) {
+            continue;
+        }
+        let place = heaviest.partition_point(|(other, _)| *other > weight);
+        heaviest.insert(place, (weight, state));
+        heaviest.truncate(count);
+    }
+    heaviest.into_iter().map(|(_, state)| state).collect()
 }
 
 /// A prompt to be placed, and what is usual among the engines.
 struct Prompt<'a, 'w> {
+    /// Hash of the parts that it shares with others.
+    chain: u64,
     /// Time until its first token is due.
     due_in_ms: f64,
     home: Option<&'a UpstreamId>,
@@ -113,7 +148,9 @@
         let own_side = |state: &&UpstreamState| is_quiet(state, quiet_up_to) == wish.pause_bound;
         let own_side = states.clone().filter(own_side);
         let home = home(own_side, chain).or_else(|| home(states.clone(), chain));
+        let sample = states.clone().take(USUAL_SAMPLE);
         Self {
+            chain,
             due_in_ms: wish.due.since(now).as_secs_f64() * 1_000.0,
             home: home.map(|home| &home.id),
             is_long: wish.is_long,
@@ -122,11 +159,15 @@
             pause_bound: wish.pause_bound,
             quiet_up_to,
             tokens: prompt_cache::tokens(wish.parts),
-            usual_record: Usual::of(states.clone().map(|state| &state.record)),
-            usual_token_time_ms: usual_token_time_ms(states),
+            usual_record: Usual::of(sample.clone().map(|state| &state.record)),
+            usual_token_time_ms: usual_token_time_ms(sample),
         }
     }
 
+    fn is_own_side(&self, state: &UpstreamState) -> bool {
+        is_quiet(state, self.quiet_up_to) == self.pause_bound
+    }
+
     /// What it costs to place the prompt on an engine, in prompt tokens.
     fn cost(&self, state: &UpstreamState) -> f64 {
         let unread = self.unread(state);
--- a/crates/policy/src/resuming.rs
+++ b/crates/policy/src/resuming.rs
@@ -74,7 +74,13 @@
         }
         let mut avoid = request.tried.clone();
         avoid.push(request.stage.upstream.clone());
-        let wish = facts.wish(&avoid, None, facts.rank, self.stream_share(&facts.target));
+        let wish = facts.wish(
+            &avoid,
+            None,
+            facts.rank,
+            self.stream_share(&facts.target),
+            self.neighbors.candidates(),
+        );
         let Some(upstream) = self.pool.choose(&wish, now, &mut self.rng) else {
             return Some(request);
         };
--- a/crates/policy/src/wish.rs
+++ b/crates/policy/src/wish.rs
@@ -5,6 +5,8 @@
 pub(crate) struct Wish<'a> {
     /// Upstreams that it has failed on.
     pub(crate) avoid: &'a [UpstreamId],
+    /// Engines to which the choice of each kind is narrowed; `None` for all.
+    pub(crate) candidates: Option<usize>,
     /// When its first token is due.
     pub(crate) due: Time,
     /// Whether its prompt is long, by those seen lately.
--- a/crates/policy/tests/installation/placement.rs
+++ b/crates/policy/tests/installation/placement.rs
@@ -3,7 +3,8 @@
 //! read. Virtual time, no network.
 
 use {
-    crate::support::{Ask, Host, engines, exchange_notes, sent, upstreams},
+    crate::support::{Ask, Host, address, engines, exchange_notes, sent, upstreams},
+    peer::{LoadNote, UpstreamLoad},
     policy::Event,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
@@ -167,3 +168,54 @@
     assert_eq!(order.upstream, away.upstream);
     assert_eq!(order.inputs.unread, Tokens::new(OWN_TOKENS));
 }
+
+/// Guards against all hosts of a large installation sending their prompts to the one engine
+/// that an old note made look idle.
+#[test]
+fn hosts_that_hear_late_do_not_all_choose_the_engine_that_looks_idle() {
+    let mut placed: BTreeMap<UpstreamId, u32> = BTreeMap::new();
+    for seed in 0..66 {
+        let mut host = Host::new(seed);
+        host.read_directory(engines(60), &[]);
+        host.list_hosts(66);
+        let note = note_of_all_but("engine-7", seed + 1_000);
+        let from = address(1);
+        host.handle(Event::NoteHeard { from, note });
+        for number in 0..8 {
+            let document = 100 * seed + number;
+            let parts = [(document, 6_000), (1_000_000 + document, 3_000)];
+            let (_, actions) = host.ask(Ask::prompt("draft", "first-key", &parts));
+            *placed.entry(sent(&actions).unwrap().upstream).or_default() += 1;
+        }
+    }
+    let all: u32 = placed.values().sum();
+    let busiest = placed.values().max().unwrap();
+    assert!(
+        busiest * 8 <= all,
+        "{busiest} of {all} prompts on one engine"
+    );
+}
+
+/// A note of another host by which all engines but one have much to read.
+fn note_of_all_but(idle: &str, incarnation: u64) -> LoadNote {
+    let busy = engines(60).into_keys().filter(|id| id.name() != idle);
+    LoadNote {
+        confirmed_age_ms: None,
+        echo: None,
+        host: "host-1000".parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        leaving: Vec::new(),
+        loads: busy
+            .map(|upstream| UpstreamLoad {
+                backlog: Tokens::new(60_000),
+                in_flight: 8,
+                pause_bound: 0,
+                upstream,
+            })
+            .collect(),
+        protocol: peer::PROTOCOL,
+        reads: Vec::new(),
+        sent_us: 1,
+        version: None,
+    }
+}
