--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,6 +16,7 @@
 mod class;
 mod config_error;
 mod document;
+mod duty_settings;
 mod engine;
 mod limits;
 mod numbered;
@@ -37,9 +38,9 @@
 
 pub use {
     caller_limits::CallerLimits, class::Class, config_error::ConfigError, document::Document,
-    engine::Engine, limits::Limits, numbered::Numbered, patch::Patch, plan::Plan,
-    relay_settings::RelaySettings, route::Route, routes::Routes, scheduling::Scheduling,
-    service::Service, service_replica::ServiceReplica, settings::Settings,
+    duty_settings::DutySettings, engine::Engine, limits::Limits, numbered::Numbered, patch::Patch,
+    plan::Plan, relay_settings::RelaySettings, route::Route, routes::Routes,
+    scheduling::Scheduling, service::Service, service_replica::ServiceReplica, settings::Settings,
     settings_error::SettingsError, team::Team, trial_rules::TrialRules, upstream::Upstream,
     weighted_service::WeightedService,
 };
--- a/crates/config/src/relay_settings.rs
+++ b/crates/config/src/relay_settings.rs
@@ -9,6 +9,9 @@
     pub apply_limit_ms: u64,
     /// Time after a planned stop was asked for in which the process must end.
     pub drain_limit_ms: u64,
+    /// Duties that one host at a time does for all; none if left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub duties: Option<DutySettings>,
     /// Whether the whole installation starts for the first time, so that all hosts write
     /// themselves into its table of hosts at about the same moment.
     #[serde(default)]
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -73,6 +73,10 @@
                 field: "caller_threads".to_string(),
             });
         }
+        let relay = self.relay.as_ref();
+        if let Some(duties) = relay.and_then(|relay| relay.duties.as_ref()) {
+            duties.check()?;
+        }
         self.check_limits()
     }
 
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -9,7 +9,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Kind {
     Crash,
+    Duty,
     Load,
+    Usage,
     Version,
 }
 
@@ -17,7 +19,9 @@
     const fn label(self) -> &'static [u8] {
         match self {
             Self::Crash => b"crash",
+            Self::Duty => b"duty",
             Self::Load => b"",
+            Self::Usage => b"usage",
             Self::Version => b"version",
         }
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -22,6 +22,7 @@
 mod crash_note;
 mod datagram;
 mod demand;
+mod duty_note;
 mod grant;
 pub mod handing;
 mod heartbeat;
@@ -34,11 +35,13 @@
 mod rpc;
 mod table_news;
 mod table_row;
+mod usage_note;
 mod version_note;
 
 pub use {
     crash_note::{Cleared, Crash, CrashNote, MAX_CRASHES},
     demand::Demand,
+    duty_note::DutyNote,
     grant::Grant,
     heartbeat::Heartbeat,
     heartbeat_answer::HeartbeatAnswer,
@@ -48,6 +51,7 @@
     peer_phase::PeerPhase,
     table_news::{TableNews, TablesNews},
     table_row::TableRow,
+    usage_note::{MAX_COUNTS, UsageNote, WindowCounts},
     version_note::VersionNote,
 };
 
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -122,6 +122,21 @@
         /// To whom.
         to: Vec<SocketAddr>,
     },
+    /// Tell other hosts that this one holds the duties that one host does for all.
+    TellDuty {
+        /// What to say.
+        note: DutyNote,
+        /// To whom.
+        to: Vec<SocketAddr>,
+    },
+    /// Tell the host that holds the duties what began here; the time of day is still to be
+    /// filled in.
+    TellUsage {
+        /// What to say.
+        note: UsageNote,
+        /// To whom; `None` for this host itself.
+        to: Option<SocketAddr>,
+    },
     /// Tell other hosts that this one can hand a version of the configuration over.
     TellVersion {
         /// What to say.
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -32,6 +32,8 @@
         let target = request.facts.target.clone();
         let prefill = std::mem::take(&mut request.stage.prefill);
         let begins = !std::mem::replace(&mut request.stage.streams, true);
+        let team = request.take_uncounted();
+        self.note_begun(now, now, team);
         self.pool.note_heard(&upstream, now);
         if let Some(state) = self.pool.get_mut(&upstream) {
             state.end_prefill(prefill);
@@ -96,10 +98,11 @@
     fn on_completed(
         &mut self,
         now: Time,
-        request: Request<Running>,
+        mut request: Request<Running>,
         answer: Option<StoredAnswer>,
         actions: &mut Vec<Action>,
     ) {
+        self.note_answered(now, &mut request);
         self.leave_upstream(now, &request);
         self.pool.note_heard(&request.stage.upstream, now);
         if let Some(state) = self.pool.get_mut(&request.stage.upstream) {
@@ -132,6 +135,9 @@
     ) {
         request.verdict = request.verdict.join(failure.verdict);
         request.runs += u32::from(failure.verdict != Verdict::NotRun);
+        if failure.verdict != Verdict::NotRun {
+            self.note_call_begun(now, &mut request);
+        }
         self.note_failure(now, &request, failure.cause);
         if failure.cause == FailureCause::Busy {
             self.note_congestion(&request.facts.target, true);
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -60,6 +60,7 @@
     pub(crate) peering: Peering,
     pub(crate) pool: Pool,
     pub(crate) queued: usize,
+    pub(crate) reporting: Reporting,
     pub(crate) requests: HashMap<RequestId, Stage>,
     pub(crate) retries: RetryBudgets,
     pub(crate) rng: SmallRng,
@@ -95,6 +96,7 @@
             phase: HostPhase::Starting,
             pool,
             queued: 0,
+            reporting: Reporting::default(),
             requests: HashMap::default(),
             retries: RetryBudgets::new(options.relay.as_ref()),
             rng: SmallRng::seed_from_u64(options.seed),
@@ -129,7 +131,11 @@
                     _ => Affected::All,
                 }
             }
-            Event::HeartbeatAsked { .. } | Event::Progressed { .. } => Affected::Nothing,
+            Event::DutyHeld(_)
+            | Event::DutyTold { .. }
+            | Event::HeartbeatAsked { .. }
+            | Event::Progressed { .. }
+            | Event::TimeOfDay { .. } => Affected::Nothing,
             _ => Affected::All,
         }
     }
@@ -174,6 +180,8 @@
             Event::CrashesListed(crashes) => self.on_crashes_listed(now, &crashes, actions),
             Event::CrashesTold(note) => self.on_crashes_told(now, &note, actions),
             Event::DrainStarted => self.phase = HostPhase::Draining,
+            Event::DutyHeld(note) => self.on_duty_held(now, note, actions),
+            Event::DutyTold { from, note } => self.on_duty_told(now, from, &note),
             Event::HeartbeatAnswered {
                 answer,
                 asked,
@@ -213,6 +221,7 @@
                 self.options.relay = Some(rules);
             }
             Event::Ticked => self.on_tick(now, actions),
+            Event::TimeOfDay { unix_ms } => self.on_time_of_day(now, unix_ms),
             Event::UpstreamsListed { leaving } => {
                 self.pool.note_listed(leaving);
                 self.listed = true;
@@ -403,6 +412,7 @@
         self.tick_neighbors(now, actions);
         self.tick_crashes(now, actions);
         self.tick_congestion(now);
+        self.tick_reporting(now, actions);
         self.fetch_newer(now, actions);
     }
 
--- /dev/null
+++ b/crates/policy/src/duties/capacity_plan.rs
@@ -0,0 +1,223 @@
+use super::*;
+
+/// Time for which no further upstream must have come before their number counts as what the
+/// operator wants: they register one after the other.
+const SETTLED_AFTER: Duration = Duration::from_millis(2_500);
+
+/// Time without a further order for reclaimable upstreams after one was refused. It doubles
+/// each time …
+const REFUSED_PAUSE: Duration = Duration::from_secs(4);
+
+/// … up to this: where none can be had for long, each try is a call that gains nothing.
+const MAX_REFUSED_PAUSE: Duration = Duration::from_secs(8);
+
+/// Part of the wanted upstreams of a domain that stays regular, so that a domain keeps some
+/// whatever is taken away.
+const REGULAR_SHARE: f64 = 0.25;
+
+/// Time for which enough reclaimable upstreams must be ready before regular ones are given
+/// up: those are lost with what they keep.
+const SURPLUS_FOR: Duration = Duration::from_millis(1_500);
+
+/// Time after which an order that was not filled is made again.
+const REPEAT_AFTER: Duration = Duration::from_secs(8);
+
+/// What is listed of the upstreams of one service in one failure domain.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoolCapacity {
+    /// The failure domain.
+    pub domain: FailureDomainId,
+    /// Most upstreams of both kinds together.
+    pub max: u32,
+    /// Fewest upstreams of both kinds together.
+    pub min: u32,
+    /// Price of a reclaimable upstream as a part of that of a regular one; `None` if there
+    /// are none.
+    pub reclaimable_price: Option<f64>,
+    /// Reclaimable upstreams that take work.
+    pub reclaimable_ready: u32,
+    /// Regular upstreams that take work.
+    pub regular_ready: u32,
+    /// The service.
+    pub service: ServiceId,
+}
+
+/// An order for upstreams.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CapacityOrder {
+    /// How many there should be of this kind.
+    pub count: u32,
+    /// Where.
+    pub domain: FailureDomainId,
+    /// Whether they are of the kind that may be reclaimed.
+    pub is_reclaimable: bool,
+    /// Of which service.
+    pub service: ServiceId,
+}
+
+/// Decides how many upstreams of each kind there should be.
+///
+/// The number that was there at the start is kept, also after all reclaimable upstreams of
+/// one failure domain are taken away. Where reclaimable ones are cheaper they take the place
+/// of most regular ones, once they are ready; regular ones are ordered at once where
+/// reclaimable ones are taken away or cannot be had.
+#[derive(Debug, Default)]
+pub struct CapacityPlan {
+    pools: BTreeMap<(ServiceId, FailureDomainId), PoolPlan>,
+}
+
+#[derive(Debug, Default)]
+struct PoolPlan {
+    /// When the wanted number last grew.
+    grown: Time,
+    ordered: BTreeMap<bool, Ordered>,
+    refused_pause: Option<Duration>,
+    refused_until: Time,
+    /// Since when enough reclaimable upstreams are ready.
+    surplus_since: Option<Time>,
+    wanted: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    at: Time,
+    count: u32,
+}
+
+impl CapacityPlan {
+    /// Upstreams that are wanted, by service and failure domain, for a host that takes over.
+    pub fn wanted(&self) -> Vec<(ServiceId, FailureDomainId, u32)> {
+        let pools = self.pools.iter();
+        pools
+            .map(|((service, domain), pool)| (service.clone(), domain.clone(), pool.wanted))
+            .collect()
+    }
+
+    /// Goes on from what an earlier holder wanted.
+    pub fn resume(&mut self, wanted: Vec<(ServiceId, FailureDomainId, u32)>) {
+        for (service, domain, count) in wanted {
+            let pool = self.pools.entry((service, domain)).or_default();
+            pool.wanted = pool.wanted.max(count);
+        }
+    }
+
+    /// The orders to be made now, given all pools that can be ordered for.
+    pub fn orders(&mut self, now: Time, pools: &[PoolCapacity]) -> Vec<CapacityOrder> {
+        let mut orders = Vec::new();
+        for capacity in pools {
+            let of_service = |pool: &&PoolCapacity| pool.service == capacity.service;
+            let domains = pools.iter().filter(of_service).count() as u32;
+            let key = (capacity.service.clone(), capacity.domain.clone());
+            let plan = self.pools.entry(key).or_default();
+            for (is_reclaimable, count) in plan.next(now, capacity, domains) {
+                orders.push(CapacityOrder {
+                    count,
+                    domain: capacity.domain.clone(),
+                    is_reclaimable,
+                    service: capacity.service.clone(),
+                });
+            }
+        }
+        orders
+    }
+
+    /// An order was taken.
+    pub fn note_accepted(&mut self, now: Time, order: &CapacityOrder) {
+        if let Some(plan) = self.plan_of(order) {
+            let count = order.count;
+            let ordered = Ordered { at: now, count };
+            if order.is_reclaimable {
+                plan.refused_pause = None;
+            }
+            plan.ordered.insert(order.is_reclaimable, ordered);
+        }
+    }
+
+    /// An order was refused, as there are none of this kind now.
+    pub fn note_refused(&mut self, now: Time, order: &CapacityOrder) {
+        if let Some(plan) = self.plan_of(order)
+            && order.is_reclaimable
+        {
+            let pause = plan.refused_pause.unwrap_or(REFUSED_PAUSE);
+            plan.refused_pause = Some((pause * 2).min(MAX_REFUSED_PAUSE));
+            plan.refused_until = now + pause;
+        }
+    }
+
+    fn plan_of(&mut self, order: &CapacityOrder) -> Option<&mut PoolPlan> {
+        let key = (order.service.clone(), order.domain.clone());
+        self.pools.get_mut(&key)
+    }
+}
+
+impl PoolPlan {
+    /// Orders for a pool: whether the kind is reclaimable, and how many.
+    fn next(&mut self, now: Time, capacity: &PoolCapacity, domains: u32) -> Vec<(bool, u32)> {
+        let seen = capacity.regular_ready.min(capacity.max);
+        if self.ordered.is_empty() && seen > self.wanted {
+            self.wanted = seen;
+            self.grown = now;
+        }
+        let is_settled = self.wanted > 0 && now.since(self.grown) >= SETTLED_AFTER;
+        let is_cheaper = capacity.reclaimable_price.is_some_and(|price| price < 1.0);
+        if !is_settled || !is_cheaper || domains < 2 {
+            return Vec::new();
+        }
+        let mut orders = Vec::new();
+        if now >= self.refused_until {
+            let regular = self.ordered.get(&false).map(|ordered| ordered.count);
+            let regular = regular.unwrap_or(capacity.regular_ready);
+            let most = capacity.max.saturating_sub(regular);
+            let count = self.reclaimable(domains).min(most);
+            orders.extend(self.order(now, true, count, capacity.reclaimable_ready));
+        }
+        orders.extend(self.regular(now, capacity));
+        orders
+    }
+
+    /// Regular upstreams that are kept in any case.
+    fn regular_base(&self) -> u32 {
+        (f64::from(self.wanted) * REGULAR_SHARE).ceil() as u32
+    }
+
+    /// Reclaimable upstreams with which all domains but one, and the regular ones, come to
+    /// what is wanted of all.
+    fn reclaimable(&self, domains: u32) -> u32 {
+        let missing = (self.wanted - self.regular_base()) * domains;
+        missing.div_ceil(domains - 1)
+    }
+
+    fn regular(&mut self, now: Time, capacity: &PoolCapacity) -> Option<(bool, u32)> {
+        let missing = self.wanted.saturating_sub(capacity.reclaimable_ready);
+        let missing = missing.max(self.regular_base());
+        let ordered = self.ordered.get(&false).map(|ordered| ordered.count);
+        let present = ordered.unwrap_or(capacity.regular_ready);
+        if missing >= present {
+            self.surplus_since = None;
+            return self.order(now, false, missing, capacity.regular_ready);
+        }
+        let since = *self.surplus_since.get_or_insert(now);
+        if now.since(since) < SURPLUS_FOR {
+            return None;
+        }
+        self.order(now, false, missing, capacity.regular_ready)
+    }
+
+    /// An order for a kind, unless it was made already and filled, or may still be.
+    fn order(
+        &self,
+        now: Time,
+        is_reclaimable: bool,
+        count: u32,
+        ready: u32,
+    ) -> Option<(bool, u32)> {
+        let is_made = match self.ordered.get(&is_reclaimable) {
+            Some(ordered) => {
+                let may_be_filled = ready >= count || now.since(ordered.at) < REPEAT_AFTER;
+                ordered.count == count && may_be_filled
+            }
+            None => ready == count,
+        };
+        (!is_made).then_some((is_reclaimable, count))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/duties/reporting.rs
@@ -0,0 +1,125 @@
+//! What a host counts for the usage reports, and tells the holder of the duties.
+
+use super::*;
+
+/// Time between two messages to the holder …
+const TELL_INTERVAL: Duration = Duration::from_millis(400);
+
+/// … and for each host of the installation, so that the holder's traffic stays bounded:
+/// a message of 24 teams has some 600 bytes.
+const TELL_INTERVAL_PER_HOST: Duration = Duration::from_millis(3);
+
+/// Time for which the last word of a holder counts.
+const HOLDER_VALID: Duration = Duration::from_secs(6);
+
+/// The host that holds the lease of the duties, as far as this one knows.
+#[derive(Debug)]
+struct KnownHolder {
+    /// `None` for this host itself.
+    address: Option<SocketAddr>,
+    heard: Time,
+    token: u64,
+}
+
+/// State of the reports on this host.
+#[derive(Debug, Default)]
+pub(crate) struct Reporting {
+    pub(crate) counts: UsageCounts,
+    holder: Option<KnownHolder>,
+    next_told: Time,
+}
+
+impl Reporting {
+    fn note_holder(&mut self, now: Time, address: Option<SocketAddr>, note: &DutyNote) {
+        if self
+            .holder
+            .as_ref()
+            .is_some_and(|known| note.token < known.token)
+        {
+            return;
+        }
+        let is_new = self
+            .holder
+            .as_ref()
+            .is_none_or(|known| known.token < note.token);
+        if is_new {
+            self.next_told = now;
+        }
+        self.holder = Some(KnownHolder {
+            address,
+            heard: now,
+            token: note.token,
+        });
+        self.counts
+            .note_holder(now, note.unix_ms, note.reported_through);
+    }
+}
+
+impl Controller {
+    fn usage_window_ms(&self) -> Option<u64> {
+        let window = self.options.relay.as_ref()?.usage_window?;
+        Some(window.as_millis() as u64)
+    }
+
+    /// Another host told that it holds the duties.
+    pub(crate) fn on_duty_told(&mut self, now: Time, from: SocketAddr, note: &DutyNote) {
+        self.reporting.note_holder(now, Some(from), note);
+    }
+
+    /// This host holds the duties, and tells the others.
+    pub(crate) fn on_duty_held(&mut self, now: Time, note: DutyNote, actions: &mut Vec<Action>) {
+        self.reporting.note_holder(now, None, &note);
+        let to = self.neighbors.addresses(&self.options.host).collect();
+        actions.push(Action::TellDuty { note, to });
+    }
+
+    pub(crate) fn on_time_of_day(&mut self, now: Time, unix_ms: u64) {
+        self.reporting.counts.note_own_time(now, unix_ms);
+    }
+
+    /// Tells the holder what was counted.
+    pub(crate) fn tick_reporting(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.usage_window_ms().is_none() || now < self.reporting.next_told {
+            return;
+        }
+        let hosts = self.neighbors.len() as u32;
+        self.reporting.next_told = now + TELL_INTERVAL + TELL_INTERVAL_PER_HOST * hosts;
+        let holder = self.reporting.holder.as_ref();
+        let Some(holder) = holder.filter(|holder| now.since(holder.heard) < HOLDER_VALID) else {
+            return;
+        };
+        let note = UsageNote {
+            host: self.options.host.clone(),
+            incarnation: self.options.incarnation,
+            protocol: peer::PROTOCOL,
+            unix_ms: 0,
+            windows: self.reporting.counts.windows(),
+        };
+        let to = holder.address;
+        actions.push(Action::TellUsage { note, to });
+    }
+
+    /// Counts a request of a team that began to run at a moment.
+    pub(crate) fn note_begun(&mut self, now: Time, begun: Time, team: Option<TeamId>) {
+        if let Some((team, window_ms)) = team.zip(self.usage_window_ms()) {
+            let counts = &mut self.reporting.counts;
+            counts.note_begun(begun, now, &team, window_ms);
+        }
+    }
+
+    /// Counts a request that was answered whole, if that was not done with its first token.
+    pub(crate) fn note_answered(&mut self, now: Time, request: &mut Request<Running>) {
+        self.note_call_begun(now, request);
+        let team = request.take_uncounted();
+        self.note_begun(now, now, team);
+    }
+
+    /// Counts a call that a plain service began when it got it, as far as can be told. An
+    /// engine begins with the first token.
+    pub(crate) fn note_call_begun(&mut self, now: Time, request: &mut Request<Running>) {
+        if matches!(request.facts.target, Target::Service(_)) {
+            let team = request.take_uncounted();
+            self.note_begun(now, request.stage.sent, team);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/duties/usage_ledger.rs
@@ -0,0 +1,162 @@
+use super::*;
+
+/// Time after the end of a window in which the last counts of it arrive.
+const SETTLE: Duration = Duration::from_millis(1_500);
+
+/// Time before a report is due at which it is made without hosts that are not heard.
+const PATIENCE_BEFORE_DUE: Duration = Duration::from_millis(4_000);
+
+/// Time for which a host that is not heard any more is waited for.
+const HOST_VALID: Duration = Duration::from_secs(10);
+
+/// Windows that are kept.
+const MAX_WINDOWS: u64 = 8;
+
+/// How windows of usage lie in time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WindowRules {
+    /// Time after the end of a window at which its report is due.
+    pub late: Duration,
+    /// Length of a window; the first one begins with Unix time.
+    pub window: Duration,
+}
+
+impl WindowRules {
+    fn window_ms(self) -> u64 {
+        (self.window.as_millis() as u64).max(1)
+    }
+
+    /// The window of a moment.
+    pub fn window_at(self, unix_ms: u64) -> u64 {
+        unix_ms / self.window_ms()
+    }
+
+    fn end_ms(self, window: u64) -> u64 {
+        (window + 1) * self.window_ms()
+    }
+}
+
+/// What is to be reported of one window.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageReport {
+    /// Requests that began, by team.
+    pub counts: BTreeMap<TeamId, u64>,
+    /// The window.
+    pub window: u64,
+}
+
+/// Counts of all hosts, as the holder gathers them.
+#[derive(Debug)]
+pub struct UsageLedger {
+    hosts: BTreeMap<HostId, HostUsage>,
+    /// The last window that was frozen for a report.
+    reported_through: Option<u64>,
+    rules: WindowRules,
+    time: TrueTime,
+}
+
+#[derive(Debug, Default)]
+struct HostUsage {
+    heard: Time,
+    /// Totals of each incarnation: those of a host that started again add up.
+    windows: BTreeMap<(u64, Incarnation), BTreeMap<TeamId, u32>>,
+}
+
+impl UsageLedger {
+    /// An empty ledger.
+    pub fn new(rules: WindowRules) -> Self {
+        Self {
+            hosts: BTreeMap::new(),
+            reported_through: None,
+            rules,
+            time: TrueTime::default(),
+        }
+    }
+
+    /// Takes a host's totals. They only grow, so one that was overtaken changes nothing.
+    pub fn take(&mut self, now: Time, note: UsageNote) {
+        self.time.note(now, note.host.clone(), note.unix_ms);
+        let host = self.hosts.entry(note.host).or_default();
+        host.heard = now;
+        for WindowCounts { counts, window } in note.windows {
+            let known = host.windows.entry((window, note.incarnation)).or_default();
+            for (team, count) in counts {
+                let total = known.entry(team).or_default();
+                *total = count.max(*total);
+            }
+        }
+    }
+
+    /// Unix time by most hosts, in milliseconds.
+    pub fn unix_ms(&self, now: Time) -> Option<u64> {
+        self.time.unix_ms(now)
+    }
+
+    /// The last window that was frozen for a report.
+    pub const fn reported_through(&self) -> Option<u64> {
+        self.reported_through
+    }
+
+    /// Goes on after a window that stands in the store.
+    pub fn note_reported(&mut self, window: u64) {
+        self.reported_through = self.reported_through.max(Some(window));
+        let oldest = window.saturating_sub(MAX_WINDOWS);
+        for host in self.hosts.values_mut() {
+            host.windows.retain(|(window, _), _| *window > oldest);
+        }
+    }
+
+    /// The next report, once all hosts that were heard lately have told their counts of its
+    /// window, or it cannot wait for them any longer.
+    pub fn due(&mut self, now: Time) -> Option<UsageReport> {
+        let unix_ms = self.unix_ms(now)?;
+        let current = self.rules.window_at(unix_ms);
+        let window = match self.reported_through {
+            Some(reported) => self.skip_hopeless(reported + 1, unix_ms),
+            None => {
+                // The first holder of all begins with the window it finds.
+                self.reported_through = current.checked_sub(1);
+                current
+            }
+        };
+        let end_ms = self.rules.end_ms(window);
+        let passed_ms = unix_ms.checked_sub(end_ms)?;
+        let passed = Duration::from_millis(passed_ms);
+        let patience = self.rules.late.saturating_sub(PATIENCE_BEFORE_DUE);
+        if passed < SETTLE || (passed < patience && !self.is_complete(now, passed)) {
+            return None;
+        }
+        Some(self.report(window))
+    }
+
+    /// Hosts that have told nothing since the end of a window that ended so long ago.
+    pub fn missing(&self, now: Time, ended: Duration) -> usize {
+        let missing = self.hosts.values().filter(|host| {
+            let silent = now.since(host.heard);
+            silent >= ended && silent < HOST_VALID
+        });
+        missing.count()
+    }
+
+    fn is_complete(&self, now: Time, ended: Duration) -> bool {
+        self.missing(now, ended) == 0
+    }
+
+    /// The first window from this one on whose report can still come in time.
+    fn skip_hopeless(&self, window: u64, unix_ms: u64) -> u64 {
+        let late_ms = self.rules.late.as_millis() as u64;
+        let first = self.rules.window_at(unix_ms.saturating_sub(late_ms));
+        window.max(first)
+    }
+
+    fn report(&self, window: u64) -> UsageReport {
+        let mut counts: BTreeMap<TeamId, u64> = BTreeMap::new();
+        let all = self.hosts.values().flat_map(|host| &host.windows);
+        for (_, teams) in all.filter(|((of, _), _)| *of == window) {
+            for (team, count) in teams {
+                *counts.entry(team.clone()).or_default() += u64::from(*count);
+            }
+        }
+        UsageReport { counts, window }
+    }
+}
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -66,6 +66,15 @@
     },
     /// The directory answers again, or does no more.
     DirectoryReached(bool),
+    /// This host holds the duties that one host does for all.
+    DutyHeld(DutyNote),
+    /// Another host told that it holds them.
+    DutyTold {
+        /// Where it came from.
+        from: SocketAddr,
+        /// What it said.
+        note: DutyNote,
+    },
     /// A host answered a heartbeat, or did not.
     HeartbeatAnswered {
         /// The answer; `None` if none came that can be used.
@@ -137,6 +146,11 @@
     RulesChanged(RelayRules),
     /// Time passed.
     Ticked,
+    /// This host's time of day was read.
+    TimeOfDay {
+        /// Unix time in milliseconds.
+        unix_ms: u64,
+    },
     /// The platform's list was read.
     UpstreamsListed {
         /// Every upstream that is leaving by the list; the others are not.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,8 +5,9 @@
 use {
     config::{Class, Document, Numbered, Plan, Scheduling, Team, Upstream},
     peer::{
-        Cleared, Crash, CrashNote, Demand, Echo, Grant, Heartbeat, HeartbeatAnswer, LoadNote,
-        PeerHost, PeerPhase, PromptRead, UpstreamLoad, VersionNote,
+        Cleared, Crash, CrashNote, Demand, DutyNote, Echo, Grant, Heartbeat, HeartbeatAnswer,
+        LoadNote, PeerHost, PeerPhase, PromptRead, UpstreamLoad, UsageNote, VersionNote,
+        WindowCounts,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom},
     serde::{Deserialize, Serialize},
@@ -36,6 +37,7 @@
 mod crashes;
 mod directory_view;
 mod dispatch;
+mod duties;
 mod ejection;
 mod event;
 mod failure;
@@ -98,6 +100,10 @@
     claim_request::ClaimRequest,
     controller::{Controller, ControllerOptions},
     crashes::{CrashNoted, CrashSource},
+    duties::{
+        CapacityOrder, CapacityPlan, FencingToken, Lease, LeaseRecord, LeaseStep, PoolCapacity,
+        StoredLease, TrueTime, UsageLedger, UsageReport, WindowRules,
+    },
     event::Event,
     fetch_end::FetchEnd,
     host_phase::HostPhase,
@@ -120,6 +126,7 @@
     claims::settle,
     crashes::Crashes,
     directory_view::DirectoryView,
+    duties::Reporting,
     failure::Failure,
     fair_queue::FairQueue,
     floor::Floor,
--- a/crates/policy/src/refusing.rs
+++ b/crates/policy/src/refusing.rs
@@ -97,6 +97,7 @@
         mut request: Request<Running>,
         actions: &mut Vec<Action>,
     ) {
+        self.note_call_begun(now, &mut request);
         self.leave_upstream(now, &request);
         self.limits.release(&request.facts.team);
         let tokens = request.stage.tokens;
--- a/crates/policy/src/relay_rules.rs
+++ b/crates/policy/src/relay_rules.rs
@@ -15,4 +15,6 @@
     pub retry_ratio: f64,
     /// Window of the retry budget.
     pub retry_window: Duration,
+    /// Window by which requests that began are counted; `None` where nobody asks.
+    pub usage_window: Option<Duration>,
 }
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -48,9 +48,11 @@
         pace_ms: Option<u64>,
         rank: Rank,
         stream_share: f64,
+        candidates: Option<usize>,
     ) -> Wish<'a> {
         Wish {
             avoid,
+            candidates,
             due: self.due,
             is_long: self.is_long,
             pace_ms,
@@ -75,6 +77,8 @@
     /// Time from arrival to the first token.
     pub(crate) first_token: Option<Duration>,
     pub(crate) id: RequestId,
+    /// Whether it was counted as begun.
+    pub(crate) is_counted: bool,
     pub(crate) item: QueuedItem,
     /// Longest time between two parts of the answer that the caller was sent.
     pub(crate) longest_pause: Duration,
@@ -167,6 +171,7 @@
             facts,
             first_token: None,
             id,
+            is_counted: false,
             item,
             longest_pause: Duration::ZERO,
             runs: 0,
@@ -240,6 +245,13 @@
         self
     }
 
+    /// The team for which the request is to be counted as begun; `None` if it was before, or
+    /// has no team.
+    pub(crate) fn take_uncounted(&mut self) -> Option<TeamId> {
+        let is_counted = std::mem::replace(&mut self.is_counted, true);
+        (!is_counted && !self.facts.public).then(|| self.facts.team.clone())
+    }
+
     /// Back to the queue, for another attempt.
     pub(crate) fn requeue(mut self) -> Request<Queued> {
         self.tried.push(self.stage.upstream.clone());
@@ -255,6 +267,7 @@
             facts: self.facts,
             first_token: self.first_token,
             id: self.id,
+            is_counted: self.is_counted,
             item: self.item,
             longest_pause: self.longest_pause,
             runs: self.runs,
--- /dev/null
+++ b/crates/policy/tests/duties/capacity.rs
@@ -0,0 +1,176 @@
+use {
+    policy::{CapacityOrder, CapacityPlan, PoolCapacity},
+    std::time::Duration,
+    types::Time,
+};
+
+/// A platform that fills orders some seconds later, in virtual time.
+struct Platform {
+    booting: Vec<(Time, bool)>,
+    now: Time,
+    orders: Vec<String>,
+    plan: CapacityPlan,
+    reclaimable: u32,
+    regular: u32,
+    /// Whether reclaimable upstreams can be had.
+    sells_reclaimable: bool,
+}
+
+const BOOT: Duration = Duration::from_secs(4);
+const STEP: Duration = Duration::from_millis(400);
+
+impl Platform {
+    fn with_regular(regular: u32) -> Self {
+        Self {
+            booting: Vec::new(),
+            now: Time::from_ms(1_000),
+            orders: Vec::new(),
+            plan: CapacityPlan::default(),
+            reclaimable: 0,
+            regular,
+            sells_reclaimable: true,
+        }
+    }
+
+    fn capacity(&self) -> PoolCapacity {
+        PoolCapacity {
+            domain: "a".parse().unwrap(),
+            max: 40,
+            min: 1,
+            reclaimable_price: Some(0.22),
+            reclaimable_ready: self.reclaimable,
+            regular_ready: self.regular,
+            service: "pool".parse().unwrap(),
+        }
+    }
+
+    /// The pool that is played, beside two of other domains.
+    fn pools(&self) -> Vec<PoolCapacity> {
+        let names = ["a", "b", "c"];
+        let pools = names.map(|domain| PoolCapacity {
+            domain: domain.parse().unwrap(),
+            ..self.capacity()
+        });
+        pools.into()
+    }
+
+    fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            let now = self.now;
+            let booted = self.booting.extract_if(.., |(ready, _)| *ready <= now);
+            for (_, is_reclaimable) in booted {
+                match is_reclaimable {
+                    true => self.reclaimable += 1,
+                    false => self.regular += 1,
+                }
+            }
+            let orders = self.plan.orders(now, &self.pools());
+            let of_first = |order: &CapacityOrder| order.domain == self.capacity().domain;
+            let orders: Vec<CapacityOrder> = orders.into_iter().filter(of_first).collect();
+            for order in orders {
+                self.take(&order);
+            }
+        }
+    }
+
+    fn take(&mut self, order: &CapacityOrder) {
+        let kind = if order.is_reclaimable {
+            "reclaimable"
+        } else {
+            "regular"
+        };
+        if order.is_reclaimable && !self.sells_reclaimable {
+            self.plan.note_refused(self.now, order);
+            return;
+        }
+        self.orders.push(format!("{kind} {}", order.count));
+        self.plan.note_accepted(self.now, order);
+        let booting = self
+            .booting
+            .iter()
+            .filter(|(_, of)| *of == order.is_reclaimable);
+        let booting = booting.count() as u32;
+        let present = match order.is_reclaimable {
+            true => &mut self.reclaimable,
+            false => &mut self.regular,
+        };
+        if *present > order.count {
+            *present = order.count;
+        }
+        let missing = order.count.saturating_sub(*present + booting);
+        for _ in 0..missing {
+            self.booting.push((self.now + BOOT, order.is_reclaimable));
+        }
+    }
+
+    fn orders(&mut self) -> String {
+        std::mem::take(&mut self.orders).join(", ")
+    }
+}
+
+#[test]
+fn cheaper_upstreams_take_the_place_of_regular_ones_once_they_are_ready() {
+    let mut platform = Platform::with_regular(20);
+    platform.pass(Duration::from_secs(5));
+    assert_eq!(platform.orders(), "reclaimable 20");
+    assert_eq!(platform.regular, 20, "none is given up before");
+    platform.pass(Duration::from_secs(10));
+    assert_eq!(platform.orders(), "regular 5, reclaimable 23");
+    platform.pass(Duration::from_secs(60));
+    assert_eq!(platform.orders(), "", "nothing is ordered again");
+    assert_eq!((platform.reclaimable, platform.regular), (23, 5));
+}
+
+/// Guards against a domain that stays without upstreams after its reclaimable ones were
+/// taken away and cannot be had.
+#[test]
+fn regular_upstreams_are_ordered_at_once_where_others_are_taken_away() {
+    let mut platform = Platform::with_regular(20);
+    platform.pass(Duration::from_secs(20));
+    platform.orders();
+    platform.reclaimable = 0;
+    platform.sells_reclaimable = false;
+    platform.pass(Duration::from_millis(800));
+    assert_eq!(platform.orders(), "regular 20");
+    platform.pass(Duration::from_secs(10));
+    assert_eq!(platform.regular, 20);
+    platform.sells_reclaimable = true;
+    platform.pass(Duration::from_secs(30));
+    assert_eq!(
+        platform.orders(),
+        "reclaimable 20, regular 5, reclaimable 23"
+    );
+}
+
+/// Guards against a later holder that takes what it finds in the midst of a reclaim for what
+/// is wanted.
+#[test]
+fn a_later_holder_goes_on_with_what_was_wanted() {
+    let mut platform = Platform::with_regular(20);
+    platform.pass(Duration::from_secs(20));
+    let wanted = platform.plan.wanted();
+    platform.reclaimable = 3;
+    platform.plan = CapacityPlan::default();
+    platform.plan.resume(wanted);
+    platform.orders();
+    platform.pass(Duration::from_secs(15));
+    assert_eq!((platform.reclaimable, platform.regular), (23, 5));
+}
+
+#[test]
+fn nothing_is_ordered_where_there_is_one_kind_only() {
+    let mut plan = CapacityPlan::default();
+    let platform = Platform::with_regular(20);
+    let pool = PoolCapacity {
+        reclaimable_price: None,
+        ..platform.capacity()
+    };
+    for second in 0..30 {
+        assert!(
+            plan.orders(Time::from_ms(second * 1_000), std::slice::from_ref(&pool))
+                .is_empty()
+        );
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/duties/main.rs
@@ -0,0 +1,8 @@
+//! Duties that one host at a time does for all: the lease, the usage reports and the number
+//! of upstreams, without a network.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod capacity;
+mod lease;
+mod usage;
--- /dev/null
+++ b/crates/policy/tests/duties/usage.rs
@@ -0,0 +1,101 @@
+use {
+    peer::{UsageNote, WindowCounts},
+    policy::{UsageLedger, UsageReport, WindowRules},
+    std::{collections::BTreeMap, time::Duration},
+    types::prelude::*,
+};
+
+const RULES: WindowRules = WindowRules {
+    late: Duration::from_secs(10),
+    window: Duration::from_secs(5),
+};
+
+/// Unix time at the steady clock's zero.
+const ZERO_UNIX_MS: u64 = 1_800_000_000_000;
+
+/// The window that begins then.
+const WINDOW: u64 = ZERO_UNIX_MS / 5_000;
+
+fn note(host: u64, incarnation: u64, now: Time, counts: &[(u64, u32)]) -> UsageNote {
+    let windows = counts.iter().map(|(window, count)| WindowCounts {
+        counts: vec![("team".parse().unwrap(), *count)],
+        window: *window,
+    });
+    UsageNote {
+        host: format!("host-{host}").parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        protocol: peer::PROTOCOL,
+        unix_ms: ZERO_UNIX_MS + now.as_us() / 1_000,
+        windows: windows.collect(),
+    }
+}
+
+fn report(window: u64, count: u64) -> Option<UsageReport> {
+    let counts = BTreeMap::from([("team".parse().unwrap(), count)]);
+    Some(UsageReport { counts, window })
+}
+
+#[test]
+fn counts_of_all_hosts_and_incarnations_are_added_once() {
+    let mut ledger = UsageLedger::new(RULES);
+    assert_eq!(
+        ledger.due(Time::from_ms(0)),
+        None,
+        "no host has told the time"
+    );
+    let during = Time::from_ms(4_000);
+    ledger.take(during, note(1, 1, during, &[(WINDOW, 10)]));
+    assert_eq!(ledger.due(during), None);
+    let after = Time::from_ms(6_600);
+    ledger.take(after, note(1, 1, after, &[(WINDOW, 12)]));
+    ledger.take(after, note(1, 1, during, &[(WINDOW, 10)]));
+    ledger.take(after, note(1, 2, after, &[(WINDOW, 3)]));
+    ledger.take(after, note(2, 7, after, &[(WINDOW, 5), (WINDOW + 1, 1)]));
+    assert_eq!(ledger.due(after), report(WINDOW, 20));
+    ledger.note_reported(WINDOW);
+    assert_eq!(ledger.due(after), None, "the next window goes on");
+}
+
+/// Guards against a report without a host whose last counts are still on their way, and
+/// against one that is never made as a host is cut off.
+#[test]
+fn a_host_that_is_not_heard_is_waited_for_as_long_as_the_report_allows() {
+    let mut ledger = UsageLedger::new(RULES);
+    let during = Time::from_ms(4_000);
+    ledger.take(during, note(1, 1, during, &[(WINDOW, 10)]));
+    ledger.take(during, note(2, 1, during, &[(WINDOW, 10)]));
+    assert_eq!(ledger.due(during), None);
+    let after = Time::from_ms(6_600);
+    ledger.take(after, note(1, 1, after, &[(WINDOW, 12)]));
+    assert_eq!(ledger.due(after), None);
+    let last = Time::from_ms(11_500);
+    ledger.take(last, note(1, 1, last, &[(WINDOW, 12)]));
+    assert_eq!(ledger.due(last), report(WINDOW, 22));
+}
+
+/// Guards against windows that begin where the time of day of a few hosts has jumped.
+#[test]
+fn a_minority_of_jumped_clocks_does_not_move_the_windows() {
+    let mut ledger = UsageLedger::new(RULES);
+    let now = Time::from_ms(2_000);
+    for host in 0..10 {
+        let jump_ms = if host < 3 { 2_400 } else { 0 };
+        let mut note = note(host, 1, now, &[]);
+        note.unix_ms -= jump_ms;
+        ledger.take(now, note);
+    }
+    assert_eq!(ledger.unix_ms(now), Some(ZERO_UNIX_MS + 2_000));
+}
+
+/// Guards against two different reports of one window.
+#[test]
+fn a_later_holder_counts_no_window_again_that_stands_in_the_store() {
+    let mut ledger = UsageLedger::new(RULES);
+    let now = Time::from_ms(6_600);
+    ledger.note_reported(WINDOW);
+    ledger.take(now, note(1, 1, now, &[(WINDOW, 12), (WINDOW + 1, 4)]));
+    assert_eq!(ledger.due(now), None);
+    let later = Time::from_ms(12_000);
+    ledger.take(later, note(1, 1, later, &[(WINDOW + 1, 9)]));
+    assert_eq!(ledger.due(later), report(WINDOW + 1, 9));
+}
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -26,6 +26,9 @@
 
 pub const ENGINES: usize = 3;
 
+/// Window of the counted requests.
+pub const USAGE_WINDOW: Duration = Duration::from_secs(5);
+
 /// Retries that all hosts together may make beyond the ratio.
 pub const RETRY_EXTRA: u32 = 42;
 
@@ -104,6 +107,7 @@
                     retry_extra: RETRY_EXTRA,
                     retry_ratio: 0.2,
                     retry_window: Duration::from_secs(10),
+                    usage_window: Some(USAGE_WINDOW),
                 }),
                 room: RoomRules::default(),
                 seed: number,
--- a/crates/policy/tests/properties/model.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -260,6 +260,8 @@
             | Action::ReadConfiguration
             | Action::SendHeartbeat { .. }
             | Action::SendNotes { .. }
+            | Action::TellDuty { .. }
+            | Action::TellUsage { .. }
             | Action::TellVersion { .. }
             | Action::Record(_)
             | Action::Replay { .. } => {}
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -34,6 +34,12 @@
         Action::TellCrashes { note, to } => {
             format!("tell {} hosts of {} crashes", to.len(), note.crashes.len())
         }
+        Action::TellDuty { note, to } => {
+            format!("tell {} hosts of holder {}", to.len(), note.host)
+        }
+        Action::TellUsage { note, .. } => {
+            format!("tell the holder of {} windows", note.windows.len())
+        }
         Action::TellVersion { note, to } => {
             format!("tell {} hosts of version {}", to.len(), note.version)
         }
--- a/crates/policy/tests/transfers.rs
+++ b/crates/policy/tests/transfers.rs
@@ -1,6 +1,8 @@
 //! Hosts of a failure domain that start together and get the table of upstreams from each
 //! other over thin links, in virtual time.
 
+#![allow(missing_docs, clippy::unwrap_used)]
+
 use {
     policy::{TransferSearch, TransferSlots},
     rand::{Rng, SeedableRng, rngs::SmallRng},
--- a/crates/ports/src/directory.rs
+++ b/crates/ports/src/directory.rs
@@ -1,17 +1,27 @@
 use super::*;
 
+/// What a directory is told, and where it tells what it read.
+pub struct DirectoryChannels {
+    /// Crashes to be kept for hosts that start later, where there is a place for them.
+    pub crashes: flume::Receiver<Vec<Crash>>,
+    /// Set once the host is to stop: it gives up what it does for all hosts.
+    pub draining: Arc<AtomicBool>,
+    /// Configurations of other hosts, to be taken if they are newer than the one known.
+    pub offers: flume::Receiver<Offer>,
+    /// Where updates go.
+    pub updates: flume::Sender<DirectoryUpdate>,
+    /// What hosts counted for the usage reports, this one among them.
+    pub usage: flume::Receiver<UsageNote>,
+}
+
 /// Reads the configuration and the upstreams of an installation, and goes on
 /// reading what changes.
 pub trait Directory: Send {
     /// Follows the installation until the future is dropped. Times in the
-    /// updates are moments on `clock`. A configuration offered by another host is
-    /// taken if it is newer than the one known. Crashes are kept for hosts that start
-    /// later, where there is a place for them.
+    /// updates are moments on `clock`.
     fn follow(
         self: Box<Self>,
         clock: Clock,
-        updates: flume::Sender<DirectoryUpdate>,
-        offers: flume::Receiver<Offer>,
-        crashes: flume::Receiver<Vec<Crash>>,
+        channels: DirectoryChannels,
     ) -> Pin<Box<dyn Future<Output = ()> + Send>>;
 }
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -36,6 +36,10 @@
     },
     /// Crashes that hosts keep in the store; those that were told before among them.
     Crashes(Vec<Crash>),
+    /// This host holds the duties that one host does for all.
+    DutyHeld(DutyNote),
+    /// Something that was done under the lease of the duties, or could not be.
+    DutyReported(DutyReport),
     /// The installation's store gives no answer.
     Lost {
         /// What went wrong.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -9,14 +9,14 @@
     flate2::{Compression, read::GzDecoder, write::GzEncoder},
     hyper::{HeaderMap, StatusCode, http::request::Parts},
     nix::time::{ClockId, clock_gettime},
-    peer::{Crash, PeerHost, TableNews},
+    peer::{Crash, DutyNote, PeerHost, TableNews, UsageNote},
     std::{
         collections::{BTreeMap, BTreeSet},
         fmt::{self, Display, Formatter},
         io::{Read, Write},
         net::SocketAddr,
         pin::Pin,
-        sync::Arc,
+        sync::{Arc, atomic::AtomicBool},
         time::Duration,
     },
     types::prelude::*,
@@ -25,6 +25,7 @@
 mod clock;
 mod directory;
 mod directory_update;
+mod duty_report;
 mod head_error;
 mod header_number;
 mod judgement;
@@ -39,8 +40,9 @@
 
 pub use {
     clock::Clock,
-    directory::Directory,
+    directory::{Directory, DirectoryChannels},
     directory_update::DirectoryUpdate,
+    duty_report::DutyReport,
     head_error::HeadError,
     header_number::header_number,
     judgement::Judgement,
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -12,6 +12,9 @@
 /// Time between two looks at what the host shows of itself.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between two readings of the time of day.
+const TIME_OF_DAY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// What the controller's thread is given.
 pub(crate) struct ControllerThread {
     pub(crate) clock: Clock,
@@ -33,6 +36,8 @@
     pub(crate) status: Arc<ArcSwap<HostStatus>>,
     /// Longest time from the order to stop to the end.
     pub(crate) stop_limit: Option<Duration>,
+    /// Where counts of this host go, if it gathers those of all.
+    pub(crate) usage: flume::Sender<UsageNote>,
 }
 
 /// A request that has not ended.
@@ -87,6 +92,7 @@
     fn run(mut self) {
         let mut next_tick = Instant::now();
         let mut next_publish = Instant::now();
+        let mut next_time_of_day = Instant::now();
         loop {
             let wait = next_tick.saturating_duration_since(Instant::now());
             match self.thread.events.recv_timeout(wait) {
@@ -100,6 +106,10 @@
                 let idle = self.thread.controller.is_idle();
                 next_tick = Instant::now() + if idle { IDLE_TICK } else { TICK };
             }
+            if Instant::now() >= next_time_of_day {
+                self.handle(Event::TimeOfDay { unix_ms: unix_ms() });
+                next_time_of_day = Instant::now() + TIME_OF_DAY_INTERVAL;
+            }
             if Instant::now() >= next_publish {
                 self.publish();
                 next_publish = Instant::now() + PUBLISH_INTERVAL;
@@ -241,6 +251,12 @@
                     sender.tell_crashes(&note, &to);
                 }
             }
+            Action::TellDuty { note, to } => {
+                if let Some(sender) = &self.thread.notes {
+                    sender.tell_duty(&note, &to);
+                }
+            }
+            Action::TellUsage { note, to } => self.tell_usage(note, to),
             Action::TellVersion { note, to } => {
                 if let Some(sender) = &self.thread.notes {
                     sender.tell_version(&note, &to);
@@ -249,6 +265,19 @@
         }
     }
 
+    fn tell_usage(&self, note: UsageNote, to: Option<SocketAddr>) {
+        let unix_ms = unix_ms();
+        let note = UsageNote { unix_ms, ..note };
+        match (to, &self.thread.notes) {
+            (Some(to), Some(sender)) => sender.tell_usage(&note, to),
+            (Some(_), None) => {}
+            // A full ring drops it: the next one says all again.
+            (None, _) => {
+                let _ = self.thread.usage.try_send(note);
+            }
+        }
+    }
+
     fn instruct_last(&mut self, request: RequestId, instruction: Instruction) {
         if let Some(waiting) = self.callers.get(&request) {
             let _ = waiting.caller.try_send(instruction);
@@ -380,3 +409,9 @@
         }
     }
 }
+
+/// Unix time in milliseconds, by this host's time of day.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -10,6 +10,7 @@
     pub(crate) clock: Clock,
     pub(crate) crashes: flume::Receiver<Vec<Crash>>,
     pub(crate) directory: Box<dyn Directory>,
+    pub(crate) draining: Arc<AtomicBool>,
     pub(crate) events: flume::Sender<RingEvent>,
     pub(crate) fetcher: ConfigurationFetcher,
     pub(crate) handout: Arc<ArcSwapOption<Handout>>,
@@ -18,6 +19,7 @@
     pub(crate) metrics: HostMetrics,
     pub(crate) offers: flume::Receiver<Offer>,
     pub(crate) shutdown: Shutdown,
+    pub(crate) usage: flume::Receiver<UsageNote>,
 }
 
 impl DirectoryThread {
@@ -39,6 +41,7 @@
             clock,
             crashes,
             directory,
+            draining,
             events,
             fetcher,
             handout,
@@ -47,7 +50,15 @@
             metrics: _,
             offers,
             shutdown,
+            usage,
         } = self;
+        let channels = DirectoryChannels {
+            crashes,
+            draining,
+            offers,
+            updates: sender,
+            usage,
+        };
         let passing = PassingOn {
             clock,
             events,
@@ -56,7 +67,7 @@
             logger,
         };
         tokio::select! {
-            () = directory.follow(clock, sender, offers, crashes) => {}
+            () = directory.follow(clock, channels) => {}
             () = passing.run(&updates) => {}
             () = fetcher.run() => {}
             () = shutdown.started() => {}
@@ -121,6 +132,11 @@
                 Event::ConfigurationConfirmed { as_of }
             }
             DirectoryUpdate::Crashes(crashes) => Event::CrashesListed(crashes),
+            DirectoryUpdate::DutyHeld(note) => Event::DutyHeld(note),
+            DirectoryUpdate::DutyReported(report) => {
+                duty_log::log(logger, &report);
+                return None;
+            }
             DirectoryUpdate::Lost { error } => {
                 warn!(logger, "directory: lost"; "error" => error);
                 self.heard().note_lost();
--- /dev/null
+++ b/crates/router/src/duty_log.rs
@@ -0,0 +1,42 @@
+//! Lines and counters on the duties that one host does for all.
+
+use super::*;
+
+/// Logs and counts what was done under the lease.
+pub(crate) fn log(logger: &Logger, report: &DutyReport) {
+    match report {
+        DutyReport::LeaseEnded { token } => {
+            info!(logger, "duties: lease ended"; "token" => token);
+            gauge!("rhubarbcove_duty_lease_held").set(0.0);
+        }
+        DutyReport::LeaseTaken { token } => {
+            info!(logger, "duties: lease taken"; "token" => token);
+            gauge!("rhubarbcove_duty_lease_held").set(1.0);
+        }
+        DutyReport::Ordered {
+            count,
+            domain,
+            is_reclaimable,
+            outcome,
+            ready,
+            service,
+        } => {
+            info!(logger, "duties: upstreams ordered";
+                "count" => count, "domain" => %domain, "outcome" => outcome,
+                "ready" => ready, "reclaimable" => is_reclaimable, "service" => %service);
+            counter!("rhubarbcove_upstream_orders_total", "outcome" => outcome.clone())
+                .increment(1);
+        }
+        DutyReport::Usage {
+            missing_hosts,
+            outcome,
+            requests,
+            window,
+        } => {
+            info!(logger, "duties: usage reported";
+                "missing_hosts" => missing_hosts, "outcome" => outcome,
+                "requests" => requests, "window" => window);
+            counter!("rhubarbcove_usage_reports_total", "outcome" => outcome.clone()).increment(1);
+        }
+    }
+}
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -124,6 +124,8 @@
     /// requests are still answered.
     pub fn drain(self) -> Host<Draining> {
         info!(self.parts.wiring.logger, "host: draining");
+        let draining = &self.parts.wiring.shared.draining;
+        draining.store(true, Ordering::Relaxed);
         self.parts.tell(RingEvent::Happened(Event::DrainStarted));
         Host {
             parts: self.parts,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,8 +26,8 @@
         Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
     },
     peer::{
-        Crash, CrashNote, Heartbeat, HeartbeatAnswer, LoadNote, MessageError, PeerClient,
-        PeerHandler, PeerHost, PeerServer, TableNews, TableRow, TablesNews, VersionNote,
+        Crash, CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LoadNote, MessageError, PeerClient,
+        PeerHandler, PeerHost, PeerServer, TableNews, TableRow, TablesNews, UsageNote, VersionNote,
     },
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
@@ -36,8 +36,9 @@
         Settlement, StoredAnswer, Target, TransferSlots, WasteCause,
     },
     ports::{
-        Clock, Directory, DirectoryUpdate, HeadError, Judgement, Offer, Passing, Protocol, Reading,
-        RequestHead, SharedTable, SourceDocument, TableReading, TableSource, header_number,
+        Clock, Directory, DirectoryChannels, DirectoryUpdate, DutyReport, HeadError, Judgement,
+        Offer, Passing, Protocol, Reading, RequestHead, SharedTable, SourceDocument, TableReading,
+        TableSource, header_number,
     },
     rand::Rng,
     serde::{Deserialize, Serialize},
@@ -51,11 +52,11 @@
         pin::pin,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         task::Poll,
         thread::JoinHandle,
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     store::{
         ClaimRow, ClaimState, ConfigStore, ConfigStoreError, HostList, HttpCalls, ListedHost,
@@ -92,6 +93,7 @@
 mod controller_thread;
 mod decision_log;
 mod directory_thread;
+mod duty_log;
 mod event_splitter;
 mod fetch_job;
 mod handout;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -95,6 +95,7 @@
     let installation = settings.relay.as_ref().map(|relay| Installation {
         directory: Box::new(StoreDirectory {
             address: settings.platform_address,
+            duties: relay.duties.clone(),
             first_start: relay.first_start,
             own: peer(&settings),
             token: settings.peer_token.clone(),
--- a/crates/router/src/note_sender.rs
+++ b/crates/router/src/note_sender.rs
@@ -26,6 +26,16 @@
         self.send_to_all(&note.to_datagram(&self.token), to);
     }
 
+    /// Tells hosts that this one holds the duties; lost ones hear it with the next one.
+    pub(crate) fn tell_duty(&self, note: &DutyNote, to: &[SocketAddr]) {
+        self.send_to_all(&note.to_datagram(&self.token), to);
+    }
+
+    /// Tells the holder of the duties what began here.
+    pub(crate) fn tell_usage(&self, note: &UsageNote, to: SocketAddr) {
+        self.send_to_all(&note.to_datagram(&self.token), &[to]);
+    }
+
     fn send_to_all(&self, datagram: &[u8], to: &[SocketAddr]) {
         for address in to {
             let _ = self.socket.send_to(datagram, address);
--- a/crates/router/src/note_thread.rs
+++ b/crates/router/src/note_thread.rs
@@ -15,6 +15,8 @@
     pub(crate) shutdown: Shutdown,
     pub(crate) socket: std::net::UdpSocket,
     pub(crate) token: String,
+    /// Where counts for the usage reports go.
+    pub(crate) usage: flume::Sender<UsageNote>,
 }
 
 impl NoteThread {
@@ -38,8 +40,11 @@
                 continue;
             };
             match read(from, &buffer[..len], &self.token) {
-                Ok(event) => {
-                    // A full ring drops the note: the next one says all again.
+                // A full ring drops either: the next one says all again.
+                Ok(Told::Usage(note)) => {
+                    let _ = self.usage.try_send(note);
+                }
+                Ok(Told::Event(event)) => {
                     let _ = self.events.try_send(RingEvent::Happened(event));
                 }
                 Err(error) => {
@@ -50,13 +55,25 @@
     }
 }
 
-fn read(from: SocketAddr, datagram: &[u8], token: &str) -> Result<Event, MessageError> {
+/// What a datagram holds.
+enum Told {
+    Event(Event),
+    Usage(UsageNote),
+}
+
+fn read(from: SocketAddr, datagram: &[u8], token: &str) -> Result<Told, MessageError> {
     if let Ok(note) = LoadNote::from_datagram(datagram, token) {
-        return Ok(Event::NoteHeard { from, note });
+        return Ok(Told::Event(Event::NoteHeard { from, note }));
+    }
+    if let Ok(note) = UsageNote::from_datagram(datagram, token) {
+        return Ok(Told::Usage(note));
+    }
+    if let Ok(note) = DutyNote::from_datagram(datagram, token) {
+        return Ok(Told::Event(Event::DutyTold { from, note }));
     }
     if let Ok(note) = CrashNote::from_datagram(datagram, token) {
-        return Ok(Event::CrashesTold(note));
+        return Ok(Told::Event(Event::CrashesTold(note)));
     }
     let note = VersionNote::from_datagram(datagram, token)?;
-    Ok(Event::VersionTold { from, note })
+    Ok(Told::Event(Event::VersionTold { from, note }))
 }
--- a/crates/router/src/relay_rules.rs
+++ b/crates/router/src/relay_rules.rs
@@ -25,6 +25,10 @@
         retry_extra: relay.retry_extra,
         retry_ratio: relay.retry_ratio,
         retry_window: Duration::from_millis(relay.retry_window_ms),
+        usage_window: relay
+            .duties
+            .as_ref()
+            .map(|duties| Duration::from_millis(duties.usage_window_ms)),
     }
 }
 
--- a/crates/router/src/rings.rs
+++ b/crates/router/src/rings.rs
@@ -21,6 +21,9 @@
 /// Probes that may wait for the upstreams' thread.
 const PROBE_RING: usize = 256;
 
+/// Counts of hosts that may wait: those of all hosts at one time.
+const USAGE_RING: usize = 1_024;
+
 /// The bounded rings that join the threads of a host.
 pub(crate) struct Rings {
     pub(crate) crashes: (flume::Sender<Vec<Crash>>, flume::Receiver<Vec<Crash>>),
@@ -29,6 +32,7 @@
     pub(crate) peers: (flume::Sender<PeerJob>, flume::Receiver<PeerJob>),
     pub(crate) platform: (flume::Sender<PlatformJob>, flume::Receiver<PlatformJob>),
     pub(crate) probes: (flume::Sender<ProbeJob>, flume::Receiver<ProbeJob>),
+    pub(crate) usage: (flume::Sender<UsageNote>, flume::Receiver<UsageNote>),
 }
 
 impl Rings {
@@ -40,6 +44,7 @@
             peers: flume::bounded(PEER_RING),
             platform: flume::bounded(PLATFORM_RING),
             probes: flume::bounded(PROBE_RING),
+            usage: flume::bounded(USAGE_RING),
         }
     }
 }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -5,6 +5,8 @@
     pub(crate) bodies: BodyBudget,
     pub(crate) clock: Clock,
     pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
+    /// Whether the host is to stop.
+    pub(crate) draining: Arc<AtomicBool>,
     /// What other hosts are handed.
     pub(crate) handout: Arc<ArcSwapOption<Handout>>,
     /// What other hosts are told of the store's tables.
@@ -36,6 +38,7 @@
             bodies: BodyBudget::default(),
             clock: Clock::start(),
             configuration: Arc::default(),
+            draining: Arc::default(),
             handout: Arc::default(),
             heard: Arc::default(),
             ledger: Arc::default(),
--- a/crates/router/src/wiring.rs
+++ b/crates/router/src/wiring.rs
@@ -61,6 +61,7 @@
             probes: self.rings.probes.0.clone(),
             read_configuration: Arc::clone(&self.shared.read_configuration),
             status: Arc::clone(&self.shared.status),
+            usage: self.rings.usage.0.clone(),
             stop_limit: relays.then_some(relay_rules::STOP_RESERVE / CONTROLLER_PART),
         };
         thread.spawn()
@@ -74,6 +75,7 @@
             clock: self.shared.clock,
             crashes: self.rings.crashes.1.clone(),
             directory,
+            draining: Arc::clone(&self.shared.draining),
             events: self.events(),
             fetcher: ConfigurationFetcher {
                 clock: self.shared.clock,
@@ -88,6 +90,7 @@
             metrics: self.metrics.clone(),
             offers,
             shutdown: self.others_stop.clone(),
+            usage: self.rings.usage.1.clone(),
         };
         self.threads.push(thread.spawn()?);
         Ok(())
@@ -161,6 +164,7 @@
             shutdown: self.others_stop.clone(),
             socket,
             token: token.clone(),
+            usage: self.rings.usage.0.clone(),
         };
         self.threads.push(thread.spawn()?);
         let service = PeerService {
--- a/crates/store/src/http_calls.rs
+++ b/crates/store/src/http_calls.rs
@@ -14,6 +14,7 @@
     connections: Mutex<JoinSet<()>>,
     idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
     max_idle: usize,
+    resets: bool,
 }
 
 impl HttpCalls {
@@ -24,6 +25,17 @@
             connections: Mutex::default(),
             idle: Mutex::default(),
             max_idle,
+            resets: false,
+        }
+    }
+
+    /// The same calls, on connections that are reset when they are closed: bytes of a call
+    /// that was given up do not arrive later.
+    #[must_use]
+    pub fn resetting(self) -> Self {
+        Self {
+            resets: true,
+            ..self
         }
     }
 
@@ -65,6 +77,10 @@
             .map_err(not_done)?
             .map_err(not_done)?;
         stream.set_nodelay(true).map_err(not_done)?;
+        if self.resets {
+            let socket = SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).map_err(not_done)?;
+        }
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(not_done)?;
         let mut connections = lock(&self.connections);
         while connections.try_join_next().is_some() {}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,6 +17,7 @@
     rand::Rng,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     serde_json::Value,
+    socket2::SockRef,
     std::{
         fmt::{self, Display, Formatter},
         net::SocketAddr,
