Buy more upstreams of the cheaper kind, and fill gaps over all domains

Change: a tenth stays regular (a quarter before); with six tenths of the price of regular servers alone as many cheaper ones are ordered as that buys, and at least so many that all domains but one come to the wanted number. Regular ones are ordered where all domains together have too few, not where one has.

--- a/crates/policy/src/duties/capacity_plan.rs
+++ b/crates/policy/src/duties/capacity_plan.rs
@@ -13,7 +13,11 @@
 
 /// Part of the wanted upstreams of a domain that stays regular, so that a domain keeps some
 /// whatever is taken away.
-const REGULAR_SHARE: f64 = 0.25;
+const REGULAR_SHARE: f64 = 0.1;
+
+/// Part of the price of the wanted upstreams, all of them regular, that is spent: what is
+/// saved on cheaper ones buys more of them, for bursts.
+const SPENT_SHARE: f64 = 0.6;
 
 /// Time for which enough reclaimable upstreams must be ready before regular ones are given
 /// up: those are lost with what they keep.
@@ -57,10 +61,10 @@
 
 /// Decides how many upstreams of each kind there should be.
 ///
-/// The number that was there at the start is kept, also after all reclaimable upstreams of
-/// one failure domain are taken away. Where reclaimable ones are cheaper they take the place
-/// of most regular ones, once they are ready; regular ones are ordered at once where
-/// reclaimable ones are taken away or cannot be had.
+/// The number that was there at the start is kept over all failure domains, also after all
+/// reclaimable upstreams of one of them are taken away. Where reclaimable ones are cheaper
+/// they take the place of most regular ones, once they are ready. Regular ones are ordered at
+/// once where too few reclaimable ones are left.
 #[derive(Debug, Default)]
 pub struct CapacityPlan {
     pools: BTreeMap<(ServiceId, FailureDomainId), PoolPlan>,
@@ -106,10 +110,11 @@
         let mut orders = Vec::new();
         for capacity in pools {
             let of_service = |pool: &&PoolCapacity| pool.service == capacity.service;
-            let domains = pools.iter().filter(of_service).count() as u32;
-            let key = (capacity.service.clone(), capacity.domain.clone());
-            let plan = self.pools.entry(key).or_default();
-            for (is_reclaimable, count) in plan.next(now, capacity, domains) {
+            let of_service: Vec<&PoolCapacity> = pools.iter().filter(of_service).collect();
+            let domains = of_service.len() as u32;
+            let filled = self.filled_gap(&of_service, capacity);
+            let plan = self.pools.entry(key(capacity)).or_default();
+            for (is_reclaimable, count) in plan.next(now, capacity, domains, filled) {
                 orders.push(CapacityOrder {
                     count,
                     domain: capacity.domain.clone(),
@@ -121,6 +126,23 @@
         orders
     }
 
+    /// Regular upstreams that a domain needs beyond those kept in any case, so that all domains
+    /// of a service come to what is wanted of them together.
+    fn filled_gap(&self, of_service: &[&PoolCapacity], capacity: &PoolCapacity) -> u32 {
+        let gap = |pool: &PoolCapacity| {
+            let wanted = self.pools.get(&key(pool)).map_or(0, |plan| plan.wanted);
+            let base = regular_base(wanted);
+            i64::from(wanted) - i64::from(base + pool.reclaimable_ready)
+        };
+        let missing: i64 = of_service.iter().map(|pool| gap(pool)).sum();
+        let gaps: i64 = of_service.iter().map(|pool| gap(pool).max(0)).sum();
+        if missing <= 0 || gaps == 0 {
+            return 0;
+        }
+        let part = (missing * gap(capacity).max(0)) as f64 / gaps as f64;
+        part.ceil() as u32
+    }
+
     /// An order was taken.
     pub fn note_accepted(&mut self, now: Time, order: &CapacityOrder) {
         if let Some(plan) = self.plan_of(order) {
@@ -150,57 +172,72 @@
     }
 }
 
+fn key(pool: &PoolCapacity) -> (ServiceId, FailureDomainId) {
+    (pool.service.clone(), pool.domain.clone())
+}
+
+/// Regular upstreams that are kept in any case.
+fn regular_base(wanted: u32) -> u32 {
+    (f64::from(wanted) * REGULAR_SHARE).ceil() as u32
+}
+
 impl PoolPlan {
     /// Orders for a pool: whether the kind is reclaimable, and how many.
-    fn next(&mut self, now: Time, capacity: &PoolCapacity, domains: u32) -> Vec<(bool, u32)> {
+    ///
+    /// `filled` regular ones are wanted beyond those kept in any case.
+    fn next(
+        &mut self,
+        now: Time,
+        capacity: &PoolCapacity,
+        domains: u32,
+        filled: u32,
+    ) -> Vec<(bool, u32)> {
         let seen = capacity.regular_ready.min(capacity.max);
         if self.ordered.is_empty() && seen > self.wanted {
             self.wanted = seen;
             self.grown = now;
         }
         let is_settled = self.wanted > 0 && now.since(self.grown) >= SETTLED_AFTER;
-        let is_cheaper = capacity.reclaimable_price.is_some_and(|price| price < 1.0);
-        if !is_settled || !is_cheaper || domains < 2 {
+        let price = capacity.reclaimable_price.filter(|price| *price < 1.0);
+        let Some(price) = price.filter(|_| is_settled && domains > 1) else {
             return Vec::new();
-        }
+        };
         let mut orders = Vec::new();
         if now >= self.refused_until {
             let regular = self.ordered.get(&false).map(|ordered| ordered.count);
             let regular = regular.unwrap_or(capacity.regular_ready);
             let most = capacity.max.saturating_sub(regular);
-            let count = self.reclaimable(domains).min(most);
+            let count = self.reclaimable(domains, price).min(most);
             orders.extend(self.order(now, true, count, capacity.reclaimable_ready));
         }
-        orders.extend(self.regular(now, capacity));
+        let count = regular_base(self.wanted) + filled;
+        orders.extend(self.regular(now, capacity, count));
         orders
     }
 
-    /// Regular upstreams that are kept in any case.
-    fn regular_base(&self) -> u32 {
-        (f64::from(self.wanted) * REGULAR_SHARE).ceil() as u32
-    }
-
-    /// Reclaimable upstreams with which all domains but one, and the regular ones, come to
-    /// what is wanted of all.
-    fn reclaimable(&self, domains: u32) -> u32 {
-        let missing = (self.wanted - self.regular_base()) * domains;
-        missing.div_ceil(domains - 1)
+    /// Reclaimable upstreams: those with which all domains but one, and the regular ones, come
+    /// to what is wanted of all, and more as far as the price allows.
+    fn reclaimable(&self, domains: u32, price: f64) -> u32 {
+        let base = regular_base(self.wanted);
+        let missing = (self.wanted - base) * domains;
+        let least = missing.div_ceil(domains - 1);
+        let budget = f64::from(self.wanted) * SPENT_SHARE - f64::from(base);
+        let affordable = (budget / price).max(0.0) as u32;
+        least.max(affordable)
     }
 
-    fn regular(&mut self, now: Time, capacity: &PoolCapacity) -> Option<(bool, u32)> {
-        let missing = self.wanted.saturating_sub(capacity.reclaimable_ready);
-        let missing = missing.max(self.regular_base());
+    fn regular(&mut self, now: Time, capacity: &PoolCapacity, count: u32) -> Option<(bool, u32)> {
         let ordered = self.ordered.get(&false).map(|ordered| ordered.count);
         let present = ordered.unwrap_or(capacity.regular_ready);
-        if missing >= present {
+        if count >= present {
             self.surplus_since = None;
-            return self.order(now, false, missing, capacity.regular_ready);
+            return self.order(now, false, count, capacity.regular_ready);
         }
         let since = *self.surplus_since.get_or_insert(now);
         if now.since(since) < SURPLUS_FOR {
             return None;
         }
-        self.order(now, false, missing, capacity.regular_ready)
+        self.order(now, false, count, capacity.regular_ready)
     }
 
     /// An order for a kind, unless it was made already and filled, or may still be.
