Count requests that upstreams answered with an error of their own

Cause: an engine's request was counted with its first token only; one that the engine began and answered with an error has none. Ruled out: hosts that were not heard (none was missing), jumped clocks.

Test: what a host counts of streams, calls, errors and refusals.

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -135,9 +135,7 @@
     ) {
         request.verdict = request.verdict.join(failure.verdict);
         request.runs += u32::from(failure.verdict != Verdict::NotRun);
-        if failure.verdict != Verdict::NotRun {
-            self.note_call_begun(now, &mut request);
-        }
+        self.note_failed_begun(now, &mut request, failure);
         self.note_failure(now, &request, failure.cause);
         if failure.cause == FailureCause::Busy {
             self.note_congestion(&request.facts.target, true);
--- a/crates/policy/src/duties/reporting.rs
+++ b/crates/policy/src/duties/reporting.rs
@@ -114,6 +114,24 @@
         self.note_begun(now, now, team);
     }
 
+    /// Counts a request that failed, if it most likely began: an upstream that answers with
+    /// an error of its own has begun it.
+    pub(crate) fn note_failed_begun(
+        &mut self,
+        now: Time,
+        request: &mut Request<Running>,
+        failure: &Failure,
+    ) {
+        if failure.verdict == Verdict::NotRun {
+            return;
+        }
+        self.note_call_begun(now, request);
+        if failure.cause == FailureCause::ErrorStatus {
+            let team = request.take_uncounted();
+            self.note_begun(now, now, team);
+        }
+    }
+
     /// Counts a call that a plain service began when it got it, as far as can be told. An
     /// engine begins with the first token.
     pub(crate) fn note_call_begun(&mut self, now: Time, request: &mut Request<Running>) {
--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -16,3 +16,4 @@
 mod unreachable;
 mod upstreams;
 mod urgency;
+mod usage;
--- /dev/null
+++ b/crates/policy/tests/installation/usage.rs
@@ -0,0 +1,104 @@
+//! Which requests a host counts for the usage reports.
+
+use {
+    crate::support::{Ask, Host, address, lookup, sent},
+    peer::DutyNote,
+    policy::{Action, Event, SendOrder},
+    std::time::Duration,
+    types::prelude::*,
+};
+
+/// Unix time in the tests, in milliseconds.
+const UNIX_MS: u64 = 1_800_000_000_000;
+
+/// A host that knows who holds the duties.
+fn counting_host() -> Host {
+    let mut host = Host::new(0);
+    host.handle(Event::TimeOfDay { unix_ms: UNIX_MS });
+    let note = DutyNote {
+        host: "host-1".parse().unwrap(),
+        protocol: peer::PROTOCOL,
+        reported_through: 0,
+        token: 1,
+        unix_ms: UNIX_MS,
+    };
+    let from = address(1);
+    host.handle(Event::DutyTold { from, note });
+    host
+}
+
+/// Requests that the host tells the holder of.
+fn told(host: &mut Host) -> u32 {
+    host.actions.clear();
+    host.pass(1_000);
+    let notes = host.actions.iter().filter_map(|action| match action {
+        Action::TellUsage { note, to } => {
+            assert_eq!(*to, Some(address(1)));
+            Some(note.clone())
+        }
+        _ => None,
+    });
+    let counts = notes.last().unwrap().windows.into_iter();
+    let counts = counts.flat_map(|window| window.counts);
+    counts.map(|(_, count)| count).sum()
+}
+
+fn send(host: &mut Host, ask: Ask) -> (RequestId, SendOrder) {
+    let (request, actions) = host.ask(ask);
+    (request, sent(&actions).unwrap())
+}
+
+fn stream() -> Ask {
+    Ask::prompt("question", "first-key", &[(7, 100)])
+}
+
+fn progress(host: &mut Host, request: RequestId, order: &SendOrder) {
+    host.handle(Event::Progressed {
+        attempt: order.attempt,
+        longest_pause: Duration::ZERO,
+        request,
+        tokens: Tokens::new(1),
+    });
+}
+
+#[test]
+fn a_stream_counts_with_its_first_token_and_once() {
+    let mut host = counting_host();
+    let (request, order) = send(&mut host, stream());
+    assert_eq!(told(&mut host), 0);
+    progress(&mut host, request, &order);
+    progress(&mut host, request, &order);
+    host.finish(&order, request);
+    assert_eq!(told(&mut host), 1);
+}
+
+#[test]
+fn a_call_of_a_service_counts_once_it_was_answered() {
+    let mut host = counting_host();
+    let (request, order) = send(&mut host, lookup());
+    host.finish(&order, request);
+    assert_eq!(told(&mut host), 1);
+}
+
+/// Guards against reports that lack what an upstream began and answered with an error.
+#[test]
+fn an_error_of_the_upstream_counts_and_a_refusal_does_not() {
+    let mut host = counting_host();
+    let (request, order) = send(&mut host, stream());
+    let (cause, verdict) = (FailureCause::ErrorStatus, Verdict::Ran);
+    host.fail(&order, request, cause, verdict, false);
+    assert_eq!(told(&mut host), 1);
+    let (request, order) = send(&mut host, stream());
+    let (cause, verdict) = (FailureCause::Connect, Verdict::NotRun);
+    host.fail(&order, request, cause, verdict, false);
+    host.handle(Event::CallerGone { request });
+    assert_eq!(told(&mut host), 1);
+}
+
+#[test]
+fn requests_without_a_team_are_not_counted() {
+    let mut host = counting_host();
+    let (request, order) = send(&mut host, Ask::open("lookup"));
+    host.finish(&order, request);
+    assert_eq!(told(&mut host), 0);
+}
