--- a/crates/policy/src/neighbors.rs
+++ b/crates/policy/src/neighbors.rs
@@ -18,8 +18,7 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Bytes a second that all hosts together spend on notes at the most: 24 kB a
-/// host with seven hosts. With 3 kB a host, placement by older notes had more documents
-/// read again on fleets of seven and nine hosts (figures in docs/design/placement.md).
+/// host with seven hosts, whose notes are then recent enough to place prompts by.
 const BYTES_PER_S_OF_ALL: f64 = 170_000.0;
 
 /// Bytes a second that a host may spend in any case: the budget of control at the
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -9,9 +9,7 @@
 const RUNNING_COST: f64 = 280.0;
 
 /// Weight of tokens that must be read again against tokens that wait already: what
-/// is read again costs all requests, what waits only delays this one. In virtual time,
-/// where four in ten requests ask for one document, it is read again once with weights of
-/// 20 and 10, and seven times with 5, hosts telling each other what engines read.
+/// is read again costs all requests, what waits only delays this one.
 const REREAD_WEIGHT: f64 = 20.0;
 
 /// Prompt tokens that an engine reads in a millisecond: 112 on the engines of today's
@@ -21,9 +19,7 @@
 /// Cost, in prompt tokens, of an engine at which the first token is expected too
 /// late: as much as reading 7,500 tokens again. So a document that many ask for is
 /// read by a second engine once the first one is late with it, and not while all
-/// are late. In virtual time, with four in ten requests for one document, 95 in 100
-/// wait up to 0.7 s with it and 1.5 s without; twice as much has too much read
-/// again in an overload.
+/// are late.
 const LATE_COST: f64 = 150_000.0;
 
 /// Cost of an engine in another failure domain, in prompt tokens: the bytes
@@ -45,8 +41,7 @@
 const QUIET_COST: f64 = 3.5;
 
 /// Cost of a long prompt for each request there that it can make late, in prompt
-/// tokens: five such requests weigh as much as reading 5,000 tokens again. With half
-/// and a quarter of it 0.056 and 0.067 of them were late (mean of 18 days of six hosts).
+/// tokens: five such requests weigh as much as reading 5,000 tokens again.
 const PAUSE_BOUND_COST: f64 = 20_000.0;
 
 /// Cost, for a stream that long prompts can make late, of an engine that is not kept clear
@@ -193,10 +188,7 @@
     /// its streams, and the later part of a long prompt takes longest. All streams
     /// beside it stand still for too long, however soon their first token came. One
     /// would notice that the most urgent class misses its target by a few
-    /// milliseconds of its longest pause. On the heaviest days of 195 hosts 0.56 and 0.67
-    /// of what it asked for was served in time without it, and 0.93 and 0.96 with a third
-    /// of the engines kept clear for it; the least urgent class gave 0.14 of its own for
-    /// that (one day each).
+    /// milliseconds of its longest pause.
     fn pause_cost(&self, state: &UpstreamState) -> f64 {
         let disturbed = f64::from(state.pause_bound + state.others_pause_bound);
         let long = if self.is_long {
--- a/crates/policy/src/retry_budgets.rs
+++ b/crates/policy/src/retry_budgets.rs
@@ -19,8 +19,7 @@
 /// What goes wrong with the whole window alone: a burst ends while upstreams refuse much.
 /// Each host's window ends with its last retry and still holds the burst; a later one no
 /// longer does, and holds all the retries. One would notice more retries in 10 s than the
-/// installation allows, 2,321 of 2,303 on 71 hosts. In half of it the ratio follows the
-/// load.
+/// installation allows. In half of it the ratio follows the load.
 const SPANS: [f64; 2] = [1.0, 0.5];
 
 /// Part of a budget that the least urgent of a target's requests leave to the others; those
@@ -28,8 +27,7 @@
 ///
 /// What goes wrong without it: full engines refuse, long prompts of the least urgent class
 /// spend all retries, and a more urgent request is refused with the first engine that it
-/// meets. One would notice one in eleven of these without an answer on 195 hosts, each of
-/// which has three or four retries in five seconds.
+/// meets: where hosts are many, each has a few retries only.
 const LEFT_TO_URGENT: f64 = 0.5;
 
 /// The retry budget of one target on this host: a part of its requests in a
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -14,9 +14,7 @@
 /// At an engine the class goes first. What goes wrong otherwise: an engine whose memory
 /// or slots run out puts back the least urgent request that it runs, and with the
 /// team's tier first that is a short urgent one of a lesser team while long summaries
-/// run on. One would notice more than ten short requests preempted at one engine beside
-/// long ones, as on a heavy day of 71 hosts; with the
-/// class first there were none.
+/// run on. One would notice short requests preempted at one engine beside long ones.
 #[derive(Debug, Default)]
 pub(crate) struct Urgency {
     /// Every pair of a class's tier and a team's tier, most urgent first.
@@ -26,9 +24,8 @@
 }
 
 impl Urgency {
-    /// Only the tiers that occur are paired. Pairing 7,000 classes with 870 teams takes
-    /// 0.11 s of the thread that decides, in which no request is sent; this way the whole
-    /// configuration is in force after 0.7 ms (`benches/decision`).
+    /// Only the tiers that occur are paired: with each class and team apart, a large
+    /// configuration would hold up the thread that decides.
     pub(crate) fn of(document: &Document) -> Self {
         let classes: BTreeSet<Tier> = document.classes.values().map(|class| class.tier).collect();
         let teams = document.teams.values().filter_map(|team| team.tier);
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -7,8 +7,7 @@
 const DROPPED_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time between two lines on which other hosts are heard. Where hosts are many each is
-/// heard seldom, and a line for each change would be most of the log: 35,600 of 39,700
-/// lines of 195 hosts in the 15 s after their start.
+/// heard seldom, and a line for each change would be most of the log.
 const HEARD_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Most hosts that such a line names.
