--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -296,7 +296,7 @@
         if let Some(own) = parts.last() {
             let read = u64::from(own.tokens.get()) / PROMPT_TOKENS_PER_OUTPUT_TOKEN;
             let work = (u64::from(output.get()) + read) as f64;
-            lane.sides.note(now, pause_bound, work);
+            lane.partition.note(now, pause_bound, work);
         }
         let facts = RequestFacts {
             arrived: now,
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -121,7 +121,7 @@
     /// Part of a target's engines that is for streams that long prompts can make late.
     pub(crate) fn stream_share(&self, target: &Target) -> f64 {
         let lane = self.lanes.get(target);
-        lane.map_or(0.0, |lane| lane.sides.stream_share())
+        lane.map_or(0.0, |lane| lane.partition.stream_share())
     }
 
     /// Takes a request from its queue and gives it a slot: sends it, or first
--- a/crates/policy/src/sides.rs
+++ b/crates/policy/src/engine_partition.rs
@@ -38,7 +38,7 @@
 /// they keep the same order of the engines, those that come to different parts differ on a
 /// few engines only.
 #[derive(Debug)]
-pub(crate) struct Sides {
+pub(crate) struct EnginePartition {
     other_work: f64,
     /// Requests seen, as far as it matters.
     seen: u32,
@@ -47,7 +47,7 @@
     told: f64,
 }
 
-impl Default for Sides {
+impl Default for EnginePartition {
     fn default() -> Self {
         Self {
             other_work: 0.0,
@@ -59,7 +59,7 @@
     }
 }
 
-impl Sides {
+impl EnginePartition {
     /// Notes a request and the tokens that it asks an engine to make, with those that it
     /// has to read counted in them.
     pub(crate) fn note(&mut self, now: Time, is_stream: bool, work: f64) {
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -17,7 +17,7 @@
     pub(crate) floor: Floor,
     pub(crate) long_prompts: LongPrompts,
     pub(crate) rate: ServiceRate,
-    pub(crate) sides: Sides,
+    pub(crate) partition: EnginePartition,
     lead: Duration,
     queues: [RankQueue; Rank::COUNT],
 }
@@ -29,7 +29,7 @@
             floor: Floor::default(),
             long_prompts: LongPrompts::default(),
             rate: ServiceRate::default(),
-            sides: Sides::default(),
+            partition: EnginePartition::default(),
             lead: FIRST_LEAD,
             queues: Default::default(),
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 mod dispatch;
 mod duties;
 mod ejection;
+mod engine_partition;
 mod event;
 mod failure;
 mod fair_queue;
@@ -79,7 +80,6 @@
 mod settlement;
 mod share;
 mod shares;
-mod sides;
 mod silent_domains;
 mod steward;
 mod stored_answer;
@@ -127,6 +127,7 @@
     crashes::Crashes,
     directory_view::DirectoryView,
     duties::Reporting,
+    engine_partition::EnginePartition,
     failure::Failure,
     fair_queue::FairQueue,
     floor::Floor,
@@ -152,7 +153,6 @@
     service_rate::ServiceRate,
     share::Share,
     shares::Shares,
-    sides::Sides,
     silent_domains::SilentDomains,
     steward::{Divided, Steward},
     team_limits::TeamLimits,
