--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -15,31 +15,32 @@
     /// full, unless one that has served the same prefix is about as free.
     pub(crate) fn choose(
         &self,
-        wish: &Wish<'_>,
+        wanted: &PlacementRequest<'_>,
         now: Time,
         rng: &mut SmallRng,
     ) -> Option<UpstreamId> {
-        if self.is_surely_full(wish) {
+        if self.is_surely_full(wanted) {
             return None;
         }
-        let places = self.usable(wish.target, now)?;
-        let pace_ms = wish
+        let places = self.usable(wanted.target, now)?;
+        let pace_ms = wanted
             .pace_ms
             .filter(|pace_ms| self.any_keeps_pace(places, *pace_ms, now));
         let in_pace = || {
             let states = places.iter().map(|place| &self.states[*place]);
             states.filter(|state| pace_ms.is_none_or(|pace_ms| state.keeps_pace(pace_ms)))
         };
-        let home =
-            |state: &&UpstreamState| state.is_home_free(now) && self.may_use_home(state, wish.rank);
+        let home = |state: &&UpstreamState| {
+            state.is_home_free(now) && self.may_use_home(state, wanted.rank)
+        };
         let free =
-            |state: &&UpstreamState| state.is_free(now) && self.may_use_free(state, wish.rank);
+            |state: &&UpstreamState| state.is_free(now) && self.may_use_free(state, wanted.rank);
         let queue =
-            |state: &&UpstreamState| state.is_queueable(now) && self.may_queue(state, wish.rank);
+            |state: &&UpstreamState| state.is_queueable(now) && self.may_queue(state, wanted.rank);
         let best = self
-            .best(in_pace().filter(home), wish, now, rng)
-            .or_else(|| self.best(in_pace().filter(free), wish, now, rng))
-            .or_else(|| pick(in_pace().filter(queue), wish, now, rng))?;
+            .best(in_pace().filter(home), wanted, now, rng)
+            .or_else(|| self.best(in_pace().filter(free), wanted, now, rng))
+            .or_else(|| pick(in_pace().filter(queue), wanted, now, rng))?;
         Some(best.id.clone())
     }
 
@@ -48,16 +49,16 @@
     fn best<'a>(
         &'a self,
         states: impl Iterator<Item = &'a UpstreamState> + Clone,
-        wish: &Wish<'_>,
+        wanted: &PlacementRequest<'_>,
         now: Time,
         rng: &mut SmallRng,
     ) -> Option<&'a UpstreamState> {
-        if !wish.parts.is_empty() {
-            return self.place(states, wish, now);
+        if !wanted.parts.is_empty() {
+            return self.place(states, wanted, now);
         }
-        let best = pick(states.clone(), wish, now, rng)?;
+        let best = pick(states.clone(), wanted, now, rng)?;
         let cached = self
-            .cached(wish)
+            .cached(wanted)
             .filter(|cached| states.clone().any(|state| state.id == cached.id))
             .filter(|cached| cached.fullness() <= best.fullness() + AFFINITY_SLACK);
         Some(cached.unwrap_or(best))
@@ -95,15 +96,15 @@
     }
 
     /// Whether no share is left for a request, without a look at each upstream.
-    fn is_surely_full(&self, wish: &Wish<'_>) -> bool {
-        let Some(places) = self.targets.get(wish.target) else {
+    fn is_surely_full(&self, wanted: &PlacementRequest<'_>) -> bool {
+        let Some(places) = self.targets.get(wanted.target) else {
             return true;
         };
         let full = |group: &usize| {
             let group = &self.groups[*group];
             let alone = group.share.slots >= group.slots;
-            let overdraft = wish.rank.is_pressing() && !alone;
-            !overdraft && !group.has_room(wish.rank, &self.room)
+            let overdraft = wanted.rank.is_pressing() && !alone;
+            !overdraft && !group.has_room(wanted.rank, &self.room)
         };
         places.foreign.is_empty() && places.groups.iter().all(full)
     }
@@ -119,9 +120,9 @@
         Some(&places.own)
     }
 
-    fn cached(&self, wish: &Wish<'_>) -> Option<&UpstreamState> {
-        let id = self.affinity.lookup(wish.prefix?)?;
-        self.get(id).filter(|state| wish.is_fresh(state))
+    fn cached(&self, wanted: &PlacementRequest<'_>) -> Option<&UpstreamState> {
+        let id = self.affinity.lookup(wanted.prefix?)?;
+        self.get(id).filter(|state| wanted.is_fresh(state))
     }
 
     fn any_keeps_pace(&self, places: &[usize], pace_ms: u64, now: Time) -> bool {
@@ -136,11 +137,11 @@
 /// one.
 fn pick<'a>(
     states: impl Iterator<Item = &'a UpstreamState> + Clone,
-    wish: &Wish<'_>,
+    wanted: &PlacementRequest<'_>,
     now: Time,
     rng: &mut SmallRng,
 ) -> Option<&'a UpstreamState> {
-    let fresh = states.clone().filter(|state| wish.is_fresh(state));
+    let fresh = states.clone().filter(|state| wanted.is_fresh(state));
     least_full(fresh, now, rng).or_else(|| least_full(states, now, rng))
 }
 
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -50,7 +50,7 @@
                 return true;
             };
             let priority = request.facts.engine_priority;
-            let pace_ms = self.pace_wish(now, request);
+            let pace_ms = self.pace_wanted(now, request);
             match self.choose(now, item.request, pace_ms, rank) {
                 Some(upstream) => {
                     self.start(now, &item, upstream, priority, actions);
@@ -88,7 +88,7 @@
 
     /// Token time that a request needs. One that will miss its first token
     /// anyway takes any upstream, and so leaves the fast ones to others.
-    fn pace_wish(&self, now: Time, request: &Request<Queued>) -> Option<u64> {
+    fn pace_wanted(&self, now: Time, request: &Request<Queued>) -> Option<u64> {
         let facts = &request.facts;
         let lane = self.lanes.get(&facts.target)?;
         let pause_ms = facts.pause_target.map(|pause| pause.as_millis() as u64);
@@ -108,14 +108,14 @@
             return None;
         };
         let facts = &request.facts;
-        let wish = facts.wish(
+        let wanted = facts.placement(
             &request.tried,
             pace_ms,
             rank,
             self.stream_share(&facts.target),
             self.neighbors.candidates(),
         );
-        self.pool.choose(&wish, now, &mut self.rng)
+        self.pool.choose(&wanted, now, &mut self.rng)
     }
 
     /// Part of a target's engines that is for streams that long prompts can make late.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -62,6 +62,7 @@
 mod overload;
 mod peering;
 mod placement;
+mod placement_request;
 mod pool;
 mod prompt_cache;
 mod queued_item;
@@ -90,7 +91,6 @@
 mod upstream_state;
 mod urgency;
 mod waste;
-mod wish;
 
 pub use {
     action::{Action, SendOrder},
@@ -143,6 +143,7 @@
     newer_configuration::NewerConfiguration,
     overload::Congestion,
     peering::Peering,
+    placement_request::PlacementRequest,
     pool::Pool,
     prompt_cache::PromptCache,
     queued_item::QueuedItem,
@@ -159,5 +160,4 @@
     track_record::{TrackRecord, Usual},
     upstream_state::UpstreamState,
     urgency::Urgency,
-    wish::Wish,
 };
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -58,21 +58,21 @@
     pub(crate) fn place<'a>(
         &'a self,
         states: impl Iterator<Item = &'a UpstreamState> + Clone,
-        wish: &Wish<'_>,
+        wanted: &PlacementRequest<'_>,
         now: Time,
     ) -> Option<&'a UpstreamState> {
-        let fresh = states.clone().filter(|state| wish.is_fresh(state));
-        least_work(fresh, wish, now).or_else(|| least_work(states, wish, now))
+        let fresh = states.clone().filter(|state| wanted.is_fresh(state));
+        least_work(fresh, wanted, now).or_else(|| least_work(states, wanted, now))
     }
 }
 
 fn least_work<'a>(
     states: impl Iterator<Item = &'a UpstreamState> + Clone,
-    wish: &Wish<'_>,
+    wanted: &PlacementRequest<'_>,
     now: Time,
 ) -> Option<&'a UpstreamState> {
-    let prompt = Prompt::new(states.clone(), wish, now);
-    let chains = prompt_cache::chains(wish.parts);
+    let prompt = Prompt::new(states.clone(), wanted, now);
+    let chains = prompt_cache::chains(wanted.parts);
     let own = chains.last().map_or(0, |(chain, _)| chain);
     // Of equal ones each prompt takes another: the first one would get those of all hosts.
     let order = |state: &UpstreamState| weight_of(&state.id, own);
@@ -84,7 +84,7 @@
         });
         least.map(|(_, state)| state)
     };
-    let Some(count) = wish.candidates else {
+    let Some(count) = wanted.candidates else {
         return cheapest(states.collect());
     };
     let side = |state: &&UpstreamState| prompt.is_own_side(state);
@@ -135,25 +135,25 @@
 impl<'a, 'w> Prompt<'a, 'w> {
     fn new(
         states: impl Iterator<Item = &'a UpstreamState> + Clone,
-        wish: &Wish<'w>,
+        wanted: &PlacementRequest<'w>,
         now: Time,
     ) -> Self {
-        let chain = shared_chain(wish.parts);
-        let quiet_up_to = quiet_up_to(states.clone(), wish.stream_share);
-        let own_side = |state: &&UpstreamState| is_quiet(state, quiet_up_to) == wish.pause_bound;
+        let chain = shared_chain(wanted.parts);
+        let quiet_up_to = quiet_up_to(states.clone(), wanted.stream_share);
+        let own_side = |state: &&UpstreamState| is_quiet(state, quiet_up_to) == wanted.pause_bound;
         let own_side = states.clone().filter(own_side);
         let home = home(own_side, chain).or_else(|| home(states.clone(), chain));
         let sample = states.clone().take(USUAL_SAMPLE);
         Self {
             chain,
-            due_in_ms: wish.due.since(now).as_secs_f64() * 1_000.0,
+            due_in_ms: wanted.due.since(now).as_secs_f64() * 1_000.0,
             home: home.map(|home| &home.id),
-            is_long: wish.is_long,
+            is_long: wanted.is_long,
             now,
-            parts: wish.parts,
-            pause_bound: wish.pause_bound,
+            parts: wanted.parts,
+            pause_bound: wanted.pause_bound,
             quiet_up_to,
-            tokens: prompt_cache::tokens(wish.parts),
+            tokens: prompt_cache::tokens(wanted.parts),
             usual_record: Usual::of(sample.clone().map(|state| &state.record)),
             usual_token_time_ms: usual_token_time_ms(sample),
         }
--- a/crates/policy/src/wish.rs
+++ b/crates/policy/src/placement_request.rs
@@ -2,7 +2,7 @@
 
 /// What a request asks of its upstream.
 #[derive(Debug)]
-pub(crate) struct Wish<'a> {
+pub(crate) struct PlacementRequest<'a> {
     /// Upstreams that it has failed on.
     pub(crate) avoid: &'a [UpstreamId],
     /// Engines to which the choice of each kind is narrowed; `None` for all.
@@ -24,7 +24,7 @@
     pub(crate) target: &'a Target,
 }
 
-impl Wish<'_> {
+impl PlacementRequest<'_> {
     /// Whether the request has not failed on an upstream.
     pub(crate) fn is_fresh(&self, state: &UpstreamState) -> bool {
         !self.avoid.contains(&state.id)
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -42,15 +42,15 @@
 
 impl RequestFacts {
     /// What the request asks of an upstream, sent with the room of `rank`.
-    pub(crate) fn wish<'a>(
+    pub(crate) fn placement<'a>(
         &'a self,
         avoid: &'a [UpstreamId],
         pace_ms: Option<u64>,
         rank: Rank,
         stream_share: f64,
         candidates: Option<usize>,
-    ) -> Wish<'a> {
-        Wish {
+    ) -> PlacementRequest<'a> {
+        PlacementRequest {
             avoid,
             candidates,
             due: self.due,
--- a/crates/policy/src/resuming.rs
+++ b/crates/policy/src/resuming.rs
@@ -74,14 +74,14 @@
         }
         let mut avoid = request.tried.clone();
         avoid.push(request.stage.upstream.clone());
-        let wish = facts.wish(
+        let wanted = facts.placement(
             &avoid,
             None,
             facts.rank,
             self.stream_share(&facts.target),
             self.neighbors.candidates(),
         );
-        let Some(upstream) = self.pool.choose(&wish, now, &mut self.rng) else {
+        let Some(upstream) = self.pool.choose(&wanted, now, &mut self.rng) else {
             return Some(request);
         };
         if !self.retries.take(&facts.target, facts.engine_priority, now) {
