--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -2,9 +2,9 @@
 
 use super::*;
 
-/// Engine priority of a request that the floor serves: an engine serves its
+/// Engine priority of a request that is served for its minimum share: an engine serves its
 /// own queue by priority, and would starve it otherwise.
-const FLOOR_PRIORITY: u8 = 0;
+const MINIMUM_SHARE_PRIORITY: u8 = 0;
 
 impl Controller {
     /// Sends queued requests while there is room for them; `only` names the
@@ -18,7 +18,7 @@
         if self.queued == 0 {
             return;
         }
-        self.dispatch_floors(now, only, actions);
+        self.dispatch_minimum_shares(now, only, actions);
         let mut full: BTreeSet<Target> = BTreeSet::new();
         for rank in Rank::all() {
             let targets: Vec<Target> = self
@@ -62,22 +62,29 @@
         true
     }
 
-    fn dispatch_floors(&mut self, now: Time, only: Option<&[Target]>, actions: &mut Vec<Action>) {
+    fn dispatch_minimum_shares(
+        &mut self,
+        now: Time,
+        only: Option<&[Target]>,
+        actions: &mut Vec<Action>,
+    ) {
         let hosts = self.peering.members.domain_size();
         let targets: Vec<(Target, Rank)> = self
             .lanes
             .iter()
             .filter(|(target, _)| only.is_none_or(|only| only.contains(target)))
-            .filter_map(|(target, lane)| Some((target.clone(), lane.floor.due(now, hosts)?)))
+            .filter_map(|(target, lane)| {
+                Some((target.clone(), lane.minimum_share.due(now, hosts)?))
+            })
             .collect();
         for (target, rank) in targets {
             let Some(item) = self.peek(now, &target, rank) else {
                 continue;
             };
-            // The room of the most urgent rank: headroom is open to the floor.
+            // The room of the most urgent rank: headroom is open to minimum shares.
             let room = Rank::new(Tier::MOST_URGENT, Plan::Paid);
             if let Some(upstream) = self.choose(now, item.request, None, room) {
-                self.start(now, &item, upstream, FLOOR_PRIORITY, actions);
+                self.start(now, &item, upstream, MINIMUM_SHARE_PRIORITY, actions);
             }
         }
     }
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -14,7 +14,7 @@
 #[derive(Debug)]
 pub(crate) struct Lane {
     pub(crate) congestion: Congestion,
-    pub(crate) floor: Floor,
+    pub(crate) minimum_share: MinimumShare,
     pub(crate) long_prompts: LongPrompts,
     pub(crate) rate: ServiceRate,
     pub(crate) partition: EnginePartition,
@@ -26,7 +26,7 @@
     fn default() -> Self {
         Self {
             congestion: Congestion::default(),
-            floor: Floor::default(),
+            minimum_share: MinimumShare::default(),
             long_prompts: LongPrompts::default(),
             rate: ServiceRate::default(),
             partition: EnginePartition::default(),
@@ -43,7 +43,7 @@
 
     pub(crate) fn push(&mut self, rank: Rank, item: QueuedItem, now: Time) {
         self.queues[rank.index()].push(item);
-        self.floor.note_waiting(rank, now);
+        self.minimum_share.note_waiting(rank, now);
     }
 
     /// The request of a rank to serve next.
@@ -60,13 +60,13 @@
     pub(crate) fn serve(&mut self, rank: Rank, item: &QueuedItem, now: Time) {
         let queue = &mut self.queues[rank.index()];
         queue.serve(item);
-        self.floor.note_served(rank, !queue.is_empty(), now);
+        self.minimum_share.note_served(rank, !queue.is_empty(), now);
     }
 
     pub(crate) fn remove(&mut self, rank: Rank, item: &QueuedItem, now: Time) {
         let queue = &mut self.queues[rank.index()];
         if queue.remove(item) && queue.is_empty() {
-            self.floor.note_served(rank, false, now);
+            self.minimum_share.note_served(rank, false, now);
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -44,7 +44,6 @@
 mod failure;
 mod fair_queue;
 mod fetch_end;
-mod floor;
 mod group;
 mod health;
 mod hearing;
@@ -55,6 +54,7 @@
 mod long_prompts;
 mod member;
 mod membership;
+mod minimum_share;
 mod neighbors;
 mod newer_configuration;
 mod outcome;
@@ -130,7 +130,6 @@
     engine_partition::EnginePartition,
     failure::Failure,
     fair_queue::FairQueue,
-    floor::Floor,
     group::Group,
     health::Health,
     in_flight_history::InFlightHistory,
@@ -139,6 +138,7 @@
     long_prompts::LongPrompts,
     member::Member,
     membership::Membership,
+    minimum_share::MinimumShare,
     neighbors::Neighbors,
     newer_configuration::NewerConfiguration,
     overload::Congestion,
