--- a/crates/policy/tests/installation/usage.rs
+++ b/crates/policy/tests/installation/usage.rs
@@ -31,14 +31,14 @@
 fn told(host: &mut Host) -> u32 {
     host.actions.clear();
     host.pass(1_000);
-    let notes = host.actions.iter().filter_map(|action| match action {
+    let mut notes = host.actions.iter().filter_map(|action| match action {
         Action::TellUsage { note, to } => {
             assert_eq!(*to, Some(address(1)));
             Some(note.clone())
         }
         _ => None,
     });
-    let counts = notes.last().unwrap().windows.into_iter();
+    let counts = notes.next_back().unwrap().windows.into_iter();
     let counts = counts.flat_map(|window| window.counts);
     counts.map(|(_, count)| count).sum()
 }
