Keep all late holders of a released lease from taking it back within a term

Cause: the lease named one holder before; of three hosts that give it up one after the other the first could take it back at once, so holders could act in the order A, B, C, A within a term. Found by reading. Change: it names the last eight. Test: fails with one name.

--- a/crates/policy/src/duties/lease.rs
+++ b/crates/policy/src/duties/lease.rs
@@ -9,6 +9,9 @@
 /// Time between two renewals, as a part of a term: two may fail.
 const RENEWALS_PER_TERM: u32 = 4;
 
+/// Holders that the lease remembers: more than can give it up within a term.
+const MAX_PREVIOUS: usize = 8;
+
 /// Time between two looks of a host that waits for the lease.
 const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -241,12 +244,12 @@
 
     /// Time until the lease may be taken; `None` if it may be now.
     ///
-    /// One that was released is free at once, except for the host that held it before: two
+    /// One that was released is free at once, except for hosts that held it before: two
     /// holders must not act in turns within a term.
     fn wait(&self, now: Time, own: &HostId, term: Duration) -> Option<Duration> {
         let (stored, first) = self.seen.as_ref()?;
         let record = &stored.record;
-        if record.released && record.previous.as_ref() != Some(own) {
+        if record.released && !record.previous.contains(own) {
             return None;
         }
         let free = *first + term + TAKER_MARGIN;
@@ -255,14 +258,11 @@
 
     fn taken(&self, host: HostId, incarnation: Incarnation, era: u32) -> LeaseRecord {
         let before = self.seen.as_ref().map(|(stored, _)| &stored.record);
-        let previous = before.and_then(|before| {
-            if before.host == host {
-                // It held it itself: the one before stays the last other holder.
-                before.previous.clone()
-            } else {
-                Some(before.host.clone())
-            }
+        let holders = before.into_iter().flat_map(|before| {
+            let holders = std::iter::once(&before.host).chain(&before.previous);
+            holders.filter(|holder| **holder != host)
         });
+        let previous: Vec<HostId> = holders.take(MAX_PREVIOUS).cloned().collect();
         LeaseRecord {
             host,
             incarnation,
--- a/crates/policy/src/duties/lease_record.rs
+++ b/crates/policy/src/duties/lease_record.rs
@@ -36,8 +36,8 @@
     pub host: HostId,
     /// The holder's incarnation.
     pub incarnation: Incarnation,
-    /// The holder before this one.
-    pub previous: Option<HostId>,
+    /// The last other holders before this one, the latest first.
+    pub previous: Vec<HostId>,
     /// Whether the holder gave it up, and does nothing under it any more.
     pub released: bool,
     /// The holder's token.
--- a/crates/policy/tests/duties/lease.rs
+++ b/crates/policy/tests/duties/lease.rs
@@ -221,7 +221,7 @@
         if self.planted == Planted::TakesBack
             && let Some(row) = &mut row
         {
-            row.record.previous = None;
+            row.record.previous.clear();
         }
         row
     }
@@ -326,3 +326,25 @@
         assert!(acted, "seed {seed}, from {start_ms}");
     }
 }
+
+/// Guards against a host that gets the lease back at once after two others gave it up.
+#[test]
+fn a_lease_that_went_round_is_not_taken_back_within_a_term() {
+    let now = Time::from_ms(10_000);
+    let mut hosts: Vec<Lease> = (0..HOSTS).map(|host| node(host, 0).lease).collect();
+    let mut row: Option<StoredLease> = None;
+    for (version, lease) in (1..).zip(&mut hosts) {
+        assert_eq!(lease.next(now, 0), LeaseStep::Read);
+        lease.note_read(now, row.clone());
+        let LeaseStep::Write { record, .. } = lease.next(now, 0) else {
+            panic!("it is free");
+        };
+        lease.note_written(now, record, version);
+        let (record, version) = lease.release(now).unwrap();
+        row = Some(StoredLease { record, version });
+    }
+    let first = &mut hosts[0];
+    assert_eq!(first.next(now, 0), LeaseStep::Read);
+    first.note_read(now, row);
+    assert!(matches!(first.next(now, 0), LeaseStep::Wait(_)));
+}
