Let a new holder hear all hosts before it reports a window

Cause, by reading: a host that has just taken the lease looked for hosts that are missing among those it had heard, and reported a window that was over with the counts of the first few. Change: it reports nothing for 2 s, in which all hosts learn of it and tell their totals. Test: two hosts, of which one is heard at once (fails without the wait).

--- a/crates/policy/src/duties/usage_ledger.rs
+++ b/crates/policy/src/duties/usage_ledger.rs
@@ -3,6 +3,10 @@
 /// Time after the end of a window in which the last counts of it arrive.
 const SETTLE: Duration = Duration::from_millis(1_500);
 
+/// Time in which a new holder hears all hosts: they tell it their totals once it has told them
+/// that it holds the duties.
+const GATHERED_AFTER: Duration = Duration::from_millis(2_000);
+
 /// Time before a report is due at which it is made without hosts that are not heard.
 const PATIENCE_BEFORE_DUE: Duration = Duration::from_millis(4_000);
 
@@ -48,6 +52,8 @@
 /// Counts of all hosts, as the holder gathers them.
 #[derive(Debug)]
 pub struct UsageLedger {
+    /// When this host began to gather.
+    began: Option<Time>,
     hosts: BTreeMap<HostId, HostUsage>,
     /// The last window that was frozen for a report.
     reported_through: Option<u64>,
@@ -66,6 +72,7 @@
     /// An empty ledger.
     pub fn new(rules: WindowRules) -> Self {
         Self {
+            began: None,
             hosts: BTreeMap::new(),
             reported_through: None,
             rules,
@@ -73,6 +80,14 @@
         }
     }
 
+    /// Begins a term: reports wait until all hosts had time to tell their totals.
+    ///
+    /// Guards against a new holder that reports a window from the few hosts that it heard
+    /// first.
+    pub fn begin(&mut self, now: Time) {
+        self.began = Some(now);
+    }
+
     /// Takes a host's totals. They only grow, so one that was overtaken changes nothing.
     pub fn take(&mut self, now: Time, note: UsageNote) {
         self.time.note(now, note.host.clone(), note.unix_ms);
@@ -109,6 +124,12 @@
     /// The next report, once all hosts that were heard lately have told their counts of its
     /// window, or it cannot wait for them any longer.
     pub fn due(&mut self, now: Time) -> Option<UsageReport> {
+        if self
+            .began
+            .is_some_and(|began| now.since(began) < GATHERED_AFTER)
+        {
+            return None;
+        }
         let unix_ms = self.unix_ms(now)?;
         let current = self.rules.window_at(unix_ms);
         let window = match self.reported_through {
--- a/crates/policy/tests/duties/usage.rs
+++ b/crates/policy/tests/duties/usage.rs
@@ -99,3 +99,17 @@
     ledger.take(later, note(1, 1, later, &[(WINDOW + 1, 9)]));
     assert_eq!(ledger.due(later), report(WINDOW + 1, 9));
 }
+
+/// Guards against a new holder that reports a window from the first hosts that it hears.
+#[test]
+fn a_new_holder_waits_until_all_hosts_had_time_to_tell() {
+    let mut ledger = UsageLedger::new(RULES);
+    ledger.note_reported(WINDOW - 1);
+    let taken = Time::from_ms(8_000);
+    ledger.begin(taken);
+    ledger.take(taken, note(1, 1, taken, &[(WINDOW, 12)]));
+    let soon = Time::from_ms(8_500);
+    assert_eq!(ledger.due(soon), None);
+    ledger.take(soon, note(2, 1, soon, &[(WINDOW, 30)]));
+    assert_eq!(ledger.due(Time::from_ms(10_100)), report(WINDOW, 42));
+}
