Take missing upstreams for gone at once where the store never was away

Played again with logs of a domain: an entry is removed at 24.0 s, the store turns the host away that asks it for the others at 24.5 s, another one takes over; hosts that heard nothing for 1.6 s meanwhile note the store as lost, and as back at 25.5 s, and keep the missing upstream until 27.5 s as one that may only have lapsed.

Cause: a change of the host that is asked counts as an outage of the store. Change: a host that hears another one which did not lose the store takes what is missing for gone. Ruled out: tables in parts (138 rows, none was large). Test: fails without the new event, which it names.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -165,6 +165,9 @@
             }
             Event::ConfigurationPacked(version) => self.tell_version(version, actions),
             Event::ConfigurationRead(numbered) => self.on_configuration(now, numbered),
+            Event::DirectoryHeardAgain => {
+                self.directory.get_or_insert_default().note_heard_again();
+            }
             Event::DirectoryReached(reached) => {
                 self.directory
                     .get_or_insert_default()
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -64,6 +64,8 @@
         /// All upstreams that it lists.
         upstreams: BTreeMap<UpstreamId, Upstream>,
     },
+    /// Another host hears the directory, and never lost it.
+    DirectoryHeardAgain,
     /// The directory answers again, or does no more.
     DirectoryReached(bool),
     /// This host holds the duties that one host does for all.
--- a/crates/policy/tests/installation/upstreams.rs
+++ b/crates/policy/tests/installation/upstreams.rs
@@ -38,6 +38,18 @@
     assert!(sent(&host.ask(lookup()).1).is_none());
 }
 
+/// Guards against requests to an upstream whose entry was removed, where only the host was
+/// turned away that told this one what the store says.
+#[test]
+fn drops_a_missing_upstream_at_once_where_the_store_never_was_away() {
+    let mut host = Host::new(0);
+    host.handle(Event::DirectoryReached(false));
+    host.pass(2_000);
+    host.handle(Event::DirectoryHeardAgain);
+    host.read_directory(engines(0), &[]);
+    assert!(sent(&host.ask(lookup()).1).is_none());
+}
+
 /// Symptom: as above, after an outage. Events: an upstream says that it is
 /// leaving, the store goes away, and its entry is gone at the return. Cause: one
 /// that was leaving is taken for one that lapsed.
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -47,6 +47,9 @@
     },
     /// The hosts of the installation.
     Peers(Vec<PeerHost>),
+    /// Another host hears the store, and never lost it: what this host heard last was only
+    /// long ago, and no entry lapsed meanwhile.
+    HeardAgain,
     /// The store answers again.
     Regained,
     /// The store answered with something that cannot be used; it is passed over.
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -137,6 +137,11 @@
                 duty_log::log(logger, &report);
                 return None;
             }
+            DirectoryUpdate::HeardAgain => {
+                info!(logger, "directory: heard again");
+                self.heard().note_heard_again();
+                Event::DirectoryHeardAgain
+            }
             DirectoryUpdate::Lost { error } => {
                 warn!(logger, "directory: lost"; "error" => error);
                 self.heard().note_lost();
--- a/crates/router/src/heard_tables.rs
+++ b/crates/router/src/heard_tables.rs
@@ -69,6 +69,11 @@
         self.heard = None;
     }
 
+    /// Another host hears the store, and never lost it.
+    pub(crate) fn note_heard_again(&mut self) {
+        self.is_lost = false;
+    }
+
     pub(crate) fn note_regained(&mut self, now: Time) {
         self.is_lost = false;
         self.regained = Some(now);
