--- a/crates/policy/src/duties/usage_ledger.rs
+++ b/crates/policy/src/duties/usage_ledger.rs
@@ -5,7 +5,7 @@
 
 /// Time in which a new holder hears all hosts: they tell it their totals once it has told them
 /// that it holds the duties.
-const GATHERED_AFTER: Duration = Duration::from_millis(2_000);
+const GATHERED_AFTER: Duration = Duration::from_millis(1_000);
 
 /// Time before a report is due at which it is made without hosts that are not heard.
 const PATIENCE_BEFORE_DUE: Duration = Duration::from_millis(4_000);
