Exchange kinds of upstreams only where they are not very many

Cause: nearly 6,000 servers come and go at once, and each is told to all hosts over thin links. Change: above 200 upstreams of a service nothing is exchanged. Weighed: steps of some tens a domain; each still makes every host work out its table anew.

--- a/crates/policy/src/duties/capacity_plan.rs
+++ b/crates/policy/src/duties/capacity_plan.rs
@@ -19,6 +19,11 @@
 /// saved on cheaper ones buys more of them, for bursts.
 const SPENT_SHARE: f64 = 0.6;
 
+/// Upstreams of a service up to which one kind takes the place of the other: each that comes
+/// or goes is told to all hosts, and thousands at once would hold up what they must hear in
+/// time.
+const MAX_EXCHANGED: u32 = 200;
+
 /// Time for which enough reclaimable upstreams must be ready before regular ones are given
 /// up: those are lost with what they keep.
 const SURPLUS_FOR: Duration = Duration::from_millis(1_500);
@@ -112,9 +117,11 @@
             let of_service = |pool: &&PoolCapacity| pool.service == capacity.service;
             let of_service: Vec<&PoolCapacity> = pools.iter().filter(of_service).collect();
             let domains = of_service.len() as u32;
+            let is_exchanged = self.wanted_of(&capacity.service) <= MAX_EXCHANGED;
             let filled = self.filled_gap(&of_service, capacity);
             let plan = self.pools.entry(key(capacity)).or_default();
-            for (is_reclaimable, count) in plan.next(now, capacity, domains, filled) {
+            let next = plan.next(now, capacity, domains, filled);
+            for (is_reclaimable, count) in next.into_iter().filter(|_| is_exchanged) {
                 orders.push(CapacityOrder {
                     count,
                     domain: capacity.domain.clone(),
@@ -126,6 +133,12 @@
         orders
     }
 
+    /// Upstreams that are wanted of a service in all domains.
+    fn wanted_of(&self, service: &ServiceId) -> u32 {
+        let of_service = self.pools.iter().filter(|((of, _), _)| of == service);
+        of_service.map(|(_, plan)| plan.wanted).sum()
+    }
+
     /// Regular upstreams that a domain needs beyond those kept in any case, so that all domains
     /// of a service come to what is wanted of them together.
     fn filled_gap(&self, of_service: &[&PoolCapacity], capacity: &PoolCapacity) -> u32 {
--- a/crates/policy/tests/duties/capacity.rs
+++ b/crates/policy/tests/duties/capacity.rs
@@ -35,7 +35,7 @@
     fn capacity(&self) -> PoolCapacity {
         PoolCapacity {
             domain: "a".parse().unwrap(),
-            max: 40,
+            max: self.regular.max(20) * 2,
             min: 1,
             reclaimable_price: Some(0.22),
             reclaimable_ready: self.reclaimable,
@@ -196,6 +196,15 @@
     assert_eq!((platform.reclaimable, platform.regular), (38, 2));
 }
 
+/// Guards against thousands of upstreams that come and go at once, and hold up what hosts
+/// must hear in time.
+#[test]
+fn nothing_is_exchanged_where_upstreams_are_very_many() {
+    let mut platform = Platform::with_regular(100);
+    platform.pass(Duration::from_secs(30));
+    assert_eq!(platform.orders(), "");
+}
+
 #[test]
 fn nothing_is_ordered_where_there_is_one_kind_only() {
     let mut plan = CapacityPlan::default();
