Log what upstreams name as their limit, and at each send what is known of it

Cause: of the three hypotheses of the incident (no host reads the limit; each keeps it by itself; repeated attempts go beyond it) the log could tell none apart: it didn't say which answers named one. Ruled out: taking it from the upstreams' figures, which only show that the rate stays.

Change: the header is decoded once, in platform/ (lowest of several; what is no rate is logged and changes nothing), told to the controller and kept with its upstream, ordered by the sending time of the request, as answers overtake each other. Log lines for a change and for an unreadable value, the known limit in 'request: sent', counters, a gauge. No decision uses it yet.

--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -65,6 +65,8 @@
     KeepCrashes(Vec<Crash>),
     /// Log and count an upstream that ended under a request.
     NoteCrash(CrashNoted),
+    /// Log and count a change of the limit that an upstream names.
+    NoteLimit(LimitNoted),
     /// Ask an ejected upstream whether it is well.
     Probe {
         /// Where it listens.
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -194,6 +194,11 @@
                 self.on_heartbeat(now, call, &heartbeat, actions);
             }
             Event::HostsListed { hosts } => self.on_hosts_listed(now, hosts),
+            Event::LimitAnswered {
+                limit,
+                sent,
+                upstream,
+            } => self.on_limit_answered(&upstream, &limit, sent, actions),
             Event::ListeningChecked {
                 listening,
                 upstream,
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -216,6 +216,7 @@
                     class: request.facts.class.clone(),
                     fingerprint: request.facts.fingerprint,
                     in_flight: state.in_flight,
+                    limit: state.limit.rate(),
                     others_age: self.neighbors.oldest_age(now),
                     others_backlog: state.others_backlog,
                     others_in_flight: state.others,
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -98,6 +98,15 @@
         /// All hosts of the list.
         hosts: Vec<PeerHost>,
     },
+    /// An upstream's answer named its limit, or none although one was known.
+    LimitAnswered {
+        /// What it said.
+        limit: AnsweredLimit,
+        /// When the request was sent.
+        sent: Time,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// It was looked whether anybody listens where an upstream does.
     ListeningChecked {
         /// What was seen.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -88,6 +88,7 @@
 mod team_limits;
 mod track_record;
 mod transfers;
+mod upstream_limits;
 mod upstream_state;
 mod urgency;
 mod waste;
@@ -118,6 +119,7 @@
     stored_answer::StoredAnswer,
     target::Target,
     transfers::{TransferSearch, TransferSlots},
+    upstream_limits::{LimitNoted, LimitSource},
     waste::WasteCause,
 };
 
@@ -158,6 +160,7 @@
     steward::{Divided, Steward},
     team_limits::TeamLimits,
     track_record::{TrackRecord, Usual},
+    upstream_limits::UpstreamLimit,
     upstream_state::UpstreamState,
     urgency::Urgency,
 };
--- a/crates/policy/src/send_inputs.rs
+++ b/crates/policy/src/send_inputs.rs
@@ -13,6 +13,8 @@
     pub fingerprint: Fingerprint,
     /// Requests of this host there, this one included.
     pub in_flight: u32,
+    /// Limit that the upstream named for all hosts together.
+    pub limit: Option<Rate>,
     /// Age of the oldest note that the figures of other hosts rest on.
     pub others_age: Option<Duration>,
     /// Prompt tokens of other hosts that wait there.
--- a/crates/policy/src/upstream_state.rs
+++ b/crates/policy/src/upstream_state.rs
@@ -24,6 +24,8 @@
     pub(crate) in_flight: u32,
     /// Trial requests among them.
     pub(crate) in_flight_trial: u32,
+    /// What it names as its limit for all hosts together.
+    pub(crate) limit: UpstreamLimit,
     /// Leaving by the platform's list.
     pub(crate) listed_leaving: bool,
     /// Slots that this host may fill, for an upstream of another domain.
@@ -75,6 +77,7 @@
             home: 0,
             in_flight: 0,
             in_flight_trial: 0,
+            limit: UpstreamLimit::default(),
             listed_leaving: false,
             near: false,
             others: 0,
--- a/crates/policy/tests/properties/model.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -254,6 +254,7 @@
             | Action::CheckListening { .. }
             | Action::KeepCrashes(_)
             | Action::NoteCrash(_)
+            | Action::NoteLimit(_)
             | Action::TellCrashes { .. }
             | Action::FetchConfiguration { .. }
             | Action::Probe { .. }
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -13,6 +13,10 @@
         Action::FetchConfiguration { address, .. } => format!("fetch configuration of {address}"),
         Action::KeepCrashes(crashes) => format!("keep {} crashes", crashes.len()),
         Action::NoteCrash(noted) => format!("{} crashed {}", noted.crashes, noted.upstream),
+        Action::NoteLimit(noted) => match noted.limit {
+            Some(limit) => format!("{} takes {limit}", noted.upstream),
+            None => format!("{} has no limit", noted.upstream),
+        },
         Action::Probe { upstream, .. } => format!("probe {upstream}"),
         Action::ReadConfiguration => "read the configuration".to_string(),
         Action::Record(outcome) => record(outcome),
--- a/crates/ports/src/judgement.rs
+++ b/crates/ports/src/judgement.rs
@@ -14,6 +14,14 @@
 }
 
 impl Judgement {
+    /// Whether the answer is one of the upstream that was meant.
+    pub fn is_of_upstream(self) -> bool {
+        !matches!(
+            self,
+            Self::Foreign | Self::NotRun(FailureCause::WrongInstance)
+        )
+    }
+
     /// Judges an answer by its status alone; for upstreams that prove nothing.
     pub fn of_status(status: StatusCode) -> Self {
         if status.is_success() {
--- a/crates/ports/src/protocol.rs
+++ b/crates/ports/src/protocol.rs
@@ -11,6 +11,9 @@
     /// Headers of an upstream's answer as they go to the caller.
     fn answer_headers(&self, received: &HeaderMap) -> HeaderMap;
 
+    /// What an upstream's answer says of the requests that it takes.
+    fn limit(&self, headers: &HeaderMap) -> AnsweredLimit;
+
     /// Judges the head of an upstream's answer.
     fn judge(&self, head: &RequestHead, status: StatusCode, headers: &HeaderMap) -> Judgement;
 }
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -140,7 +140,7 @@
                 self.handle(Event::HeartbeatAsked { call, heartbeat });
             }
             RingEvent::Happened(event) => {
-                self.log_failure(&event);
+                self.log_answer(&event);
                 self.handle(event);
             }
             RingEvent::TurnedAway { id, reason } => {
@@ -215,6 +215,10 @@
                 let now = self.thread.clock.now();
                 self.decisions.crash_noted(now, &noted);
             }
+            Action::NoteLimit(noted) => {
+                let now = self.thread.clock.now();
+                self.decisions.limit_noted(now, &noted);
+            }
             Action::Probe {
                 address,
                 path,
@@ -284,12 +288,21 @@
         }
     }
 
-    fn log_failure(&mut self, event: &Event) {
-        if let Event::AttemptEnded { end, request, .. } = event
-            && let Some(waiting) = self.callers.get(request)
-        {
-            let now = self.thread.clock.now();
-            self.decisions.attempt_failed(now, &waiting.id, end);
+    /// Logs what an upstream's answer says that no outcome does.
+    fn log_answer(&mut self, event: &Event) {
+        let now = self.thread.clock.now();
+        match event {
+            Event::AttemptEnded { end, request, .. } => {
+                if let Some(waiting) = self.callers.get(request) {
+                    self.decisions.attempt_failed(now, &waiting.id, end);
+                }
+            }
+            Event::LimitAnswered {
+                limit: AnsweredLimit::Invalid(text),
+                upstream,
+                ..
+            } => self.decisions.limit_unreadable(now, upstream, text),
+            _ => {}
         }
     }
 
@@ -385,6 +398,7 @@
         if let Some(age) = controller.config_age(now) {
             gauge!("rhubarbcove_configuration_age_seconds").set(age.as_secs_f64());
         }
+        gauge!("rhubarbcove_limited_upstreams").set(controller.limited().len() as f64);
         for (target, left) in controller.retries_left(now) {
             gauge!("rhubarbcove_retries_left", "target" => target.to_string()).set(left);
         }
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -66,6 +66,7 @@
             "unread_tokens" => inputs.unread.get(),
             "backlog_tokens" => inputs.backlog,
             "in_flight" => inputs.in_flight,
+            "limit_per_s" => inputs.limit.map(Rate::get),
             "others_backlog_tokens" => inputs.others_backlog,
             "others_in_flight" => inputs.others_in_flight,
             "others_age_ms" => inputs.others_age.map(millis),
@@ -148,6 +149,33 @@
         );
     }
 
+    /// What an upstream names as its limit changed.
+    pub(crate) fn limit_noted(&mut self, now: Time, noted: &LimitNoted) {
+        let (source, from) = match &noted.source {
+            LimitSource::Host(host) => ("told", Some(host.to_string())),
+            LimitSource::Own => ("own", None),
+        };
+        counter!("rhubarbcove_limits_noted_total", "source" => source).increment(1);
+        if self.budget.take(LineKind::Important, now) {
+            info!(self.logger, "belief: limit of an upstream";
+                "upstream" => %noted.upstream,
+                "limit_per_s" => noted.limit.map(Rate::get),
+                "from" => from,
+            );
+        }
+    }
+
+    /// An upstream names a limit that is no rate.
+    pub(crate) fn limit_unreadable(&mut self, now: Time, upstream: &UpstreamId, text: &str) {
+        counter!("rhubarbcove_limits_unreadable_total").increment(1);
+        if self.budget.take(LineKind::Important, now) {
+            warn!(self.logger, "request: unreadable limit in an answer";
+                "upstream" => %upstream,
+                "value" => text,
+            );
+        }
+    }
+
     /// A request was refused before anything had to be decided.
     pub(crate) fn turned_away(&mut self, now: Time, id: &str, reason: &str, known: &Knowledge) {
         if !self.budget.take(LineKind::Important, now) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -31,9 +31,9 @@
     },
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
-        CrashNoted, CrashSource, Event, FetchEnd, HostPhase, Outcome, OutcomeEnd, PrefixHash,
-        Refusal, RefusalReason, RelayRules, Repeatability, RoomRules, Routed, SendOrder,
-        Settlement, StoredAnswer, Target, TransferSlots, WasteCause,
+        CrashNoted, CrashSource, Event, FetchEnd, HostPhase, LimitNoted, LimitSource, Outcome,
+        OutcomeEnd, PrefixHash, Refusal, RefusalReason, RelayRules, Repeatability, RoomRules,
+        Routed, SendOrder, Settlement, StoredAnswer, Target, TransferSlots, WasteCause,
     },
     ports::{
         Clock, Directory, DirectoryChannels, DirectoryUpdate, DutyReport, HeadError, Judgement,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -79,11 +79,17 @@
     }
 
     async fn attempt(&mut self, order: &SendOrder) -> Next {
+        let sent = self.clock.now();
         let stopped = match self.exchange(order).await {
             Ok((response, sender)) => {
                 let head = &self.request.head;
                 let status = response.status();
-                match self.protocol.judge(head, status, response.headers()) {
+                let judgement = self.protocol.judge(head, status, response.headers());
+                if judgement.is_of_upstream() {
+                    let limit = self.protocol.limit(response.headers());
+                    self.task.tell_limit(order, limit, sent).await;
+                }
+                match judgement {
                     Judgement::NotRun(cause) => {
                         self.keep_refused(order, response, sender).await;
                         Stopped::Failed(CallFailure::not_run(cause))
--- a/crates/router/src/request_task.rs
+++ b/crates/router/src/request_task.rs
@@ -91,6 +91,19 @@
         Next::Wait
     }
 
+    /// Tells what an answer names as its upstream's limit, if that may be news.
+    pub(crate) async fn tell_limit(&self, order: &SendOrder, limit: AnsweredLimit, sent: Time) {
+        if limit == AnsweredLimit::Absent && order.inputs.limit.is_none() {
+            return;
+        }
+        self.tell(Event::LimitAnswered {
+            limit,
+            sent,
+            upstream: order.upstream.clone(),
+        })
+        .await;
+    }
+
     /// Counts an event of the stream that is passed on.
     pub(crate) const fn count_event(&mut self) {
         self.unreported += 1;
