Reproduce more requests than an upstream's limit allows, in virtual time

Symptom: an upstream that has named a limit in its answers gets more from the hosts that it told.

Test: nine hosts before 18 replicas, 90 requests a second, two replicas name 1.3 and 1.1 a second. Hosts, datagrams between them and replicas are played in virtual time by one support file, which further tests of hosts together can use.

--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -4,8 +4,10 @@
 
 mod attempts;
 mod crashes;
+mod fleet;
 mod incarnations;
 mod knowledge;
+mod named_limits;
 mod newer_configuration;
 mod overload;
 mod pauses;
