Keep the limit that an upstream names over all hosts together

Callers saw nothing; upstreams that had named a limit got as much as before.

Cause: nobody reads the limit. Class: a bound that is meant for all hosts, which no host keeps, or each by itself. Ruled out by the incident's logs: repeated attempts (each request there was sent once), a limit that is kept by each host alone (no rate changed when it was named).

Change: a token is the right to send a limited upstream one request. Each such upstream has one keeper among the hosts that hear each other, by rendezvous hashing; it gives tokens out at the limit's rate, to the most urgent request first. Where the limit is large for so many hosts, half of it is divided equally and spent without asking. A request without a token goes to another copy without an attempt; else it waits in its order, and is refused with the time to return once no token can come in time. Limits are told to all hosts as they change; cut off from each other they divide the limit by the hosts that were ever heard in two hours.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod handing;
 mod heartbeat;
 mod heartbeat_answer;
+mod limit_note;
 mod load_note;
 mod message_error;
 mod peer_host;
@@ -35,6 +36,8 @@
 mod rpc;
 mod table_news;
 mod table_row;
+mod token_ask;
+mod token_grant;
 mod usage_note;
 mod version_note;
 
@@ -45,12 +48,15 @@
     grant::Grant,
     heartbeat::Heartbeat,
     heartbeat_answer::HeartbeatAnswer,
+    limit_note::{LimitNote, MAX_LIMITS, NamedLimit},
     load_note::{Echo, LoadNote, PromptRead, UpstreamLoad},
     message_error::MessageError,
     peer_host::PeerHost,
     peer_phase::PeerPhase,
     table_news::{TableNews, TablesNews},
     table_row::TableRow,
+    token_ask::{MAX_WANTED, TokenAsk, WantedTokens},
+    token_grant::{ExpectedWait, TokenGrant},
     usage_note::{MAX_COUNTS, UsageNote, WindowCounts},
     version_note::VersionNote,
 };
--- /dev/null
+++ b/crates/peer/src/token_ask.rs
@@ -0,0 +1,47 @@
+use super::*;
+
+/// Most priorities in one question: with them it fits into one packet.
+pub const MAX_WANTED: usize = 16;
+
+/// Tokens that requests of one priority wait for.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WantedTokens {
+    /// How many.
+    pub count: u32,
+    /// Priority of the requests, 0 the most urgent; `None` if none waits yet.
+    pub priority: Option<u8>,
+}
+
+/// Asks the keeper of an upstream's limit for tokens, in one datagram. A token is the right to
+/// send the upstream one request within a moment.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TokenAsk {
+    /// When it was sent, on the sender's own clock; the grant repeats it.
+    pub asked_us: u64,
+    /// The sender.
+    pub host: HostId,
+    /// What the sender knows of the limit.
+    pub limit: NamedLimit,
+    /// Version of this protocol.
+    pub protocol: u32,
+    /// Tokens that are wanted, the most urgent first; none to ask only whether the keeper is
+    /// there.
+    pub wanted: Vec<WantedTokens>,
+    /// How long the tokens are wanted.
+    pub wanted_ms: u32,
+}
+
+impl TokenAsk {
+    /// The message as a datagram.
+    pub fn to_datagram(&self, token: &str) -> Vec<u8> {
+        datagram::seal(datagram::Kind::TokenAsk, token, self)
+    }
+
+    /// Reads a datagram; one without the right mark is not a message of this kind.
+    pub fn from_datagram(datagram: &[u8], token: &str) -> Result<Self, MessageError> {
+        let ask: Self = datagram::open(datagram::Kind::TokenAsk, token, datagram)?;
+        MessageError::check_protocol(ask.protocol)?;
+        MessageError::check_size("wanted", ask.wanted.len(), MAX_WANTED)?;
+        Ok(ask)
+    }
+}
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -31,6 +31,13 @@
         /// Number of the call.
         call: u64,
     },
+    /// Ask the keeper of an upstream's limit for tokens.
+    AskTokens {
+        /// What to ask.
+        ask: TokenAsk,
+        /// Where the keeper is reached.
+        to: SocketAddr,
+    },
     /// End a stream that was cut, with an error event that carries the verdict.
     Break {
         /// Why, and the verdict.
@@ -61,6 +68,13 @@
         /// Version in force here.
         newer_than: Option<ConfigVersion>,
     },
+    /// Answer a host that asks for tokens.
+    GrantTokens {
+        /// What to say.
+        grant: TokenGrant,
+        /// Where it is reached.
+        to: SocketAddr,
+    },
     /// Keep crashes in the store, for hosts that start later.
     KeepCrashes(Vec<Crash>),
     /// Log and count an upstream that ended under a request.
@@ -131,6 +145,13 @@
         /// To whom.
         to: Vec<SocketAddr>,
     },
+    /// Tell other hosts what upstreams name as their limits.
+    TellLimits {
+        /// What to say.
+        note: LimitNote,
+        /// To whom.
+        to: Vec<SocketAddr>,
+    },
     /// Tell the host that holds the duties what began here; the time of day is still to be
     /// filled in.
     TellUsage {
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -23,6 +23,9 @@
             return None;
         }
         let places = self.usable(wanted.target, now)?;
+        if let Some(state) = self.to_be_checked(places, wanted, now) {
+            return Some(state.id.clone());
+        }
         let pace_ms = wanted
             .pace_ms
             .filter(|pace_ms| self.any_keeps_pace(places, *pace_ms, now));
@@ -44,6 +47,22 @@
         Some(best.id.clone())
     }
 
+    /// An upstream of which this host should learn whether it still names a limit.
+    fn to_be_checked(
+        &self,
+        places: &[usize],
+        wanted: &PlacementRequest<'_>,
+        now: Time,
+    ) -> Option<&UpstreamState> {
+        if !self.has_limits {
+            return None;
+        }
+        let mut states = places.iter().map(|place| &self.states[*place]);
+        states.find(|state| {
+            state.limit.is_overdue(now) && state.is_open(now) && wanted.is_fresh(state)
+        })
+    }
+
     /// The least full of some upstreams, or the one that has served the same
     /// prefix if it is among them and about as free.
     fn best<'a>(
--- a/crates/policy/src/claims.rs
+++ b/crates/policy/src/claims.rs
@@ -65,7 +65,7 @@
         let open = self
             .pool
             .get(&request.stage.upstream)
-            .is_some_and(|state| state.is_open(now));
+            .is_some_and(|state| state.takes_work(now));
         let in_time = now <= request.facts.deadline;
         if open && in_time && !request.stage.caller_gone {
             let request = request.granted(now);
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -67,6 +67,7 @@
     /// The shortest target for pauses of all classes.
     pub(crate) shortest_pause_ms: Option<u64>,
     pub(crate) teams_by_key: HashMap<KeyHash, TeamId>,
+    pub(crate) upstream_limits: UpstreamLimits,
     pub(crate) urgency: Urgency,
 }
 
@@ -102,6 +103,7 @@
             rng: SmallRng::seed_from_u64(options.seed),
             shortest_pause_ms: None,
             teams_by_key: HashMap::default(),
+            upstream_limits: UpstreamLimits::default(),
             urgency: Urgency::default(),
             options,
         }
@@ -116,6 +118,9 @@
             Affected::Nothing => {}
             Affected::Targets(targets) => self.dispatch(now, Some(&targets), actions),
         }
+        if self.ask_tokens(now, actions) {
+            self.dispatch(now, None, actions);
+        }
     }
 
     /// The lanes for which an event may have made room, or brought work. Trying
@@ -134,6 +139,8 @@
             Event::DutyHeld(_)
             | Event::DutyTold { .. }
             | Event::HeartbeatAsked { .. }
+            | Event::LimitAnswered { .. }
+            | Event::TokensAsked { .. }
             | Event::Progressed { .. }
             | Event::TimeOfDay { .. } => Affected::Nothing,
             _ => Affected::All,
@@ -198,7 +205,8 @@
                 limit,
                 sent,
                 upstream,
-            } => self.on_limit_answered(&upstream, &limit, sent, actions),
+            } => self.on_limit_answered(now, &upstream, &limit, sent, actions),
+            Event::LimitsTold(note) => self.on_limits_told(now, &note, actions),
             Event::ListeningChecked {
                 listening,
                 upstream,
@@ -207,7 +215,7 @@
             Event::NoteHeard { from, note } => self.on_note(now, from, note, actions),
             Event::PeersListed { peers } => {
                 self.retries.note_hosts(peers.len());
-                self.neighbors.note_listed(peers);
+                self.neighbors.note_listed(now, peers);
             }
             Event::ProbeAnswered { healthy, upstream } => {
                 if healthy {
@@ -229,6 +237,8 @@
                 self.options.relay = Some(rules);
             }
             Event::Ticked => self.on_tick(now, actions),
+            Event::TokensAsked { ask, from } => self.on_tokens_asked(now, from, &ask, actions),
+            Event::TokensGranted(grant) => self.on_tokens_granted(now, &grant),
             Event::TimeOfDay { unix_ms } => self.on_time_of_day(now, unix_ms),
             Event::UpstreamsListed { leaving } => {
                 self.pool.note_listed(leaving);
@@ -420,6 +430,7 @@
         self.tick_neighbors(now, actions);
         self.tick_crashes(now, actions);
         self.tick_congestion(now);
+        self.tick_limits(now, actions);
         self.tick_reporting(now, actions);
         self.fetch_newer(now, actions);
     }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -107,6 +107,8 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// Another host told what upstreams name as their limits.
+    LimitsTold(LimitNote),
     /// It was looked whether anybody listens where an upstream does.
     ListeningChecked {
         /// What was seen.
@@ -162,6 +164,15 @@
         /// Unix time in milliseconds.
         unix_ms: u64,
     },
+    /// Another host asks this one, as the keeper of an upstream's limit, for tokens.
+    TokensAsked {
+        /// What it asks.
+        ask: TokenAsk,
+        /// Where it came from.
+        from: SocketAddr,
+    },
+    /// The keeper of an upstream's limit answered.
+    TokensGranted(TokenGrant),
     /// The platform's list was read.
     UpstreamsListed {
         /// Every upstream that is leaving by the list; the others are not.
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -18,6 +18,7 @@
     pub(crate) long_prompts: LongPrompts,
     pub(crate) rate: ServiceRate,
     pub(crate) partition: EnginePartition,
+    last_arrival: Time,
     lead: Duration,
     queues: [RankQueue; Rank::COUNT],
 }
@@ -30,6 +31,7 @@
             long_prompts: LongPrompts::default(),
             rate: ServiceRate::default(),
             partition: EnginePartition::default(),
+            last_arrival: Time::default(),
             lead: FIRST_LEAD,
             queues: Default::default(),
         }
@@ -41,7 +43,17 @@
         !self.queues[rank.index()].is_empty()
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.queues.iter().all(RankQueue::is_empty)
+    }
+
+    /// When a request came last.
+    pub(crate) const fn last_arrival(&self) -> Time {
+        self.last_arrival
+    }
+
     pub(crate) fn push(&mut self, rank: Rank, item: QueuedItem, now: Time) {
+        self.last_arrival = now;
         self.queues[rank.index()].push(item);
         self.minimum_share.note_waiting(rank, now);
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,14 +5,14 @@
 use {
     config::{Class, Document, Numbered, Plan, Scheduling, Team, Upstream},
     peer::{
-        Cleared, Crash, CrashNote, Demand, DutyNote, Echo, Grant, Heartbeat, HeartbeatAnswer,
-        LoadNote, PeerHost, PeerPhase, PromptRead, UpstreamLoad, UsageNote, VersionNote,
-        WindowCounts,
+        Cleared, Crash, CrashNote, Demand, DutyNote, Echo, ExpectedWait, Grant, Heartbeat,
+        HeartbeatAnswer, LimitNote, LoadNote, NamedLimit, PeerHost, PeerPhase, PromptRead,
+        TokenAsk, TokenGrant, UpstreamLoad, UsageNote, VersionNote, WantedTokens, WindowCounts,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom},
     serde::{Deserialize, Serialize},
     std::{
-        cmp::Reverse,
+        cmp::{Ordering, Reverse},
         collections::{BTreeMap, BTreeSet, VecDeque},
         fmt::{self, Display, Formatter},
         net::SocketAddr,
@@ -160,7 +160,7 @@
     steward::{Divided, Steward},
     team_limits::TeamLimits,
     track_record::{TrackRecord, Usual},
-    upstream_limits::UpstreamLimit,
+    upstream_limits::{UpstreamLimit, UpstreamLimits},
     upstream_state::UpstreamState,
     urgency::Urgency,
 };
--- a/crates/policy/src/neighbors.rs
+++ b/crates/policy/src/neighbors.rs
@@ -57,6 +57,8 @@
     address: SocketAddr,
     /// When it was heard last, and its note.
     heard: Option<(Time, LoadNote)>,
+    /// When it was listed or heard first.
+    known: Time,
 }
 
 impl Neighbor {
@@ -89,11 +91,12 @@
 
 impl Neighbors {
     /// Takes a list of hosts; those that are missing may just not be listed.
-    pub(crate) fn note_listed(&mut self, peers: Vec<PeerHost>) {
+    pub(crate) fn note_listed(&mut self, now: Time, peers: Vec<PeerHost>) {
         for peer in peers {
             let neighbor = self.hosts.entry(peer.host).or_insert(Neighbor {
                 address: peer.address,
                 heard: None,
+                known: now,
             });
             neighbor.address = peer.address;
         }
@@ -104,6 +107,7 @@
         let neighbor = self.hosts.entry(note.host.clone()).or_insert(Neighbor {
             address: from,
             heard: None,
+            known: now,
         });
         let overtaken = neighbor.heard.as_ref().is_some_and(|(_, last)| {
             last.incarnation == note.incarnation && last.sent_us >= note.sent_us
@@ -138,6 +142,38 @@
         self.hosts.len()
     }
 
+    /// All other hosts, when each was heard last, or else became known, and where it listens.
+    pub(crate) fn others(&self, own: &HostId) -> impl Iterator<Item = (&HostId, Time, SocketAddr)> {
+        let others = self.hosts.iter().filter(move |(host, _)| *host != own);
+        others.map(|(host, neighbor)| {
+            let heard = neighbor.heard.as_ref().map(|(heard, _)| *heard);
+            (host, heard.unwrap_or(neighbor.known), neighbor.address)
+        })
+    }
+
+    /// The other hosts that were ever heard, when last, and where each listens.
+    pub(crate) fn heard_others(
+        &self,
+        own: &HostId,
+    ) -> impl Iterator<Item = (&HostId, Time, SocketAddr)> {
+        let others = self.hosts.iter().filter(move |(host, _)| *host != own);
+        others.filter_map(|(host, neighbor)| {
+            let (heard, _) = neighbor.heard.as_ref()?;
+            Some((host, *heard, neighbor.address))
+        })
+    }
+
+    /// When a host was heard last.
+    pub(crate) fn last_heard(&self, host: &HostId) -> Option<Time> {
+        let heard = self.hosts.get(host)?.heard.as_ref();
+        heard.map(|(heard, _)| *heard)
+    }
+
+    /// Time between two notes, by what was told last.
+    pub(crate) fn usual_interval(&self) -> Duration {
+        self.interval(self.told.len(), 0).max(IDLE_INTERVAL)
+    }
+
     /// Where all other hosts listen.
     pub(crate) fn addresses(&self, own: &HostId) -> impl Iterator<Item = SocketAddr> {
         let others = self.hosts.iter().filter(move |(host, _)| *host != own);
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -5,6 +5,8 @@
 pub(crate) struct Pool {
     pub(crate) affinity: Affinity,
     pub(crate) groups: Vec<Group>,
+    /// Whether any upstream names a limit.
+    pub(crate) has_limits: bool,
     pub(crate) index: HashMap<UpstreamId, usize>,
     /// Upstreams that are leaving by the platform's list. It may be read before
     /// the configuration that names them, so it is kept apart from the states.
@@ -195,6 +197,13 @@
         if own > 0 { own } else { foreign }
     }
 
+    /// All upstreams of a target.
+    pub(crate) fn copies(&self, target: &Target) -> impl Iterator<Item = &UpstreamState> + Clone {
+        let places = self.targets.get(target).into_iter();
+        let places = places.flat_map(|places| places.own.iter().chain(&places.foreign));
+        places.map(|place| &self.states[*place])
+    }
+
     /// Targets that an upstream serves.
     pub(crate) fn targets_of(&self, id: &UpstreamId) -> Vec<Target> {
         self.get(id)
--- a/crates/policy/src/refusal_reason.rs
+++ b/crates/policy/src/refusal_reason.rs
@@ -46,6 +46,8 @@
     UnknownService,
     /// Every attempt failed.
     UpstreamFailed,
+    /// The upstreams' limits let the request through too late.
+    UpstreamLimited,
     /// The upstreams are full, and more urgent requests go first.
     UpstreamsFull,
 }
@@ -75,6 +77,7 @@
             Self::UnknownRoute => "unknown_route",
             Self::UnknownService => "unknown_service",
             Self::UpstreamFailed => "upstream_failed",
+            Self::UpstreamLimited => "upstream_limit",
             Self::UpstreamsFull => "upstreams_full",
         }
     }
@@ -137,6 +140,7 @@
             Self::UnknownRoute => "no route matches the host name and path",
             Self::UnknownService => "there is no such service",
             Self::UpstreamFailed => "the upstream failed",
+            Self::UpstreamLimited => "the limits of the upstreams leave no place in time",
             Self::UpstreamsFull => "the upstreams are full, and more urgent requests go first",
         })
     }
--- a/crates/policy/src/refusing.rs
+++ b/crates/policy/src/refusing.rs
@@ -32,18 +32,31 @@
         request: Request<Queued>,
         reason: RefusalReason,
         actions: &mut Vec<Action>,
+    ) {
+        let barred_for = self.crashes.barred_for(&request.facts.fingerprint, now);
+        let retry_after = barred_for.unwrap_or_else(|| self.spread(FAILED_RETURN));
+        self.refuse_with(now, &request, reason, retry_after, actions);
+    }
+
+    /// The same, with the time after which its caller may come again.
+    pub(crate) fn refuse_with(
+        &mut self,
+        now: Time,
+        request: &Request<Queued>,
+        reason: RefusalReason,
+        retry_after: Duration,
+        actions: &mut Vec<Action>,
     ) {
         self.limits.release(&request.facts.team);
         if let Some(attempt) = request.claimed_by {
-            settle(&request, attempt, request.verdict, None, actions);
+            settle(request, attempt, request.verdict, None, actions);
         }
-        let barred_for = self.crashes.barred_for(&request.facts.fingerprint, now);
         let refusal = Refusal {
             reason,
-            retry_after: Some(barred_for.unwrap_or_else(|| self.spread(FAILED_RETURN))),
+            retry_after: Some(retry_after),
             verdict: request.verdict,
         };
-        self.finish_refused(now, &request, refusal, actions);
+        self.finish_refused(now, request, refusal, actions);
     }
 
     pub(crate) fn finish_refused<S>(
--- /dev/null
+++ b/crates/policy/src/upstream_limits/known_hosts.rs
@@ -0,0 +1,69 @@
+//! Which host is the keeper of an upstream's limit.
+
+use super::*;
+
+/// Time for which a host that is not heard counts as one that may send, too: hosts that are cut
+/// off from each other for an hour must not both spend the whole limit.
+const REMEMBERED: Duration = Duration::from_secs(2 * 3_600);
+
+/// Notes of a host that may be missing until it is taken to have ended.
+const MISSING_NOTES: u32 = 4;
+
+impl Neighbors {
+    /// Other hosts that may send requests, also those that are not heard now.
+    pub(crate) fn remembered(&self, own: &HostId, now: Time) -> usize {
+        let others = self.others(own);
+        let known = others.filter(|(_, seen, _)| now.since(*seen) < REMEMBERED);
+        known.count()
+    }
+
+    /// Whether a note of a host came within a time.
+    pub(crate) fn is_heard(&self, host: &HostId, within: Duration, now: Time) -> bool {
+        let last = self.last_heard(host);
+        last.is_some_and(|heard| now.since(heard) < within)
+    }
+
+    /// Other hosts that live, as far as this one knows, and where they are reached.
+    pub(crate) fn living(
+        &self,
+        own: &HostId,
+        now: Time,
+    ) -> impl Iterator<Item = (&HostId, SocketAddr)> {
+        let silence = (self.usual_interval() * MISSING_NOTES).max(neighbors::VALID);
+        let others = self.heard_others(own);
+        let living = others.filter(move |(_, heard, _)| now.since(*heard) <= silence);
+        living.map(|(host, _, address)| (host, address))
+    }
+}
+
+impl Controller {
+    /// The host that keeps an upstream's limit, and where it is reached: `None` in the address
+    /// for this one. All hosts that hear each other work out the same one.
+    pub(crate) fn limit_keeper(
+        &self,
+        upstream: &UpstreamId,
+        now: Time,
+    ) -> (HostId, Option<SocketAddr>) {
+        let own = &self.options.host;
+        let silent = &self.upstream_limits.silent;
+        let is_silent = |host: &HostId| silent.get(host).is_some_and(|until| now < *until);
+        let others = self.neighbors.living(own, now);
+        let others = others.filter(|(host, _)| !is_silent(host));
+        let others = others.map(|(host, address)| (host, Some(address)));
+        let hosts = others.chain([(own, None)]);
+        let key = upstream.to_string();
+        let keeper = hosts.max_by_key(|(host, _)| rendezvous_weight(&key, host));
+        keeper.map_or_else(
+            || (own.clone(), None),
+            |(host, address)| (host.clone(), address),
+        )
+    }
+
+    /// The part of a limit that the hosts which hear each other may spend.
+    pub(crate) fn reachable_part(&self, now: Time) -> f64 {
+        let own = &self.options.host;
+        let living = self.neighbors.living(own, now).count() + 1;
+        let all = self.neighbors.remembered(own, now) + 1;
+        (living as f64 / all as f64).min(1.0)
+    }
+}
--- a/crates/policy/src/upstream_state.rs
+++ b/crates/policy/src/upstream_state.rs
@@ -106,6 +106,7 @@
 
     pub(crate) fn start(&mut self, facts: &RequestFacts, now: Time) {
         self.in_flight += 1;
+        self.limit.spend(now);
         self.in_flight_trial += u32::from(facts.rank.plan == Plan::Trial);
         self.pause_bound += u32::from(facts.pause_bound);
         self.history.note(self.in_flight, now);
@@ -177,11 +178,16 @@
         self.is_said_leaving() || self.removed || now < self.told_leaving_until
     }
 
-    /// Whether it takes new work at all.
-    pub(crate) fn is_open(&self, now: Time) -> bool {
+    /// Whether it takes new work, within its limit.
+    pub(crate) fn takes_work(&self, now: Time) -> bool {
         !self.is_leaving(now) && self.health.is_well() && now >= self.busy_until
     }
 
+    /// Whether it takes new work of this host now.
+    pub(crate) fn is_open(&self, now: Time) -> bool {
+        self.takes_work(now) && self.limit.has_token(now)
+    }
+
     /// Slots that may be used while it comes back slowly.
     fn usable_slots(&self, now: Time) -> u32 {
         (f64::from(self.definition.slots()) * self.health.share(now)).ceil() as u32
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -154,6 +154,11 @@
         self.handle(Event::DirectoryRead { leaving, upstreams });
     }
 
+    /// Numbers its next requests from here on.
+    pub fn skip_requests(&mut self, to: u64) {
+        self.next_request = to;
+    }
+
     /// Lets time pass in ticks of the controller's thread.
     pub fn pass(&mut self, ms: u64) {
         let end = self.now.plus_ms(ms);
--- a/crates/policy/tests/properties/model.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -255,6 +255,9 @@
             | Action::KeepCrashes(_)
             | Action::NoteCrash(_)
             | Action::NoteLimit(_)
+            | Action::AskTokens { .. }
+            | Action::GrantTokens { .. }
+            | Action::TellLimits { .. }
             | Action::TellCrashes { .. }
             | Action::FetchConfiguration { .. }
             | Action::Probe { .. }
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -6,11 +6,13 @@
         Action::AnswerHeartbeat { answer, call } => {
             format!("answer {call}: {}", granted(answer.grants.as_deref()))
         }
+        Action::AskTokens { ask, .. } => format!("ask for tokens of {}", ask.limit.upstream),
         Action::Break { refusal, request } => format!("break {request}: {}", refused(refusal)),
         Action::Cancel { request, .. } => format!("cancel {request}"),
         Action::CheckListening { upstream, .. } => format!("look whether {upstream} listens"),
         Action::Claim(claim) => format!("claim {} for {}", claim.key, claim.request),
         Action::FetchConfiguration { address, .. } => format!("fetch configuration of {address}"),
+        Action::GrantTokens { grant, .. } => format!("grant {} tokens", grant.count),
         Action::KeepCrashes(crashes) => format!("keep {} crashes", crashes.len()),
         Action::NoteCrash(noted) => format!("{} crashed {}", noted.crashes, noted.upstream),
         Action::NoteLimit(noted) => match noted.limit {
@@ -41,6 +43,9 @@
         Action::TellDuty { note, to } => {
             format!("tell {} hosts of holder {}", to.len(), note.host)
         }
+        Action::TellLimits { note, to } => {
+            format!("tell {} hosts of {} limits", to.len(), note.limits.len())
+        }
         Action::TellUsage { note, .. } => {
             format!("tell the holder of {} windows", note.windows.len())
         }
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -184,6 +184,13 @@
                     let _ = sender.send(answer);
                 }
             }
+            Action::AskTokens { ask, to } => {
+                let wanted = ask.wanted.iter().map(|wanted| u64::from(wanted.count));
+                counter!("rhubarbcove_limit_tokens_asked_total").increment(wanted.sum());
+                if let Some(sender) = &self.thread.notes {
+                    sender.ask_tokens(&ask, to);
+                }
+            }
             Action::Break { refusal, request } => {
                 self.instruct_last(request, Instruction::Break(refusal));
             }
@@ -204,6 +211,13 @@
                 };
                 let _ = self.thread.fetches.try_send(job);
             }
+            Action::GrantTokens { grant, to } => {
+                counter!("rhubarbcove_limit_tokens_granted_total")
+                    .increment(u64::from(grant.count));
+                if let Some(sender) = &self.thread.notes {
+                    sender.grant_tokens(&grant, to);
+                }
+            }
             // Where the ring is full the store has been away for long; the other hosts were
             // told directly.
             Action::KeepCrashes(crashes) => {
@@ -260,6 +274,11 @@
                     sender.tell_duty(&note, &to);
                 }
             }
+            Action::TellLimits { note, to } => {
+                if let Some(sender) = &self.thread.notes {
+                    sender.tell_limits(&note, &to);
+                }
+            }
             Action::TellUsage { note, to } => self.tell_usage(note, to),
             Action::TellVersion { note, to } => {
                 if let Some(sender) = &self.thread.notes {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,8 +26,9 @@
         Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
     },
     peer::{
-        Crash, CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LoadNote, MessageError, PeerClient,
-        PeerHandler, PeerHost, PeerServer, TableNews, TableRow, TablesNews, UsageNote, VersionNote,
+        Crash, CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LimitNote, LoadNote, MessageError,
+        PeerClient, PeerHandler, PeerHost, PeerServer, TableNews, TableRow, TablesNews, TokenAsk,
+        TokenGrant, UsageNote, VersionNote,
     },
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
--- a/crates/router/src/note_sender.rs
+++ b/crates/router/src/note_sender.rs
@@ -36,6 +36,21 @@
         self.send_to_all(&note.to_datagram(&self.token), &[to]);
     }
 
+    /// Tells hosts what upstreams name as their limits.
+    pub(crate) fn tell_limits(&self, note: &LimitNote, to: &[SocketAddr]) {
+        self.send_to_all(&note.to_datagram(&self.token), to);
+    }
+
+    /// Asks the keeper of an upstream's limit; a lost question is asked again.
+    pub(crate) fn ask_tokens(&self, ask: &TokenAsk, to: SocketAddr) {
+        self.send_to_all(&ask.to_datagram(&self.token), &[to]);
+    }
+
+    /// Answers a host that asks for tokens; lost ones are not given again.
+    pub(crate) fn grant_tokens(&self, grant: &TokenGrant, to: SocketAddr) {
+        self.send_to_all(&grant.to_datagram(&self.token), &[to]);
+    }
+
     fn send_to_all(&self, datagram: &[u8], to: &[SocketAddr]) {
         for address in to {
             let _ = self.socket.send_to(datagram, address);
--- a/crates/router/src/note_thread.rs
+++ b/crates/router/src/note_thread.rs
@@ -65,6 +65,12 @@
     if let Ok(note) = LoadNote::from_datagram(datagram, token) {
         return Ok(Told::Event(Event::NoteHeard { from, note }));
     }
+    if let Ok(ask) = TokenAsk::from_datagram(datagram, token) {
+        return Ok(Told::Event(Event::TokensAsked { ask, from }));
+    }
+    if let Ok(grant) = TokenGrant::from_datagram(datagram, token) {
+        return Ok(Told::Event(Event::TokensGranted(grant)));
+    }
     if let Ok(note) = UsageNote::from_datagram(datagram, token) {
         return Ok(Told::Usage(note));
     }
@@ -74,6 +80,9 @@
     if let Ok(note) = CrashNote::from_datagram(datagram, token) {
         return Ok(Told::Event(Event::CrashesTold(note)));
     }
+    if let Ok(note) = LimitNote::from_datagram(datagram, token) {
+        return Ok(Told::Event(Event::LimitsTold(note)));
+    }
     let note = VersionNote::from_datagram(datagram, token)?;
     Ok(Told::Event(Event::VersionTold { from, note }))
 }
