--- a/crates/policy/src/upstream_limits/asking.rs
+++ b/crates/policy/src/upstream_limits/asking.rs
@@ -183,10 +183,8 @@
     /// Whether requests came lately that an upstream could serve.
     fn is_asked_for(&self, upstream: &UpstreamId, now: Time, span: Duration) -> bool {
         let targets = self.pool.targets_of(upstream);
-        let lanes = targets.iter().filter_map(|target| self.lanes.get(target));
-        lanes
-            .into_iter()
-            .any(|lane| now.since(lane.last_arrival()) <= span)
+        let mut lanes = targets.iter().filter_map(|target| self.lanes.get(target));
+        lanes.any(|lane| now.since(lane.last_arrival()) <= span)
     }
 
     fn open_ask(&self, upstream: &UpstreamId) -> Option<&OpenAsk> {
--- a/crates/policy/src/upstream_limits/keeping.rs
+++ b/crates/policy/src/upstream_limits/keeping.rs
@@ -45,6 +45,7 @@
             pool.get(id)
                 .is_some_and(|state| state.limit.rate().is_some())
         });
+        self.pool.has_limits = !self.upstream_limits.is_empty();
         let hosts = self.neighbors.remembered(&self.options.host, now) + 1;
         let part = self.reachable_part(now);
         for upstream in self.upstream_limits.limited.clone() {
