Log what upstreams say in their answers of leaving and of backoffs

What the log could not tell: whether an answer had named a leaving or a time to stay away, when, and of which upstream a refusal was. One decoded value of each answer's head (`UpstreamNotice`) now holds limit, leaving and backoff, and goes to the controller as one event in place of the limit alone. Nothing is decided by the two new words yet.

New line `request: answer says`; `request: attempt failed` names the upstream; a `Retry-After` that is no number of seconds is logged and counted. Metrics rhubarbcove_backoffs_asked_total, rhubarbcove_backoffs_unreadable_total and rhubarbcove_leaving_answers_total.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -139,7 +139,7 @@
             Event::DutyHeld(_)
             | Event::DutyTold { .. }
             | Event::HeartbeatAsked { .. }
-            | Event::LimitAnswered { .. }
+            | Event::NoticeAnswered { .. }
             | Event::TokensAsked { .. }
             | Event::Progressed { .. }
             | Event::TimeOfDay { .. } => Affected::Nothing,
@@ -201,11 +201,6 @@
                 self.on_heartbeat(now, call, &heartbeat, actions);
             }
             Event::HostsListed { hosts } => self.on_hosts_listed(now, hosts),
-            Event::LimitAnswered {
-                limit,
-                sent,
-                upstream,
-            } => self.on_limit_answered(now, &upstream, &limit, sent, actions),
             Event::LimitsTold(note) => self.on_limits_told(now, &note, actions),
             Event::ListeningChecked {
                 listening,
@@ -213,6 +208,11 @@
             } => self.on_listening_checked(now, &upstream, listening, actions),
             Event::LoadReported { report, upstream } => self.on_load_report(now, &upstream, report),
             Event::NoteHeard { from, note } => self.on_note(now, from, note, actions),
+            Event::NoticeAnswered {
+                notice,
+                sent,
+                upstream,
+            } => self.on_limit_answered(now, &upstream, &notice.limit, sent, actions),
             Event::PeersListed { peers } => {
                 self.retries.note_hosts(peers.len());
                 self.neighbors.note_listed(now, peers);
@@ -296,6 +296,14 @@
         }
     }
 
+    /// The upstream that a request was sent to last, while it is there.
+    pub fn upstream_of(&self, request: RequestId) -> Option<&UpstreamId> {
+        match self.requests.get(&request)? {
+            Stage::Running(request) => Some(&request.stage.upstream),
+            Stage::Claiming(_) | Stage::Queued(_) => None,
+        }
+    }
+
     /// Requests that this host has on an upstream now.
     pub fn in_flight(&self, upstream: &UpstreamId) -> Option<u32> {
         self.pool.get(upstream).map(|state| state.in_flight)
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -98,15 +98,6 @@
         /// All hosts of the list.
         hosts: Vec<PeerHost>,
     },
-    /// An upstream's answer named its limit, or none although one was known.
-    LimitAnswered {
-        /// What it said.
-        limit: AnsweredLimit,
-        /// When the request was sent.
-        sent: Time,
-        /// The upstream.
-        upstream: UpstreamId,
-    },
     /// Another host told what upstreams name as their limits.
     LimitsTold(LimitNote),
     /// It was looked whether anybody listens where an upstream does.
@@ -130,6 +121,15 @@
         /// What it said.
         note: LoadNote,
     },
+    /// An upstream said something of itself in an answer, or names no limit any more.
+    NoticeAnswered {
+        /// What it said.
+        notice: UpstreamNotice,
+        /// When the request was sent.
+        sent: Time,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// The other hosts were listed.
     PeersListed {
         /// Hosts, this one perhaps among them.
--- a/crates/policy/tests/installation/fleet.rs
+++ b/crates/policy/tests/installation/fleet.rs
@@ -277,8 +277,12 @@
         if named.is_some() || order.inputs.limit.is_some() {
             let limit = named.and_then(Rate::per_second);
             let limit = limit.map_or(AnsweredLimit::Absent, AnsweredLimit::Named);
-            let event = Event::LimitAnswered {
+            let notice = UpstreamNotice {
                 limit,
+                ..UpstreamNotice::default()
+            };
+            let event = Event::NoticeAnswered {
+                notice,
                 sent: self.now - ANSWER,
                 upstream: order.upstream.clone(),
             };
--- a/crates/policy/tests/installation/named_limits.rs
+++ b/crates/policy/tests/installation/named_limits.rs
@@ -58,8 +58,11 @@
 /// An upstream names a limit, or none, in the answer to a request sent at a moment.
 fn name_as_of(host: &mut Host, upstream: &str, limit: Option<f64>, sent: Time) -> Vec<Action> {
     let limit = limit.and_then(Rate::per_second);
-    host.handle(Event::LimitAnswered {
-        limit: limit.map_or(AnsweredLimit::Absent, AnsweredLimit::Named),
+    host.handle(Event::NoticeAnswered {
+        notice: UpstreamNotice {
+            limit: limit.map_or(AnsweredLimit::Absent, AnsweredLimit::Named),
+            ..UpstreamNotice::default()
+        },
         sent,
         upstream: upstream.parse().unwrap(),
     })
--- a/crates/ports/src/protocol.rs
+++ b/crates/ports/src/protocol.rs
@@ -11,8 +11,8 @@
     /// Headers of an upstream's answer as they go to the caller.
     fn answer_headers(&self, received: &HeaderMap) -> HeaderMap;
 
-    /// What an upstream's answer says of the requests that it takes.
-    fn limit(&self, headers: &HeaderMap) -> AnsweredLimit;
+    /// What an upstream says of itself in an answer.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> UpstreamNotice;
 
     /// Judges the head of an upstream's answer.
     fn judge(&self, head: &RequestHead, status: StatusCode, headers: &HeaderMap) -> Judgement;
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -313,14 +313,14 @@
         match event {
             Event::AttemptEnded { end, request, .. } => {
                 if let Some(waiting) = self.callers.get(request) {
-                    self.decisions.attempt_failed(now, &waiting.id, end);
+                    let upstream = self.thread.controller.upstream_of(*request);
+                    self.decisions
+                        .attempt_failed(now, &waiting.id, upstream, end);
                 }
             }
-            Event::LimitAnswered {
-                limit: AnsweredLimit::Invalid(text),
-                upstream,
-                ..
-            } => self.decisions.limit_unreadable(now, upstream, text),
+            Event::NoticeAnswered {
+                notice, upstream, ..
+            } => self.decisions.notice_answered(now, upstream, notice),
             _ => {}
         }
     }
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -74,7 +74,13 @@
     }
 
     /// An attempt gave no answer.
-    pub(crate) fn attempt_failed(&mut self, now: Time, id: &str, failure: &AttemptEnd) {
+    pub(crate) fn attempt_failed(
+        &mut self,
+        now: Time,
+        id: &str,
+        upstream: Option<&UpstreamId>,
+        failure: &AttemptEnd,
+    ) {
         let AttemptEnd::Failed {
             cause,
             delivered,
@@ -87,6 +93,7 @@
         if self.budget.take(LineKind::Important, now) {
             warn!(self.logger, "request: attempt failed";
                 "id" => id,
+                "upstream" => upstream.map(ToString::to_string),
                 "cause" => %cause,
                 "delivered" => *delivered,
                 "verdict" => %verdict,
@@ -165,17 +172,57 @@
         }
     }
 
-    /// An upstream names a limit that is no rate.
-    pub(crate) fn limit_unreadable(&mut self, now: Time, upstream: &UpstreamId, text: &str) {
-        counter!("rhubarbcove_limits_unreadable_total").increment(1);
-        if self.budget.take(LineKind::Important, now) {
-            warn!(self.logger, "request: unreadable limit in an answer";
+    /// An upstream said something of itself in an answer.
+    pub(crate) fn notice_answered(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        notice: &UpstreamNotice,
+    ) {
+        if let AnsweredLimit::Invalid(text) = &notice.limit {
+            counter!("rhubarbcove_limits_unreadable_total").increment(1);
+            self.unreadable(
+                now,
+                "request: unreadable limit in an answer",
+                upstream,
+                text,
+            );
+        }
+        if let AnsweredBackoff::Invalid(text) = &notice.backoff {
+            counter!("rhubarbcove_backoffs_unreadable_total").increment(1);
+            self.unreadable(
+                now,
+                "request: unreadable backoff in an answer",
+                upstream,
+                text,
+            );
+        }
+        let backoff = match notice.backoff {
+            AnsweredBackoff::Asked(backoff) => Some(backoff),
+            AnsweredBackoff::Absent | AnsweredBackoff::Invalid(_) => None,
+        };
+        if backoff.is_some() {
+            counter!("rhubarbcove_backoffs_asked_total").increment(1);
+        }
+        if notice.leaving {
+            counter!("rhubarbcove_leaving_answers_total").increment(1);
+        }
+        let is_news = notice.leaving || backoff.is_some();
+        if is_news && self.budget.take(LineKind::Important, now) {
+            info!(self.logger, "request: answer says";
                 "upstream" => %upstream,
-                "value" => text,
+                "leaving" => notice.leaving,
+                "backoff_ms" => backoff.map(millis),
             );
         }
     }
 
+    fn unreadable(&mut self, now: Time, what: &'static str, upstream: &UpstreamId, text: &str) {
+        if self.budget.take(LineKind::Important, now) {
+            warn!(self.logger, "{}", what; "upstream" => %upstream, "value" => text);
+        }
+    }
+
     /// A request was refused before anything had to be decided.
     pub(crate) fn turned_away(&mut self, now: Time, id: &str, reason: &str, known: &Knowledge) {
         if !self.budget.take(LineKind::Important, now) {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -86,8 +86,8 @@
                 let status = response.status();
                 let judgement = self.protocol.judge(head, status, response.headers());
                 if judgement.is_of_upstream() {
-                    let limit = self.protocol.limit(response.headers());
-                    self.task.tell_limit(order, limit, sent).await;
+                    let notice = self.protocol.notice(status, response.headers());
+                    self.task.tell_notice(order, notice, sent).await;
                 }
                 match judgement {
                     Judgement::NotRun(cause) => {
--- a/crates/router/src/request_task.rs
+++ b/crates/router/src/request_task.rs
@@ -91,13 +91,13 @@
         Next::Wait
     }
 
-    /// Tells what an answer names as its upstream's limit, if that may be news.
-    pub(crate) async fn tell_limit(&self, order: &SendOrder, limit: AnsweredLimit, sent: Time) {
-        if limit == AnsweredLimit::Absent && order.inputs.limit.is_none() {
+    /// Tells what an upstream says of itself in an answer, if that may be news.
+    pub(crate) async fn tell_notice(&self, order: &SendOrder, notice: UpstreamNotice, sent: Time) {
+        if notice.is_empty() && order.inputs.limit.is_none() {
             return;
         }
-        self.tell(Event::LimitAnswered {
-            limit,
+        self.tell(Event::NoticeAnswered {
+            notice,
             sent,
             upstream: order.upstream.clone(),
         })
--- /dev/null
+++ b/crates/types/src/answered_backoff.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+/// For how long an upstream that refused a request wants none from the host that sent it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AnsweredBackoff {
+    /// It does not say.
+    Absent,
+    /// So long, from the answer on.
+    Asked(Duration),
+    /// Something that is no time; nothing changes.
+    Invalid(String),
+}
