--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -9,6 +9,7 @@
 mod knowledge;
 mod named_limits;
 mod newer_configuration;
+mod notices;
 mod overload;
 mod pauses;
 mod placement;
