Send nothing more to an upstream whose answer says that it leaves

Cause: the header was passed on to the caller and read by nobody. Class: a word of an upstream that is carried to the caller and binds nobody on the way. Ruled out: requests that had waited (first attempts, sent at once), a word that was read and forgotten (no line before the store's entry), another incarnation (same id).

Change: a leaving, from an answer of any status, a health check, the directory or another host, is kept for the incarnation apart from its state and never taken back: not by an entry that lapses and returns, an older list, or a note that runs out. It binds first attempts, repeats, moved streams and waiting requests, as all ask `UpstreamState::is_open`. The other hosts are told three times by datagram, at once while the directory is away and else only if it does not list the upstream within a second. Where all upstreams of a target leave, a request waits until its first token is due, as others may be listed, and is refused with `no_upstream` then, not at its deadline. A health check that another server at the address answers says nothing.

The datagram of limits becomes one of all that upstreams say, so hosts of the release before do not hear of limits from this one.

--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -10,10 +10,10 @@
 pub(crate) enum Kind {
     Crash,
     Duty,
-    Limit,
     Load,
     TokenAsk,
     TokenGrant,
+    Upstream,
     Usage,
     Version,
 }
@@ -23,10 +23,10 @@
         match self {
             Self::Crash => b"crash",
             Self::Duty => b"duty",
-            Self::Limit => b"limit",
             Self::Load => b"",
             Self::TokenAsk => b"token ask",
             Self::TokenGrant => b"token grant",
+            Self::Upstream => b"upstream",
             Self::Usage => b"usage",
             Self::Version => b"version",
         }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -27,9 +27,9 @@
 pub mod handing;
 mod heartbeat;
 mod heartbeat_answer;
-mod limit_note;
 mod load_note;
 mod message_error;
+mod named_limit;
 mod peer_host;
 mod peer_phase;
 #[cfg(feature = "rpc")]
@@ -38,6 +38,7 @@
 mod table_row;
 mod token_ask;
 mod token_grant;
+mod upstream_note;
 mod usage_note;
 mod version_note;
 
@@ -48,15 +49,16 @@
     grant::Grant,
     heartbeat::Heartbeat,
     heartbeat_answer::HeartbeatAnswer,
-    limit_note::{LimitNote, MAX_LIMITS, NamedLimit},
     load_note::{Echo, LoadNote, PromptRead, UpstreamLoad},
     message_error::MessageError,
+    named_limit::NamedLimit,
     peer_host::PeerHost,
     peer_phase::PeerPhase,
     table_news::{TableNews, TablesNews},
     table_row::TableRow,
     token_ask::{MAX_WANTED, TokenAsk, WantedTokens},
     token_grant::{ExpectedWait, TokenGrant},
+    upstream_note::{MAX_LEAVING, MAX_LIMITS, UpstreamNote},
     usage_note::{MAX_COUNTS, UsageNote, WindowCounts},
     version_note::VersionNote,
 };
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -79,6 +79,8 @@
     KeepCrashes(Vec<Crash>),
     /// Log and count an upstream that ended under a request.
     NoteCrash(CrashNoted),
+    /// Log and count an upstream that is newly known to leave.
+    NoteLeaving(LeavingNoted),
     /// Log and count a change of the limit that an upstream names.
     NoteLimit(LimitNoted),
     /// Ask an ejected upstream whether it is well.
@@ -145,10 +147,10 @@
         /// To whom.
         to: Vec<SocketAddr>,
     },
-    /// Tell other hosts what upstreams name as their limits.
-    TellLimits {
+    /// Tell other hosts what upstreams say of themselves.
+    TellUpstreams {
         /// What to say.
-        note: LimitNote,
+        note: UpstreamNote,
         /// To whom.
         to: Vec<SocketAddr>,
     },
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -181,6 +181,7 @@
                     .note_reached(reached, now);
             }
             Event::DirectoryRead { leaving, upstreams } => {
+                self.note_listed_leaving(now, &leaving);
                 let directory = self.directory.get_or_insert_default();
                 directory.read(leaving, upstreams, now);
                 self.follow_directory(now, actions);
@@ -201,7 +202,7 @@
                 self.on_heartbeat(now, call, &heartbeat, actions);
             }
             Event::HostsListed { hosts } => self.on_hosts_listed(now, hosts),
-            Event::LimitsTold(note) => self.on_limits_told(now, &note, actions),
+            Event::UpstreamsTold(note) => self.on_upstreams_told(now, &note, actions),
             Event::ListeningChecked {
                 listening,
                 upstream,
@@ -212,7 +213,7 @@
                 notice,
                 sent,
                 upstream,
-            } => self.on_limit_answered(now, &upstream, &notice.limit, sent, actions),
+            } => self.on_notice_answered(now, &upstream, &notice, sent, actions),
             Event::PeersListed { peers } => {
                 self.retries.note_hosts(peers.len());
                 self.neighbors.note_listed(now, peers);
@@ -439,6 +440,7 @@
         self.tick_crashes(now, actions);
         self.tick_congestion(now);
         self.tick_limits(now, actions);
+        self.tick_notices(now, actions);
         self.tick_reporting(now, actions);
         self.fetch_newer(now, actions);
     }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -98,8 +98,8 @@
         /// All hosts of the list.
         hosts: Vec<PeerHost>,
     },
-    /// Another host told what upstreams name as their limits.
-    LimitsTold(LimitNote),
+    /// Another host told what upstreams say of themselves.
+    UpstreamsTold(UpstreamNote),
     /// It was looked whether anybody listens where an upstream does.
     ListeningChecked {
         /// What was seen.
--- a/crates/policy/src/hearing.rs
+++ b/crates/policy/src/hearing.rs
@@ -18,7 +18,7 @@
         }
         self.learn_confirmed(&note);
         self.answer_soon(now, &note);
-        self.learn_leaving(now, &note);
+        self.learn_leaving(now, &note, actions);
         self.learn_reads(&note);
         if let Some(version) = note.version {
             self.on_version_told(now, from, version, actions);
@@ -63,13 +63,11 @@
         }
     }
 
-    /// Believes another host that upstreams are leaving, until its next notes
-    /// say otherwise.
-    fn learn_leaving(&mut self, now: Time, note: &LoadNote) {
+    /// Believes another host that upstreams leave.
+    fn learn_leaving(&mut self, now: Time, note: &LoadNote, actions: &mut Vec<Action>) {
         for upstream in &note.leaving {
-            if let Some(state) = self.pool.get_mut(upstream) {
-                state.told_leaving_until = now + neighbors::VALID;
-            }
+            let source = NoticeSource::Host(note.host.clone());
+            self.note_leaving(now, upstream, source, actions);
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,8 +6,8 @@
     config::{Class, Document, Numbered, Plan, Scheduling, Team, Upstream},
     peer::{
         Cleared, Crash, CrashNote, Demand, DutyNote, Echo, ExpectedWait, Grant, Heartbeat,
-        HeartbeatAnswer, LimitNote, LoadNote, NamedLimit, PeerHost, PeerPhase, PromptRead,
-        TokenAsk, TokenGrant, UpstreamLoad, UsageNote, VersionNote, WantedTokens, WindowCounts,
+        HeartbeatAnswer, LoadNote, NamedLimit, PeerHost, PeerPhase, PromptRead, TokenAsk,
+        TokenGrant, UpstreamLoad, UpstreamNote, UsageNote, VersionNote, WantedTokens, WindowCounts,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom},
     serde::{Deserialize, Serialize},
@@ -89,6 +89,7 @@
 mod track_record;
 mod transfers;
 mod upstream_limits;
+mod upstream_notices;
 mod upstream_state;
 mod urgency;
 mod waste;
@@ -119,7 +120,8 @@
     stored_answer::StoredAnswer,
     target::Target,
     transfers::{TransferSearch, TransferSlots},
-    upstream_limits::{LimitNoted, LimitSource},
+    upstream_limits::LimitNoted,
+    upstream_notices::{LeavingNoted, NoticeSource},
     waste::WasteCause,
 };
 
@@ -161,6 +163,7 @@
     team_limits::TeamLimits,
     track_record::{TrackRecord, Usual},
     upstream_limits::{UpstreamLimit, UpstreamLimits},
+    upstream_notices::{Departure, Departures, Telling},
     upstream_state::UpstreamState,
     urgency::Urgency,
 };
--- a/crates/policy/src/peering.rs
+++ b/crates/policy/src/peering.rs
@@ -184,7 +184,7 @@
         let until = now + self.peering.valid();
         for upstream in upstreams {
             if let Some(state) = self.pool.get_mut(upstream) {
-                state.told_leaving_until = until;
+                state.departure.note_told(until);
             }
         }
     }
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -4,6 +4,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     pub(crate) affinity: Affinity,
+    /// Upstreams that said that they leave.
+    pub(crate) departures: Departures,
     pub(crate) groups: Vec<Group>,
     /// Whether any upstream names a limit.
     pub(crate) has_limits: bool,
@@ -66,7 +68,7 @@
             }
         }
         self.reindex(domain);
-        self.mark_listed();
+        self.mark_leaving();
     }
 
     /// Sets this host's share of each group, given its name and slots, and of
@@ -114,13 +116,7 @@
     /// Follows a new reading of the platform's list.
     pub(crate) fn note_listed(&mut self, leaving: BTreeSet<UpstreamId>) {
         self.listed_leaving = leaving;
-        self.mark_listed();
-    }
-
-    fn mark_listed(&mut self) {
-        for state in &mut self.states {
-            state.listed_leaving = self.listed_leaving.contains(&state.id);
-        }
+        self.mark_leaving();
     }
 
     /// Ids of the upstreams for which something holds.
--- a/crates/policy/src/upstream_limits/keeping.rs
+++ b/crates/policy/src/upstream_limits/keeping.rs
@@ -84,7 +84,7 @@
         };
         if state.limit.rate().is_none() {
             let limits = vec![state.limit.to_told(upstream, now)];
-            self.push_limits(limits, vec![from], actions);
+            self.push_upstream_notes(&[], &limits, &[from], actions);
             return;
         }
         // A question whether this host is there asks no further, or two hosts that take each
--- a/crates/policy/src/upstream_limits/limit_noted.rs
+++ b/crates/policy/src/upstream_limits/limit_noted.rs
@@ -1,21 +1,12 @@
 use super::*;
 
-/// Who saw what an upstream names.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum LimitSource {
-    /// Another host.
-    Host(HostId),
-    /// This host.
-    Own,
-}
-
 /// A change of the limit that an upstream names, for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LimitNoted {
     /// Requests that it takes from all hosts together; `None` for any number.
     pub limit: Option<Rate>,
     /// Who saw it.
-    pub source: LimitSource,
+    pub source: NoticeSource,
     /// The upstream.
     pub upstream: UpstreamId,
 }
--- a/crates/policy/src/upstream_limits/mod.rs
+++ b/crates/policy/src/upstream_limits/mod.rs
@@ -21,13 +21,12 @@
 mod token_stock;
 mod upstream_limit;
 
-pub use limit_noted::{LimitNoted, LimitSource};
+pub use limit_noted::LimitNoted;
 
 pub(crate) use upstream_limit::UpstreamLimit;
 
 use {
     keeper::{GivenTokens, Keeper, PendingAsk, urgency},
-    telling::Telling,
     token_bucket::TokenBucket,
     token_stock::TokenStock,
     upstream_limit::OpenAsk,
@@ -76,7 +75,7 @@
             AnsweredLimit::Invalid(_) => return,
             AnsweredLimit::Named(rate) => Some(*rate),
         };
-        if self.note_limit(now, upstream, rate, sent, LimitSource::Own, actions)
+        if self.note_limit(now, upstream, rate, sent, NoticeSource::Own, actions)
             && let Some(state) = self.pool.get_mut(upstream)
         {
             state.limit.telling.restart(now);
@@ -92,7 +91,7 @@
         upstream: &UpstreamId,
         limit: Option<Rate>,
         sent: Time,
-        source: LimitSource,
+        source: NoticeSource,
         actions: &mut Vec<Action>,
     ) -> bool {
         let Some(state) = self.pool.get_mut(upstream) else {
--- /dev/null
+++ b/crates/policy/src/upstream_notices/leaving_noted.rs
@@ -0,0 +1,10 @@
+use super::*;
+
+/// An upstream that is newly known to leave, for the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeavingNoted {
+    /// Who heard it.
+    pub source: NoticeSource,
+    /// The upstream.
+    pub upstream: UpstreamId,
+}
--- /dev/null
+++ b/crates/policy/src/upstream_notices/mod.rs
@@ -0,0 +1,79 @@
+//! What upstreams say of themselves in the heads of their answers.
+//!
+//! In: one notice for each answer, whatever became of its request, and what other hosts and the
+//! directory say. Out: which upstreams get nothing more, what other hosts are told, and which
+//! requests are refused as no upstream will take them in time.
+
+use super::*;
+
+mod departure;
+mod departures;
+mod leaving;
+mod leaving_noted;
+mod notice_source;
+mod telling;
+mod unavailable;
+
+pub use {leaving_noted::LeavingNoted, notice_source::NoticeSource};
+
+pub(crate) use {departure::Departure, departures::Departures, telling::Telling};
+
+impl Controller {
+    /// An upstream said something of itself in the answer to a request sent at a moment.
+    pub(crate) fn on_notice_answered(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        notice: &UpstreamNotice,
+        sent: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        self.on_limit_answered(now, upstream, &notice.limit, sent, actions);
+        if notice.leaving {
+            self.note_leaving(now, upstream, NoticeSource::Own, actions);
+        }
+    }
+
+    /// Another host told what upstreams say of themselves.
+    pub(crate) fn on_upstreams_told(
+        &mut self,
+        now: Time,
+        note: &UpstreamNote,
+        actions: &mut Vec<Action>,
+    ) {
+        for limit in &note.limits {
+            self.learn_limit(now, &note.host, limit, actions);
+        }
+        for upstream in &note.leaving {
+            let source = NoticeSource::Host(note.host.clone());
+            self.note_leaving(now, upstream, source, actions);
+        }
+    }
+
+    /// Tells other hosts, in as many datagrams as that takes.
+    pub(crate) fn push_upstream_notes(
+        &self,
+        leaving: &[UpstreamId],
+        limits: &[NamedLimit],
+        to: &[SocketAddr],
+        actions: &mut Vec<Action>,
+    ) {
+        if to.is_empty() {
+            return;
+        }
+        let leaving = leaving.chunks(peer::MAX_LEAVING);
+        let leaving = leaving.map(|leaving| (leaving.to_vec(), Vec::new()));
+        let limits = limits.chunks(peer::MAX_LIMITS);
+        let limits = limits.map(|limits| (Vec::new(), limits.to_vec()));
+        for (leaving, limits) in leaving.chain(limits) {
+            let note = UpstreamNote {
+                host: self.options.host.clone(),
+                leaving,
+                limits,
+                protocol: peer::PROTOCOL,
+            };
+            let to = to.to_vec();
+            actions.push(Action::TellUpstreams { note, to });
+        }
+    }
+}
--- a/crates/policy/src/upstream_state.rs
+++ b/crates/policy/src/upstream_state.rs
@@ -14,6 +14,7 @@
     pub(crate) backlog: u64,
     pub(crate) cache: PromptCache,
     pub(crate) definition: Upstream,
+    pub(crate) departure: Departure,
     /// Place of its group; `None` for an upstream of another domain.
     pub(crate) group: Option<usize>,
     pub(crate) health: Health,
@@ -26,8 +27,6 @@
     pub(crate) in_flight_trial: u32,
     /// What it names as its limit for all hosts together.
     pub(crate) limit: UpstreamLimit,
-    /// Leaving by the platform's list.
-    pub(crate) listed_leaving: bool,
     /// Slots that this host may fill, for an upstream of another domain.
     pub(crate) foreign_share: u32,
     /// Requests of other hosts there that long prompts can make late, by their notes.
@@ -45,8 +44,6 @@
     pub(crate) removed: bool,
     /// This host's requests there that have brought tokens and not ended.
     pub(crate) streams: u32,
-    /// Until when a peer's word that it is leaving is believed.
-    pub(crate) told_leaving_until: Time,
     /// Moving average of the time between two tokens.
     pub(crate) token_time_ms: Option<f64>,
     busy_until: Time,
@@ -56,8 +53,6 @@
     /// Prompt tokens of other hosts there that have brought no first token yet,
     /// by their notes.
     pub(crate) others_backlog: u64,
-    /// Leaving by its own load report.
-    reported_leaving: bool,
 }
 
 impl UpstreamState {
@@ -70,6 +65,7 @@
             backlog: 0,
             cache: PromptCache::new(memory),
             busy_until: Time::default(),
+            departure: Departure::default(),
             foreign_share: 0,
             group: None,
             health: Health::default(),
@@ -78,7 +74,6 @@
             in_flight: 0,
             in_flight_trial: 0,
             limit: UpstreamLimit::default(),
-            listed_leaving: false,
             near: false,
             others: 0,
             others_backlog: 0,
@@ -87,9 +82,7 @@
             quiet_order: placement::weight_of(&id, 0),
             record: TrackRecord::default(),
             removed: false,
-            reported_leaving: false,
             streams: 0,
-            told_leaving_until: Time::default(),
             token_time_ms: None,
             definition,
             id,
@@ -98,7 +91,7 @@
 
     /// Takes a load report against what this host had there when it was made.
     pub(crate) fn note_report(&mut self, report: LoadReport, now: Time) {
-        self.reported_leaving = report.leaving;
+        self.departure.note_reported(report.leaving);
         let reported = report.running + report.waiting;
         let made = now - Duration::from_millis(report.age_ms);
         self.others = reported.saturating_sub(self.history.at(made));
@@ -166,16 +159,14 @@
         *average += NEWEST_WEIGHT * (sample - *average);
     }
 
-    /// Whether the list or the upstream itself says that it is leaving: what
-    /// peers are told. Their own word is not passed on, or it would go round
-    /// for ever.
+    /// Whether this host has first-hand that it is leaving.
     pub(crate) const fn is_said_leaving(&self) -> bool {
-        self.listed_leaving || self.reported_leaving
+        self.departure.is_first_hand()
     }
 
     /// Whether any source says that it is leaving; one is enough.
     pub(crate) fn is_leaving(&self, now: Time) -> bool {
-        self.is_said_leaving() || self.removed || now < self.told_leaving_until
+        self.removed || self.departure.is_known(now)
     }
 
     /// Whether it takes new work, within its limit.
--- a/crates/policy/tests/installation/fleet.rs
+++ b/crates/policy/tests/installation/fleet.rs
@@ -79,6 +79,8 @@
     pub counts: BTreeMap<&'static str, Counts>,
     pub datagrams: usize,
     pub hosts: Vec<Host>,
+    /// Replicas that say that they leave.
+    pub leaving: BTreeSet<UpstreamId>,
     /// What each replica names now.
     pub limits: BTreeMap<UpstreamId, f64>,
     /// Part of the datagrams that is lost.
@@ -89,6 +91,8 @@
     pub token_bytes: usize,
     arrivals: BTreeMap<(usize, RequestId), (Time, &'static str)>,
     due: BTreeMap<(Time, u64), Due>,
+    /// When a host got an answer first that said that its replica leaves.
+    left: BTreeMap<(usize, UpstreamId), Time>,
     next: u64,
     replicas: usize,
     rng: SmallRng,
@@ -124,6 +128,8 @@
             due: BTreeMap::new(),
             frozen: BTreeSet::new(),
             hosts: Vec::new(),
+            leaving: BTreeSet::new(),
+            left: BTreeMap::new(),
             limits: BTreeMap::new(),
             lost: 0.0,
             next: 0,
@@ -159,6 +165,7 @@
         host.actions.clear();
         self.hosts[number] = host;
         self.told.retain(|(host, _), _| *host != number);
+        self.left.retain(|(host, _), _| *host != number);
         self.due
             .retain(|_, due| !matches!(due, Due::Answer { host, .. } if *host == number));
     }
@@ -274,13 +281,19 @@
             let key = (host, order.upstream.clone());
             self.told.entry(key).or_insert(self.now);
         }
-        if named.is_some() || order.inputs.limit.is_some() {
-            let limit = named.and_then(Rate::per_second);
-            let limit = limit.map_or(AnsweredLimit::Absent, AnsweredLimit::Named);
-            let notice = UpstreamNotice {
-                limit,
-                ..UpstreamNotice::default()
-            };
+        let leaving = self.leaving.contains(&order.upstream);
+        if leaving {
+            let key = (host, order.upstream.clone());
+            self.left.entry(key).or_insert(self.now);
+        }
+        let limit = named.and_then(Rate::per_second);
+        let limit = limit.map_or(AnsweredLimit::Absent, AnsweredLimit::Named);
+        let notice = UpstreamNotice {
+            leaving,
+            limit,
+            ..UpstreamNotice::default()
+        };
+        if !notice.is_empty() || order.inputs.limit.is_some() {
             let event = Event::NoticeAnswered {
                 notice,
                 sent: self.now - ANSWER,
@@ -330,9 +343,9 @@
                         self.datagram(from, to, event);
                     }
                 }
-                Action::TellLimits { note, to } => {
+                Action::TellUpstreams { note, to } => {
                     for to in to {
-                        self.datagram(from, to, Event::LimitsTold(note.clone()));
+                        self.datagram(from, to, Event::UpstreamsTold(note.clone()));
                     }
                 }
                 Action::AskTokens { ask, to } => {
@@ -415,6 +428,23 @@
         told.map(|reached| reached.at).collect()
     }
 
+    /// Requests that reached a replica from hosts that it had told so long before that it
+    /// leaves.
+    pub fn after_left(&self, upstream: &UpstreamId, span: Duration) -> usize {
+        let reached = self.reached.iter().filter(|reached| {
+            let left = self.left.get(&(reached.host, upstream.clone()));
+            reached.upstream == *upstream && left.is_some_and(|left| reached.at > *left + span)
+        });
+        reached.count()
+    }
+
+    /// Requests that reached a replica from a moment on.
+    pub fn reached_from(&self, upstream: &UpstreamId, from: Time) -> usize {
+        let reached = self.reached.iter();
+        let reached = reached.filter(|reached| reached.upstream == *upstream);
+        reached.filter(|reached| reached.at >= from).count()
+    }
+
     /// The most of them in some four seconds.
     pub fn most_in_4_s(&self, upstream: &UpstreamId) -> usize {
         let times = self.after_told(upstream);
--- a/crates/policy/tests/installation/named_limits.rs
+++ b/crates/policy/tests/installation/named_limits.rs
@@ -5,7 +5,7 @@
         fleet::{Fleet, replica},
         support::{Host, lookup, refused, sent},
     },
-    policy::{Action, Event, LimitSource, RefusalReason},
+    policy::{Action, Event, NoticeSource, RefusalReason},
     quickcheck::{Arbitrary, Gen, QuickCheck},
     std::time::Duration,
     types::{AnsweredLimit, prelude::*},
@@ -291,7 +291,7 @@
     };
     let actions = name_as_of(&mut host, "shop-0", Some(2.0), later);
     let rate = Rate::per_second(2.0);
-    assert_eq!(noted(&actions), Some((rate, LimitSource::Own)));
+    assert_eq!(noted(&actions), Some((rate, NoticeSource::Own)));
     let earlier = later - seconds(1);
     assert_eq!(noted(&name_as_of(&mut host, "shop-0", None, earlier)), None);
     assert_eq!(
@@ -299,7 +299,7 @@
         None
     );
     let actions = name_as_of(&mut host, "shop-0", None, later);
-    assert_eq!(noted(&actions), Some((None, LimitSource::Own)));
+    assert_eq!(noted(&actions), Some((None, NoticeSource::Own)));
 }
 
 /// A series of disturbances, and the limits meanwhile.
--- a/crates/policy/tests/installation/notices.rs
+++ b/crates/policy/tests/installation/notices.rs
@@ -2,8 +2,11 @@
 //! nothing for a while.
 
 use {
-    crate::support::{Host, lookup, sent},
-    policy::Event,
+    crate::{
+        fleet::{Fleet, replica},
+        support::{Ask, Host, lookup, refused, sent, upstreams},
+    },
+    policy::{Action, Event, NoticeSource, RefusalReason, SendOrder},
     std::{collections::BTreeMap, time::Duration},
     types::{AnsweredBackoff, prelude::*},
 };
@@ -12,13 +15,28 @@
 /// installations' strictest bound.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 
-fn says(host: &mut Host, upstream: &str, notice: UpstreamNotice) {
+fn says(host: &mut Host, upstream: &str, notice: UpstreamNotice) -> Vec<Action> {
     let sent = host.now;
     host.handle(Event::NoticeAnswered {
         notice,
         sent,
         upstream: upstream.parse().unwrap(),
-    });
+    })
+}
+
+/// Lets time pass while the configuration is known to be the newest.
+fn pass_in_touch(host: &mut Host, ms: u64) {
+    host.pass(ms);
+    let as_of = host.now;
+    host.handle(Event::ConfigurationConfirmed { as_of });
+}
+
+/// How often others were told in some actions that upstreams leave.
+fn told_leaving(actions: &[Action]) -> usize {
+    let told = actions.iter().filter(
+        |action| matches!(action, Action::TellUpstreams { note, .. } if !note.leaving.is_empty()),
+    );
+    told.count()
 }
 
 fn leaving() -> UpstreamNotice {
@@ -40,9 +58,7 @@
     let end = host.now + span;
     let mut counts = BTreeMap::new();
     while host.now < end {
-        host.pass(20);
-        let as_of = host.now;
-        host.handle(Event::ConfigurationConfirmed { as_of });
+        pass_in_touch(host, 20);
         let (request, actions) = host.ask(lookup());
         if let Some(order) = sent(&actions) {
             *counts.entry(order.upstream.to_string()).or_default() += 1;
@@ -63,6 +79,220 @@
     assert_eq!(counts.get("shop-0"), None, "{counts:?}");
 }
 
+/// Guards against an entry that lapses and returns, and so makes a leaving upstream a new one.
+#[test]
+fn an_upstream_goes_on_leaving_when_its_entry_returns() {
+    let mut host = Host::new(0);
+    says(&mut host, "shop-0", leaving());
+    let mut without = upstreams();
+    without.remove(&"shop-0".parse().unwrap());
+    host.read_directory(without, &[]);
+    host.pass(3_000);
+    host.read_directory(upstreams(), &[]);
+    let counts = calls_by_upstream(&mut host, Duration::from_secs(2));
+    assert_eq!(counts.get("shop-0"), None, "{counts:?}");
+}
+
+/// Guards against an older copy of the directory that takes a leaving back.
+#[test]
+fn an_upstream_that_was_listed_as_leaving_goes_on_leaving() {
+    let mut host = Host::new(0);
+    host.read_directory(upstreams(), &["shop-0"]);
+    host.read_directory(upstreams(), &[]);
+    let counts = calls_by_upstream(&mut host, Duration::from_secs(2));
+    assert_eq!(counts.get("shop-0"), None, "{counts:?}");
+}
+
+#[test]
+fn a_word_that_comes_before_the_entry_counts() {
+    let mut host = Host::new(0);
+    let mut without = upstreams();
+    let late = without.remove(&"shop-0".parse().unwrap()).unwrap();
+    host.read_directory(without.clone(), &[]);
+    says(&mut host, "shop-0", leaving());
+    without.insert("shop-0".parse().unwrap(), late);
+    host.read_directory(without, &[]);
+    let counts = calls_by_upstream(&mut host, Duration::from_secs(2));
+    assert_eq!(counts.get("shop-0"), None, "{counts:?}");
+}
+
+#[test]
+fn the_next_incarnation_of_a_leaving_upstream_gets_requests() {
+    let mut host = Host::new(0);
+    says(&mut host, "shop-0", leaving());
+    let mut again = upstreams();
+    let definition = again.remove(&"shop-0".parse().unwrap()).unwrap();
+    let next = "shop-0@2".parse::<UpstreamId>().unwrap();
+    again.insert(next, definition);
+    host.read_directory(again, &[]);
+    let counts = calls_by_upstream(&mut host, Duration::from_secs(2));
+    assert!(counts.contains_key("shop-0@2"), "{counts:?}");
+}
+
+/// Guards against a repeated request that goes where only first attempts are kept away.
+#[test]
+fn repeated_requests_and_moved_streams_avoid_an_upstream_that_leaves() {
+    for number in 0..20 {
+        let mut host = Host::new(number);
+        says(&mut host, "shop-0", leaving());
+        says(&mut host, "engine-0", leaving());
+        let (request, actions) = host.ask(lookup());
+        let first = sent(&actions).unwrap();
+        let actions = host.fail(&first, request, FailureCause::Busy, Verdict::NotRun, false);
+        let second = sent(&actions).unwrap();
+        assert_ne!(second.upstream.to_string(), "shop-0");
+
+        let stream = Ask::prompt("draft", "first-key", &[(1, 500), (number + 7, 100)]);
+        let (request, actions) = host.ask(stream);
+        let first = sent(&actions).unwrap();
+        host.handle(Event::Progressed {
+            attempt: first.attempt,
+            longest_pause: Duration::ZERO,
+            request,
+            tokens: Tokens::new(3),
+        });
+        let actions = host.fail(
+            &first,
+            request,
+            FailureCause::Reset,
+            Verdict::MayHaveRun,
+            true,
+        );
+        let moved = sent(&actions).unwrap();
+        assert_ne!(moved.upstream.to_string(), "engine-0");
+    }
+}
+
+/// Guards against a queued request that is sent by what was known when it came.
+#[test]
+fn a_request_that_waits_does_not_go_to_an_upstream_that_leaves_meanwhile() {
+    let mut host = Host::new(0);
+    for upstream in ["shop-1", "shop-2"] {
+        says(&mut host, upstream, leaving());
+    }
+    let orders: Vec<(SendOrder, RequestId)> = (0..6)
+        .map(|_| {
+            let (request, actions) = host.ask(lookup());
+            (sent(&actions).unwrap(), request)
+        })
+        .collect();
+    let (_, actions) = host.ask(lookup());
+    assert_eq!(sent(&actions), None, "all slots are taken");
+    says(&mut host, "shop-0", leaving());
+    let (order, request) = &orders[0];
+    host.actions.clear();
+    host.finish(order, *request);
+    host.pass(100);
+    assert_eq!(sent(&host.actions), None);
+}
+
+/// Guards against callers who wait until their deadline for upstreams that all leave.
+#[test]
+fn requests_are_refused_when_due_while_all_their_upstreams_leave() {
+    let mut host = Host::new(0);
+    host.handle(Event::DirectoryReached(false));
+    for upstream in ["shop-0", "shop-1", "shop-2"] {
+        says(&mut host, upstream, leaving());
+    }
+    let (_, actions) = host.ask(lookup());
+    assert_eq!(sent(&actions), None);
+    // The class's first token is due after half a second.
+    host.pass(480);
+    assert_eq!(refused(&host.actions), None);
+    host.pass(40);
+    let refusal = refused(&host.actions).unwrap();
+    assert_eq!(refusal.reason, RefusalReason::NoUpstream);
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert!(refusal.retry_after >= Some(Duration::from_secs(1)));
+    assert_eq!(sent(&host.actions), None);
+}
+
+/// Guards against refusals where an upstream is listed a moment after the last one left.
+#[test]
+fn a_request_whose_upstreams_all_left_goes_to_one_that_is_listed_then() {
+    let mut host = Host::new(0);
+    for upstream in ["shop-0", "shop-1", "shop-2"] {
+        says(&mut host, upstream, leaving());
+    }
+    host.ask(lookup());
+    host.pass(300);
+    let mut listed = upstreams();
+    let definition = listed[&"shop-0".parse().unwrap()].clone();
+    listed.insert("shop-9".parse().unwrap(), definition);
+    host.actions.clear();
+    host.read_directory(listed, &[]);
+    let order = sent(&host.actions).unwrap();
+    assert_eq!(order.upstream.to_string(), "shop-9");
+}
+
+#[test]
+fn other_hosts_are_told_at_once_while_the_directory_is_away() {
+    let mut host = Host::new(0);
+    host.handle(Event::DirectoryReached(false));
+    let actions = says(&mut host, "shop-0", leaving());
+    let noted = actions.iter().find_map(|action| match action {
+        Action::NoteLeaving(noted) => Some(noted.clone()),
+        _ => None,
+    });
+    assert_eq!(noted.unwrap().source, NoticeSource::Own);
+    host.actions.clear();
+    host.pass(10);
+    assert_eq!(told_leaving(&host.actions), 1);
+    host.pass(2_000);
+    assert_eq!(told_leaving(&host.actions), 3);
+    let actions = says(&mut host, "shop-0", leaving());
+    assert!(actions.is_empty(), "the same word is no news");
+}
+
+#[test]
+fn other_hosts_read_a_leaving_in_the_directory_where_it_lists_it() {
+    let mut host = Host::new(0);
+    host.actions.clear();
+    says(&mut host, "shop-0", leaving());
+    host.pass(500);
+    host.read_directory(upstreams(), &["shop-0"]);
+    host.pass(3_000);
+    assert_eq!(told_leaving(&host.actions), 0);
+}
+
+/// Guards against hosts that each learn of a leaving by a request of their own.
+#[test]
+fn a_leaving_that_one_host_hears_of_binds_all() {
+    for hosts in [6, 66, 195] {
+        let mut fleet = Fleet::new(hosts, 4, 1);
+        for host in 0..hosts {
+            fleet.hosts[host].handle(Event::DirectoryReached(false));
+        }
+        let load = [("lookup", 60.0)];
+        fleet.pass(Duration::from_secs(1), &load);
+        fleet.leaving.insert(replica(0));
+        fleet.pass(Duration::from_millis(500), &load);
+        let from = fleet.now;
+        let datagrams = fleet.datagrams;
+        fleet.pass(Duration::from_secs(3), &load);
+        assert_eq!(fleet.reached_from(&replica(0), from), 0, "{hosts} hosts");
+        assert_eq!(fleet.after_left(&replica(0), Duration::ZERO), 0);
+        let counts = fleet.of("lookup");
+        assert_eq!(counts.refused, 0, "{hosts} hosts");
+        // Two more times by the host that was told first, and the usual notes.
+        let each = (fleet.datagrams - datagrams) as f64 / hosts as f64;
+        println!("{hosts} hosts: {each} datagrams each in 3 s");
+    }
+}
+
+/// Guards against requests of hosts that another one's word does not reach.
+#[test]
+fn a_leaving_binds_each_host_that_was_told_itself_though_datagrams_are_lost() {
+    let mut fleet = Fleet::new(20, 4, 3);
+    fleet.lost = 1.0;
+    let load = [("lookup", 200.0)];
+    fleet.pass(Duration::from_secs(1), &load);
+    fleet.leaving.insert(replica(0));
+    fleet.pass(Duration::from_secs(4), &load);
+    assert_eq!(fleet.after_left(&replica(0), Duration::ZERO), 0);
+    assert_eq!(fleet.of("lookup").refused, 0);
+}
+
 /// Guards against requests to an upstream that has refused one and wants nothing for a while.
 #[test]
 fn an_upstream_that_asks_for_a_backoff_gets_nothing_until_its_end() {
--- a/crates/policy/tests/properties/model.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -254,10 +254,11 @@
             | Action::CheckListening { .. }
             | Action::KeepCrashes(_)
             | Action::NoteCrash(_)
+            | Action::NoteLeaving(_)
             | Action::NoteLimit(_)
             | Action::AskTokens { .. }
             | Action::GrantTokens { .. }
-            | Action::TellLimits { .. }
+            | Action::TellUpstreams { .. }
             | Action::TellCrashes { .. }
             | Action::FetchConfiguration { .. }
             | Action::Probe { .. }
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -15,6 +15,7 @@
         Action::GrantTokens { grant, .. } => format!("grant {} tokens", grant.count),
         Action::KeepCrashes(crashes) => format!("keep {} crashes", crashes.len()),
         Action::NoteCrash(noted) => format!("{} crashed {}", noted.crashes, noted.upstream),
+        Action::NoteLeaving(noted) => format!("note that {} leaves", noted.upstream),
         Action::NoteLimit(noted) => match noted.limit {
             Some(limit) => format!("{} takes {limit}", noted.upstream),
             None => format!("{} has no limit", noted.upstream),
@@ -43,8 +44,12 @@
         Action::TellDuty { note, to } => {
             format!("tell {} hosts of holder {}", to.len(), note.host)
         }
-        Action::TellLimits { note, to } => {
-            format!("tell {} hosts of {} limits", to.len(), note.limits.len())
+        Action::TellUpstreams { note, to } => {
+            let (leaving, limits) = (note.leaving.len(), note.limits.len());
+            format!(
+                "tell {} hosts of {leaving} leaving, {limits} limits",
+                to.len()
+            )
         }
         Action::TellUsage { note, .. } => {
             format!("tell the holder of {} windows", note.windows.len())
--- a/crates/ports/src/protocol.rs
+++ b/crates/ports/src/protocol.rs
@@ -11,6 +11,9 @@
     /// Headers of an upstream's answer as they go to the caller.
     fn answer_headers(&self, received: &HeaderMap) -> HeaderMap;
 
+    /// Whether the answer to a health check is one of the upstream that was meant.
+    fn is_of_upstream(&self, upstream: &UpstreamId, headers: &HeaderMap) -> bool;
+
     /// What an upstream says of itself in an answer.
     fn notice(&self, status: StatusCode, headers: &HeaderMap) -> UpstreamNotice;
 
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -229,6 +229,10 @@
                 let now = self.thread.clock.now();
                 self.decisions.crash_noted(now, &noted);
             }
+            Action::NoteLeaving(noted) => {
+                let now = self.thread.clock.now();
+                self.decisions.leaving_noted(now, &noted);
+            }
             Action::NoteLimit(noted) => {
                 let now = self.thread.clock.now();
                 self.decisions.limit_noted(now, &noted);
@@ -274,9 +278,9 @@
                     sender.tell_duty(&note, &to);
                 }
             }
-            Action::TellLimits { note, to } => {
+            Action::TellUpstreams { note, to } => {
                 if let Some(sender) = &self.thread.notes {
-                    sender.tell_limits(&note, &to);
+                    sender.tell_upstreams(&note, &to);
                 }
             }
             Action::TellUsage { note, to } => self.tell_usage(note, to),
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -158,16 +158,25 @@
 
     /// What an upstream names as its limit changed.
     pub(crate) fn limit_noted(&mut self, now: Time, noted: &LimitNoted) {
-        let (source, from) = match &noted.source {
-            LimitSource::Host(host) => ("told", Some(host.to_string())),
-            LimitSource::Own => ("own", None),
-        };
+        let source = noted.source.as_str();
         counter!("rhubarbcove_limits_noted_total", "source" => source).increment(1);
         if self.budget.take(LineKind::Important, now) {
             info!(self.logger, "belief: limit of an upstream";
                 "upstream" => %noted.upstream,
                 "limit_per_s" => noted.limit.map(Rate::get),
-                "from" => from,
+                "from" => noted.source.host().map(ToString::to_string),
+            );
+        }
+    }
+
+    /// An upstream is newly known to leave.
+    pub(crate) fn leaving_noted(&mut self, now: Time, noted: &LeavingNoted) {
+        let source = noted.source.as_str();
+        counter!("rhubarbcove_leaving_noted_total", "source" => source).increment(1);
+        if self.budget.take(LineKind::Important, now) {
+            info!(self.logger, "belief: upstream leaves, by its answer";
+                "upstream" => %noted.upstream,
+                "from" => noted.source.host().map(ToString::to_string),
             );
         }
     }
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -65,7 +65,7 @@
             }
         };
         let controller = wiring.start_controller(notes)?;
-        wiring.watch_upstreams()?;
+        wiring.watch_upstreams(protocol.clone())?;
         wiring.answer_operators(operators, store)?;
         let callers = wiring.answer_callers(&callers, protocol.as_ref())?;
         info!(wiring.logger, "host: started";
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,13 +26,13 @@
         Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
     },
     peer::{
-        Crash, CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LimitNote, LoadNote, MessageError,
-        PeerClient, PeerHandler, PeerHost, PeerServer, TableNews, TableRow, TablesNews, TokenAsk,
-        TokenGrant, UsageNote, VersionNote,
+        Crash, CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LoadNote, MessageError, PeerClient,
+        PeerHandler, PeerHost, PeerServer, TableNews, TableRow, TablesNews, TokenAsk, TokenGrant,
+        UpstreamNote, UsageNote, VersionNote,
     },
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
-        CrashNoted, CrashSource, Event, FetchEnd, HostPhase, LimitNoted, LimitSource, Outcome,
+        CrashNoted, CrashSource, Event, FetchEnd, HostPhase, LeavingNoted, LimitNoted, Outcome,
         OutcomeEnd, PrefixHash, Refusal, RefusalReason, RelayRules, Repeatability, RoomRules,
         Routed, SendOrder, Settlement, StoredAnswer, Target, TransferSlots, WasteCause,
     },
--- a/crates/router/src/note_sender.rs
+++ b/crates/router/src/note_sender.rs
@@ -36,8 +36,8 @@
         self.send_to_all(&note.to_datagram(&self.token), &[to]);
     }
 
-    /// Tells hosts what upstreams name as their limits.
-    pub(crate) fn tell_limits(&self, note: &LimitNote, to: &[SocketAddr]) {
+    /// Tells hosts what upstreams say of themselves.
+    pub(crate) fn tell_upstreams(&self, note: &UpstreamNote, to: &[SocketAddr]) {
         self.send_to_all(&note.to_datagram(&self.token), to);
     }
 
--- a/crates/router/src/note_thread.rs
+++ b/crates/router/src/note_thread.rs
@@ -80,8 +80,8 @@
     if let Ok(note) = CrashNote::from_datagram(datagram, token) {
         return Ok(Told::Event(Event::CrashesTold(note)));
     }
-    if let Ok(note) = LimitNote::from_datagram(datagram, token) {
-        return Ok(Told::Event(Event::LimitsTold(note)));
+    if let Ok(note) = UpstreamNote::from_datagram(datagram, token) {
+        return Ok(Told::Event(Event::UpstreamsTold(note)));
     }
     let note = VersionNote::from_datagram(datagram, token)?;
     Ok(Told::Event(Event::VersionTold { from, note }))
--- a/crates/router/src/upstream_thread.rs
+++ b/crates/router/src/upstream_thread.rs
@@ -13,10 +13,13 @@
 
 /// What the thread is given.
 pub(crate) struct UpstreamThread {
+    pub(crate) clock: Clock,
     pub(crate) configuration: Arc<ArcSwapOption<Numbered>>,
     pub(crate) events: flume::Sender<RingEvent>,
     pub(crate) logger: Logger,
     pub(crate) probes: flume::Receiver<ProbeJob>,
+    /// How answers look in an installation; `None` outside one.
+    pub(crate) protocol: Option<Arc<dyn Protocol>>,
     pub(crate) shutdown: Shutdown,
     pub(crate) status: Arc<ArcSwap<HostStatus>>,
 }
@@ -36,10 +39,73 @@
         let adapter = EngineAdapter::default();
         tokio::select! {
             () = poll_loads(&self.configuration, &self.status, &adapter, &self.events) => {}
-            () = serve_probes(&self.probes, &adapter, &self.events, &self.logger) => {}
+            () = self.serve_probes(&adapter) => {}
             () = self.shutdown.started() => {}
         }
     }
+
+    async fn serve_probes(&self, adapter: &EngineAdapter) {
+        while let Ok(job) = self.probes.recv_async().await {
+            let ProbeJob {
+                address,
+                question,
+                upstream,
+            } = job;
+            let event = match question {
+                ProbeQuestion::Health(path) => {
+                    let healthy = self.check_health(adapter, address, &path, &upstream).await;
+                    info!(self.logger, "upstreams: probed";
+                        "upstream" => %upstream, "healthy" => healthy);
+                    Event::ProbeAnswered { healthy, upstream }
+                }
+                ProbeQuestion::Listening => {
+                    let listening = check_listening(address).await;
+                    info!(self.logger, "upstreams: looked whether it listens";
+                        "upstream" => %upstream, "listening" => format!("{listening:?}"));
+                    Event::ListeningChecked {
+                        listening,
+                        upstream,
+                    }
+                }
+            };
+            self.tell(event).await;
+        }
+    }
+
+    /// Whether an upstream is well. What its answer says of it besides is told before.
+    async fn check_health(
+        &self,
+        adapter: &EngineAdapter,
+        address: SocketAddr,
+        path: &str,
+        upstream: &UpstreamId,
+    ) -> bool {
+        let sent = self.clock.now();
+        let Some((status, headers)) = adapter.check_health(address, path).await else {
+            return false;
+        };
+        let Some(protocol) = &self.protocol else {
+            return status.is_success();
+        };
+        if !protocol.is_of_upstream(upstream, &headers) {
+            return false;
+        }
+        let notice = protocol.notice(status, &headers);
+        if !notice.is_empty() {
+            self.tell(Event::NoticeAnswered {
+                notice,
+                sent,
+                upstream: upstream.clone(),
+            })
+            .await;
+        }
+        status.is_success()
+    }
+
+    async fn tell(&self, event: Event) {
+        // The controller outlives this thread.
+        let _ = self.events.send_async(RingEvent::Happened(event)).await;
+    }
 }
 
 /// Asks one engine after the other, a fixed number a second, so that the cost
@@ -101,35 +167,3 @@
         let _ = events.send_async(RingEvent::Happened(event)).await;
     }
 }
-
-async fn serve_probes(
-    probes: &flume::Receiver<ProbeJob>,
-    adapter: &EngineAdapter,
-    events: &flume::Sender<RingEvent>,
-    logger: &Logger,
-) {
-    while let Ok(ProbeJob {
-        address,
-        question,
-        upstream,
-    }) = probes.recv_async().await
-    {
-        let event = match question {
-            ProbeQuestion::Health(path) => {
-                let healthy = adapter.is_healthy(address, &path).await;
-                info!(logger, "upstreams: probed"; "upstream" => %upstream, "healthy" => healthy);
-                Event::ProbeAnswered { healthy, upstream }
-            }
-            ProbeQuestion::Listening => {
-                let listening = check_listening(address).await;
-                info!(logger, "upstreams: looked whether it listens";
-                    "upstream" => %upstream, "listening" => format!("{listening:?}"));
-                Event::ListeningChecked {
-                    listening,
-                    upstream,
-                }
-            }
-        };
-        let _ = events.send_async(RingEvent::Happened(event)).await;
-    }
-}
--- a/crates/router/src/wiring.rs
+++ b/crates/router/src/wiring.rs
@@ -115,12 +115,17 @@
     }
 
     /// Polls and probes the upstreams.
-    pub(crate) fn watch_upstreams(&mut self) -> eyre::Result<()> {
+    pub(crate) fn watch_upstreams(
+        &mut self,
+        protocol: Option<Arc<dyn Protocol>>,
+    ) -> eyre::Result<()> {
         let thread = UpstreamThread {
+            clock: self.shared.clock,
             configuration: Arc::clone(&self.shared.configuration),
             events: self.events(),
             logger: self.logger.clone(),
             probes: self.rings.probes.1.clone(),
+            protocol,
             shutdown: self.others_stop.clone(),
             status: Arc::clone(&self.shared.status),
         };
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -62,9 +62,22 @@
         serde_json::from_slice(&body).ok()
     }
 
-    /// Whether an upstream answers its health check.
-    pub async fn is_healthy(&self, address: SocketAddr, path: &str) -> bool {
-        self.short(Method::GET, address, path).await.is_ok()
+    /// Asks an upstream's health check; the head of its answer, `None` without a whole one.
+    pub async fn check_health(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Option<(StatusCode, HeaderMap)> {
+        let request = short_request(Method::GET, address, path)
+            .body(Full::new(Bytes::new()))
+            .ok()?;
+        let sent = self.connections.send(address, request, SHORT_TIMEOUT);
+        let (response, sender) = sent.await.ok()?;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MAX_SHORT_ANSWER.get() as usize).collect();
+        timeout(SHORT_TIMEOUT, body).await.ok()?.ok()?;
+        self.connections.keep(address, sender, answer::IDLE_TIME);
+        Some((parts.status, parts.headers))
     }
 
     async fn short(
@@ -73,10 +86,7 @@
         address: SocketAddr,
         path: &str,
     ) -> Result<Bytes, CallFailure> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", address.to_string());
+        let request = short_request(method, address, path);
         let answer = self
             .exchange(address, request, Bytes::new(), SHORT_TIMEOUT)
             .await?;
@@ -96,3 +106,10 @@
         service::exchange(&self.connections, address, request, body, head_timeout).await
     }
 }
+
+fn short_request(method: Method, address: SocketAddr, path: &str) -> hyper::http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.to_string())
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -5,9 +5,9 @@
     bytes::Bytes,
     eventsource_stream::{Event, EventStream, EventStreamError, Eventsource},
     futures::{FutureExt, StreamExt},
-    http_body_util::{BodyDataStream, Full, Limited},
+    http_body_util::{BodyDataStream, BodyExt, Full, Limited},
     hyper::{
-        Method, Request, Response, StatusCode,
+        HeaderMap, Method, Request, Response, StatusCode,
         body::Incoming,
         client::conn::http1::{SendRequest, handshake},
     },
