Send nothing to an upstream in the time for which its refusal wants none

Cause: the time that a refusal names was read by nobody; a refused host paused for 200 ms whatever it was told.

Change: one backoff of an upstream, `Backoff`, holds the pause after any refusal and the time asked for; the later end counts, from the arrival of the answer's head, and a shorter word or none does not shorten it. It binds first attempts, repeats, moved streams and probes, is remembered apart from the state as the entry may lapse, and counts neither as a failure nor towards an ejection. Each host adds up to a quarter at random, and sends one request every 0.2 s after it until one is taken, so that hosts that were refused together do not empty their queues into the upstream together. Where all upstreams of a target want nothing, requests wait in their order if their deadline allows, and else are refused at once with `upstream_backoff` and the time of the first end. Backoffs over five minutes are cut there, so that a slip shuts nobody out for ever.

By arrivals at the upstream: none from a host in its backoff with 6, 66 and 381 hosts, no request that was sent on was held over 0.1 s, at most 1 in 100 refused (a repeat needs a token of the retry budget); 195 hosts refused together return with under a third of them in any tenth of a second.

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -38,6 +38,7 @@
         if let Some(state) = self.pool.get_mut(&upstream) {
             state.end_prefill(prefill);
             state.streams += u32::from(begins);
+            state.backoff.note_taken(sent);
         }
         if !is_first {
             if let Some(state) = self.pool.get_mut(&upstream) {
@@ -107,6 +108,7 @@
         self.pool.note_heard(&request.stage.upstream, now);
         if let Some(state) = self.pool.get_mut(&request.stage.upstream) {
             state.note_success(now.since(request.stage.sent), now);
+            state.backoff.note_taken(request.stage.sent);
         }
         let facts = &request.facts;
         self.crashes
@@ -175,6 +177,9 @@
         let upstream = &request.stage.upstream;
         if let Some(state) = self.pool.get_mut(upstream) {
             state.record.note_failure(now);
+            if cause == FailureCause::ErrorStatus {
+                state.backoff.note_taken(request.stage.sent);
+            }
         }
         match cause {
             FailureCause::Connect => self.pool.note_unreachable(upstream),
@@ -191,7 +196,7 @@
             return;
         }
         if let Some(state) = self.pool.get_mut(upstream) {
-            state.note_busy(now);
+            state.backoff.note_refused(now);
         }
     }
 
--- a/crates/policy/src/ejection.rs
+++ b/crates/policy/src/ejection.rs
@@ -85,7 +85,8 @@
     pub(crate) fn take_probes(&mut self, now: Time) -> Vec<(UpstreamId, SocketAddr)> {
         self.states
             .iter_mut()
-            .filter(|state| !state.is_leaving(now) && state.limit.has_token(now))
+            .filter(|state| !state.is_leaving(now) && state.backoff.is_over(now))
+            .filter(|state| state.limit.has_token(now))
             .filter_map(|state| {
                 let due = state.health.take_probe(now);
                 if due {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -163,7 +163,7 @@
     team_limits::TeamLimits,
     track_record::{TrackRecord, Usual},
     upstream_limits::{UpstreamLimit, UpstreamLimits},
-    upstream_notices::{Departure, Departures, Telling},
+    upstream_notices::{Backoff, Departure, Departures, Telling},
     upstream_state::UpstreamState,
     urgency::Urgency,
 };
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -4,6 +4,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     pub(crate) affinity: Affinity,
+    /// Until when upstreams want nothing from this host.
+    pub(crate) backoffs: HashMap<UpstreamId, Time>,
     /// Upstreams that said that they leave.
     pub(crate) departures: Departures,
     pub(crate) groups: Vec<Group>,
@@ -68,6 +70,7 @@
             }
         }
         self.reindex(domain);
+        self.mark_backing_off();
         self.mark_leaving();
     }
 
--- a/crates/policy/src/refusal_reason.rs
+++ b/crates/policy/src/refusal_reason.rs
@@ -46,6 +46,8 @@
     UnknownService,
     /// Every attempt failed.
     UpstreamFailed,
+    /// The upstreams want nothing until it is too late.
+    UpstreamBackoff,
     /// The upstreams' limits let the request through too late.
     UpstreamLimited,
     /// The upstreams are full, and more urgent requests go first.
@@ -76,6 +78,7 @@
             Self::UnknownModel => "unknown_model",
             Self::UnknownRoute => "unknown_route",
             Self::UnknownService => "unknown_service",
+            Self::UpstreamBackoff => "upstream_backoff",
             Self::UpstreamFailed => "upstream_failed",
             Self::UpstreamLimited => "upstream_limit",
             Self::UpstreamsFull => "upstreams_full",
@@ -139,6 +142,7 @@
             Self::UnknownModel => "no upstream serves this model",
             Self::UnknownRoute => "no route matches the host name and path",
             Self::UnknownService => "there is no such service",
+            Self::UpstreamBackoff => "the upstreams refuse requests until it is too late",
             Self::UpstreamFailed => "the upstream failed",
             Self::UpstreamLimited => "the limits of the upstreams leave no place in time",
             Self::UpstreamsFull => "the upstreams are full, and more urgent requests go first",
--- a/crates/policy/src/upstream_notices/leaving.rs
+++ b/crates/policy/src/upstream_notices/leaving.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Whether any upstream leaves, or wants nothing for a while.
+    pub(crate) fn has_notices(&self) -> bool {
+        !self.departures.is_empty() || !self.backoffs.is_empty()
+    }
+
     fn forget_departures(&mut self, now: Time) {
         let index = &self.index;
         self.departures.forget(|id| index.contains_key(id), now);
--- a/crates/policy/src/upstream_notices/mod.rs
+++ b/crates/policy/src/upstream_notices/mod.rs
@@ -6,6 +6,8 @@
 
 use super::*;
 
+mod backing_off;
+mod backoff;
 mod departure;
 mod departures;
 mod leaving;
@@ -16,7 +18,7 @@
 
 pub use {leaving_noted::LeavingNoted, notice_source::NoticeSource};
 
-pub(crate) use {departure::Departure, departures::Departures, telling::Telling};
+pub(crate) use {backoff::Backoff, departure::Departure, departures::Departures, telling::Telling};
 
 impl Controller {
     /// An upstream said something of itself in the answer to a request sent at a moment.
@@ -32,6 +34,7 @@
         if notice.leaving {
             self.note_leaving(now, upstream, NoticeSource::Own, actions);
         }
+        self.note_backoff(now, upstream, &notice.backoff);
     }
 
     /// Another host told what upstreams say of themselves.
--- a/crates/policy/src/upstream_state.rs
+++ b/crates/policy/src/upstream_state.rs
@@ -3,15 +3,13 @@
 /// Weight of the newest sample in the moving average of the token time.
 const NEWEST_WEIGHT: f64 = 0.1;
 
-/// Pause after an upstream refused a request for want of room.
-const BUSY_PAUSE: Duration = Duration::from_millis(200);
-
 /// What a host knows of one upstream.
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
     /// Prompt tokens that this host sent there and that have brought no first
     /// token yet.
     pub(crate) backlog: u64,
+    pub(crate) backoff: Backoff,
     pub(crate) cache: PromptCache,
     pub(crate) definition: Upstream,
     pub(crate) departure: Departure,
@@ -46,7 +44,6 @@
     pub(crate) streams: u32,
     /// Moving average of the time between two tokens.
     pub(crate) token_time_ms: Option<f64>,
-    busy_until: Time,
     history: InFlightHistory,
     /// Requests of other hosts there, by the last load report or their notes.
     pub(crate) others: u32,
@@ -63,8 +60,8 @@
         };
         Self {
             backlog: 0,
+            backoff: Backoff::default(),
             cache: PromptCache::new(memory),
-            busy_until: Time::default(),
             departure: Departure::default(),
             foreign_share: 0,
             group: None,
@@ -99,6 +96,7 @@
 
     pub(crate) fn start(&mut self, facts: &RequestFacts, now: Time) {
         self.in_flight += 1;
+        self.backoff.note_sent(now);
         self.limit.spend(now);
         self.in_flight_trial += u32::from(facts.rank.plan == Plan::Trial);
         self.pause_bound += u32::from(facts.pause_bound);
@@ -146,10 +144,6 @@
         }
     }
 
-    pub(crate) fn note_busy(&mut self, now: Time) {
-        self.busy_until = now + BUSY_PAUSE;
-    }
-
     pub(crate) fn note_tokens(&mut self, tokens: Tokens, span: Duration) {
         if tokens.get() == 0 {
             return;
@@ -171,12 +165,12 @@
 
     /// Whether it takes new work, within its limit.
     pub(crate) fn takes_work(&self, now: Time) -> bool {
-        !self.is_leaving(now) && self.health.is_well() && now >= self.busy_until
+        !self.is_leaving(now) && self.health.is_well() && self.backoff.is_over(now)
     }
 
     /// Whether it takes new work of this host now.
     pub(crate) fn is_open(&self, now: Time) -> bool {
-        self.takes_work(now) && self.limit.has_token(now)
+        self.takes_work(now) && self.backoff.may_send(now) && self.limit.has_token(now)
     }
 
     /// Slots that may be used while it comes back slowly.
--- a/crates/policy/tests/installation/fleet.rs
+++ b/crates/policy/tests/installation/fleet.rs
@@ -10,7 +10,7 @@
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
-    types::{AnsweredLimit, prelude::*},
+    types::{AnsweredBackoff, AnsweredLimit, prelude::*},
 };
 
 /// Time of a datagram between two hosts.
@@ -83,6 +83,10 @@
     pub leaving: BTreeSet<UpstreamId>,
     /// What each replica names now.
     pub limits: BTreeMap<UpstreamId, f64>,
+    /// Replicas that refuse requests, and for how long they want none then.
+    pub refusing: BTreeMap<UpstreamId, Duration>,
+    /// Backoffs that hosts were asked for: host, replica, from when, until when.
+    pub backoffs: Vec<(usize, UpstreamId, Time, Time)>,
     /// Part of the datagrams that is lost.
     pub lost: f64,
     pub now: Time,
@@ -121,6 +125,7 @@
     pub fn new(hosts: usize, replicas: usize, seed: u64) -> Self {
         let mut fleet = Self {
             arrivals: BTreeMap::new(),
+            backoffs: Vec::new(),
             counts: BTreeMap::new(),
             cut: BTreeSet::new(),
             datagrams: 0,
@@ -135,6 +140,7 @@
             next: 0,
             now: Time::from_ms(1_000),
             reached: Vec::new(),
+            refusing: BTreeMap::new(),
             replicas,
             rng: SmallRng::seed_from_u64(seed),
             told: BTreeMap::new(),
@@ -166,6 +172,7 @@
         self.hosts[number] = host;
         self.told.retain(|(host, _), _| *host != number);
         self.left.retain(|(host, _), _| *host != number);
+        self.backoffs.retain(|(host, ..)| *host != number);
         self.due
             .retain(|_, due| !matches!(due, Due::Answer { host, .. } if *host == number));
     }
@@ -288,10 +295,15 @@
         }
         let limit = named.and_then(Rate::per_second);
         let limit = limit.map_or(AnsweredLimit::Absent, AnsweredLimit::Named);
+        let refused = self.refusing.get(&order.upstream).copied();
+        if let Some(span) = refused {
+            let asked = (host, order.upstream.clone(), self.now, self.now + span);
+            self.backoffs.push(asked);
+        }
         let notice = UpstreamNotice {
+            backoff: refused.map_or(AnsweredBackoff::Absent, AnsweredBackoff::Asked),
             leaving,
             limit,
-            ..UpstreamNotice::default()
         };
         if !notice.is_empty() || order.inputs.limit.is_some() {
             let event = Event::NoticeAnswered {
@@ -301,10 +313,19 @@
             };
             self.tell(host, event);
         }
-        let end = AttemptEnd::Completed {
-            answer: None,
-            longest_pause: Duration::ZERO,
-            tokens: Tokens::default(),
+        let end = if refused.is_some() {
+            AttemptEnd::Failed {
+                cause: FailureCause::Busy,
+                delivered: false,
+                tokens: Tokens::default(),
+                verdict: Verdict::NotRun,
+            }
+        } else {
+            AttemptEnd::Completed {
+                answer: None,
+                longest_pause: Duration::ZERO,
+                tokens: Tokens::default(),
+            }
         };
         let event = Event::AttemptEnded {
             attempt: order.attempt,
@@ -312,6 +333,9 @@
             request,
         };
         self.tell(host, event);
+        if refused.is_some() {
+            return;
+        }
         if let Some((at, class)) = self.arrivals.remove(&(host, request)) {
             let counts = self.counts.entry(class).or_default();
             counts.served += 1;
@@ -438,6 +462,20 @@
         reached.count()
     }
 
+    /// The most requests that reached a replica from a host that it had asked for a backoff,
+    /// between half a second after that and its end.
+    pub fn most_in_backoff(&self) -> usize {
+        let counts = self.backoffs.iter().map(|(host, upstream, from, until)| {
+            let from = *from + Duration::from_millis(500);
+            let reached = self.reached.iter().filter(|reached| {
+                let there = reached.host == *host && reached.upstream == *upstream;
+                there && reached.at >= from && reached.at < *until
+            });
+            reached.count()
+        });
+        counts.max().unwrap_or_default()
+    }
+
     /// Requests that reached a replica from a moment on.
     pub fn reached_from(&self, upstream: &UpstreamId, from: Time) -> usize {
         let reached = self.reached.iter();
--- a/crates/policy/tests/installation/notices.rs
+++ b/crates/policy/tests/installation/notices.rs
@@ -301,3 +301,238 @@
     let counts = calls_by_upstream(&mut host, Duration::from_secs(3));
     assert_eq!(counts.get("shop-0"), None, "{counts:?}");
 }
+
+/// Guards against a pause that a refusal makes shorter which names a shorter one, or none.
+#[test]
+fn the_longest_backoff_counts() {
+    let mut host = Host::new(0);
+    says(&mut host, "shop-0", backoff(3_000));
+    says(&mut host, "shop-0", backoff(1_000));
+    says(&mut host, "shop-0", UpstreamNotice::default());
+    let counts = calls_by_upstream(&mut host, Duration::from_secs(3));
+    assert_eq!(counts.get("shop-0"), None, "{counts:?}");
+}
+
+/// Guards against an entry that lapses and returns, and so ends a backoff.
+#[test]
+fn a_backoff_outlives_an_entry_that_returns() {
+    let mut host = Host::new(0);
+    says(&mut host, "shop-0", backoff(3_000));
+    let mut without = upstreams();
+    without.remove(&"shop-0".parse().unwrap());
+    host.read_directory(without, &[]);
+    host.read_directory(upstreams(), &[]);
+    let counts = calls_by_upstream(&mut host, Duration::from_secs(3));
+    assert_eq!(counts.get("shop-0"), None, "{counts:?}");
+}
+
+#[test]
+fn an_upstream_is_used_again_after_its_backoff() {
+    let mut host = Host::new(0);
+    says(&mut host, "shop-0", backoff(1_000));
+    pass_in_touch(&mut host, 1_250);
+    let counts = calls_by_upstream(&mut host, Duration::from_secs(1));
+    assert!(counts["shop-0"] > 5, "{counts:?}");
+}
+
+/// Guards against an upstream that is shut out for ever, as it named a huge number by mistake.
+#[test]
+fn a_backoff_of_days_ends_after_five_minutes() {
+    let mut host = Host::new(0);
+    says(&mut host, "shop-0", backoff(7 * 86_400_000));
+    pass_in_touch(&mut host, 300_000);
+    host.now = host.now + Duration::from_secs(75);
+    let counts = calls_by_upstream(&mut host, Duration::from_secs(1));
+    assert!(counts.contains_key("shop-0"), "{counts:?}");
+}
+
+#[test]
+fn a_backoff_of_no_time_or_no_number_changes_nothing() {
+    let invalid = UpstreamNotice {
+        backoff: AnsweredBackoff::Invalid("soon".to_string()),
+        ..UpstreamNotice::default()
+    };
+    for notice in [backoff(0), invalid] {
+        let mut host = Host::new(0);
+        says(&mut host, "shop-0", notice);
+        let counts = calls_by_upstream(&mut host, Duration::from_secs(1));
+        assert!(counts["shop-0"] > 5, "{counts:?}");
+    }
+}
+
+/// Guards against a backoff that is taken for a failure, so that the upstream is ejected.
+#[test]
+fn upstreams_that_refuse_are_not_ejected() {
+    let mut host = Host::new(0);
+    for _ in 0..20 {
+        let (request, actions) = host.ask(lookup());
+        let Some(order) = sent(&actions) else {
+            break;
+        };
+        let upstream = order.upstream.to_string();
+        says(&mut host, &upstream, backoff(500));
+        host.fail(&order, request, FailureCause::Busy, Verdict::NotRun, false);
+        pass_in_touch(&mut host, 300);
+    }
+    assert!(host.controller.ejected().is_empty());
+}
+
+/// Guards against callers who wait for upstreams that want nothing until it is too late.
+#[test]
+fn a_request_is_refused_at_once_where_all_backoffs_end_too_late() {
+    let mut host = Host::new(0);
+    for upstream in ["shop-0", "shop-1", "shop-2"] {
+        says(&mut host, upstream, backoff(20_000));
+    }
+    host.ask(lookup());
+    host.actions.clear();
+    host.pass(10);
+    let refusal = refused(&host.actions).unwrap();
+    assert_eq!(refusal.reason, RefusalReason::UpstreamBackoff);
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert!(refusal.retry_after > Some(Duration::from_secs(19)));
+}
+
+#[test]
+fn requests_wait_for_the_end_of_a_backoff_most_urgent_first() {
+    let mut host = Host::new(0);
+    for upstream in ["engine-0", "engine-1", "engine-2"] {
+        says(&mut host, upstream, backoff(2_000));
+    }
+    let ask = |host: &mut Host, class| {
+        let prompt = Ask::prompt(class, "shop-key", &[(1, 200), (2, 100)]);
+        host.ask(prompt).0
+    };
+    let late = ask(&mut host, "summary");
+    let urgent = ask(&mut host, "question");
+    host.pass(1_990);
+    assert_eq!(sent(&host.actions), None);
+    assert_eq!(refused(&host.actions), None);
+    host.pass(600);
+    let sent: Vec<RequestId> = host.actions.iter().filter_map(sent_request).collect();
+    assert_eq!(sent.first(), Some(&urgent));
+    assert!(sent.contains(&late));
+}
+
+fn sent_request(action: &Action) -> Option<RequestId> {
+    match action {
+        Action::Send { request, .. } => Some(*request),
+        _ => None,
+    }
+}
+
+/// Guards against a queue that empties into an upstream that has just come back.
+#[test]
+fn after_a_backoff_one_request_at_a_time_is_sent_until_one_is_taken() {
+    let mut host = Host::new(0);
+    for upstream in ["shop-0", "shop-1", "shop-2"] {
+        says(
+            &mut host,
+            upstream,
+            backoff(if upstream == "shop-0" { 1_000 } else { 60_000 }),
+        );
+    }
+    for _ in 0..4 {
+        host.ask(lookup());
+    }
+    host.pass(1_260);
+    let orders = |host: &Host| host.actions.iter().filter_map(sent_request).count();
+    assert_eq!(orders(&host), 1);
+    let order = sent(&host.actions).unwrap();
+    let request = host.actions.iter().find_map(sent_request).unwrap();
+    host.finish(&order, request);
+    host.pass(10);
+    assert_eq!(orders(&host), 4);
+}
+
+/// Guards against a probe that an upstream gets while it wants nothing.
+#[test]
+fn an_upstream_is_not_probed_while_it_wants_nothing() {
+    let mut host = Host::new(0);
+    let mut orders = Vec::new();
+    for _ in 0..12 {
+        let (request, actions) = host.ask(lookup());
+        orders.push((sent(&actions).unwrap(), request));
+    }
+    for (order, request) in orders {
+        if order.upstream.to_string() == "shop-0" {
+            host.fail(
+                &order,
+                request,
+                FailureCause::Reset,
+                Verdict::MayHaveRun,
+                false,
+            );
+        }
+    }
+    assert_eq!(host.controller.ejected().len(), 1);
+    says(&mut host, "shop-0", backoff(3_000));
+    host.actions.clear();
+    host.pass(3_000);
+    let probes = |host: &Host| {
+        let probes = host.actions.iter();
+        probes
+            .filter(|action| matches!(action, Action::Probe { .. }))
+            .count()
+    };
+    assert_eq!(probes(&host), 0);
+    host.pass(800);
+    assert_eq!(probes(&host), 1);
+}
+
+/// Guards against hosts that each send again before their backoff ends, counted where requests
+/// arrive.
+#[test]
+fn refusing_upstreams_get_nothing_from_hosts_that_they_asked_for_a_backoff() {
+    for (hosts, per_s) in [(6, 60.0), (66, 300.0), (381, 600.0)] {
+        let mut fleet = Fleet::new(hosts, 4, 1);
+        let load = [("lookup", per_s)];
+        fleet.pass(Duration::from_millis(500), &load);
+        fleet.refusing.insert(replica(0), Duration::from_secs(2));
+        fleet.pass(Duration::from_secs(3), &load);
+        assert_eq!(fleet.most_in_backoff(), 0, "{hosts} hosts");
+        // A repeat at another replica needs a token of the retry budget, of which each of many
+        // hosts has a small part; who is not refused is never held up.
+        let counts = fleet.of("lookup");
+        assert!(
+            counts.refused * 100 <= counts.sent,
+            "{hosts} hosts: {}",
+            counts.refused
+        );
+        let held = counts
+            .lasted
+            .iter()
+            .filter(|lasted| lasted.as_millis() > 100);
+        assert_eq!(held.count(), 0, "{hosts} hosts");
+    }
+}
+
+/// Guards against hosts that were refused together and return together.
+#[test]
+fn hosts_that_were_refused_together_do_not_return_together() {
+    const HOSTS: usize = 195;
+    let mut fleet = Fleet::new(HOSTS, 1, 1);
+    fleet.refusing.insert(replica(0), Duration::from_secs(2));
+    for host in 0..HOSTS {
+        fleet.ask(host, "lookup");
+    }
+    fleet.pass(Duration::from_millis(100), &[]);
+    assert_eq!(fleet.backoffs.len(), HOSTS);
+    fleet.refusing.clear();
+    let from = fleet.now;
+    for host in 0..HOSTS {
+        fleet.ask(host, "lookup");
+    }
+    fleet.pass(Duration::from_millis(3_000), &[]);
+    let arrived = |span: std::ops::Range<u64>| {
+        let reached = fleet.reached.iter().map(|reached| reached.at.since(from));
+        reached
+            .filter(|at| span.contains(&(at.as_millis() as u64)))
+            .count()
+    };
+    assert_eq!(arrived(1..3_000), HOSTS);
+    let most = (0..29)
+        .map(|step| arrived(step * 100 + 1..step * 100 + 101))
+        .max();
+    assert!(most.unwrap() < HOSTS / 3, "{most:?} in a tenth of a second");
+}
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -106,6 +106,7 @@
         | RefusalReason::NotReady
         | RefusalReason::QueueFull
         | RefusalReason::StoreUnavailable
+        | RefusalReason::UpstreamBackoff
         | RefusalReason::UpstreamLimited
         | RefusalReason::UpstreamsFull => StatusCode::SERVICE_UNAVAILABLE,
         RefusalReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
