--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -7,6 +7,7 @@
 
 /// What the thread is given.
 pub(crate) struct DirectoryThread {
+    pub(crate) asked: flume::Receiver<()>,
     pub(crate) clock: Clock,
     pub(crate) crashes: flume::Receiver<Vec<Crash>>,
     pub(crate) directory: Box<dyn Directory>,
@@ -38,6 +39,7 @@
     async fn run(self) {
         let (sender, updates) = flume::bounded(UPDATE_RING);
         let Self {
+            asked,
             clock,
             crashes,
             directory,
@@ -53,6 +55,7 @@
             usage,
         } = self;
         let channels = DirectoryChannels {
+            asked,
             crashes,
             draining,
             offers,
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -28,6 +28,8 @@
 /// hosts while the store is well.
 #[derive(Clone)]
 pub(crate) struct PeerService {
+    /// Told when another host asks for what this one cannot tell.
+    pub(crate) asked: flume::Sender<()>,
     pub(crate) clock: Clock,
     pub(crate) handout: Arc<ArcSwapOption<Handout>>,
     pub(crate) heard: Arc<Mutex<HeardTables>>,
@@ -76,6 +78,10 @@
     fn tables(&self, upstreams: u64, hosts: u64, to: Option<SocketAddr>) -> Response<AnswerBody> {
         let told = lock(&self.heard).told(self.clock.now());
         let handout = self.handout.load_full();
+        if !matches!(told, TablesTold::News { .. }) {
+            // A full ring holds the same news.
+            let _ = self.asked.try_send(());
+        }
         match (told, handout) {
             (TablesTold::StoreLost, _) => {
                 let mut response = refused();
--- a/crates/router/src/rings.rs
+++ b/crates/router/src/rings.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Questions of other hosts that wait to be noticed: all of them are one.
+const ASKED_RING: usize = 1;
+
 /// Events that may wait for the controller.
 const EVENT_RING: usize = 65_536;
 
@@ -26,6 +29,7 @@
 
 /// The bounded rings that join the threads of a host.
 pub(crate) struct Rings {
+    pub(crate) asked: (flume::Sender<()>, flume::Receiver<()>),
     pub(crate) crashes: (flume::Sender<Vec<Crash>>, flume::Receiver<Vec<Crash>>),
     pub(crate) events: (flume::Sender<RingEvent>, flume::Receiver<RingEvent>),
     pub(crate) fetches: (flume::Sender<FetchJob>, flume::Receiver<FetchJob>),
@@ -38,6 +42,7 @@
 impl Rings {
     pub(crate) fn new() -> Self {
         Self {
+            asked: flume::bounded(ASKED_RING),
             crashes: flume::bounded(CRASH_RING),
             events: flume::bounded(EVENT_RING),
             fetches: flume::bounded(FETCH_RING),
--- a/crates/router/src/wiring.rs
+++ b/crates/router/src/wiring.rs
@@ -71,6 +71,7 @@
     pub(crate) fn follow_directory(&mut self, directory: Box<dyn Directory>) -> eyre::Result<()> {
         let (offer, offers) = flume::bounded(rings::OFFER_RING);
         let thread = DirectoryThread {
+            asked: self.rings.asked.1.clone(),
             heard: Arc::clone(&self.shared.heard),
             clock: self.shared.clock,
             crashes: self.rings.crashes.1.clone(),
@@ -173,6 +174,7 @@
         };
         self.threads.push(thread.spawn()?);
         let service = PeerService {
+            asked: self.rings.asked.0.clone(),
             heard: Arc::clone(&self.shared.heard),
             clock: self.shared.clock,
             handout: Arc::clone(&self.shared.handout),
