Divide the policy's modules into rooms by what they decide about

Moved only: no line of logic changed; each room exports what the others use, and unused names left the crate's root.

--- /dev/null
+++ b/crates/policy/src/hosts/mod.rs
@@ -0,0 +1,24 @@
+//! What hosts do together: membership, shares of slots, notes of load, newer configurations.
+
+use super::*;
+
+mod hearing;
+mod member;
+mod membership;
+pub(crate) mod neighbors;
+mod newer_configuration;
+mod peering;
+mod share;
+mod shares;
+mod steward;
+
+pub(crate) use {
+    member::Member,
+    membership::Membership,
+    neighbors::Neighbors,
+    newer_configuration::NewerConfiguration,
+    peering::Peering,
+    share::Share,
+    shares::Shares,
+    steward::{Divided, Steward},
+};
--- /dev/null
+++ b/crates/policy/src/upstreams/mod.rs
@@ -0,0 +1,36 @@
+//! What is known of upstreams, and the choice between them.
+
+use super::*;
+
+mod affinity;
+mod choice;
+mod directory_view;
+mod ejection;
+mod engine_partition;
+mod group;
+mod health;
+mod in_flight_history;
+mod long_prompts;
+pub(crate) mod placement;
+mod placement_request;
+mod pool;
+pub(crate) mod prompt_cache;
+mod silent_domains;
+mod track_record;
+mod upstream_state;
+
+pub(crate) use {
+    affinity::Affinity,
+    directory_view::DirectoryView,
+    engine_partition::EnginePartition,
+    group::Group,
+    health::Health,
+    in_flight_history::InFlightHistory,
+    long_prompts::LongPrompts,
+    placement_request::PlacementRequest,
+    pool::Pool,
+    prompt_cache::PromptCache,
+    silent_domains::SilentDomains,
+    track_record::{TrackRecord, Usual},
+    upstream_state::UpstreamState,
+};
