Take other hosts and copies of a target from one iterator each

One iterator for each now. Behaviour is unchanged; the tests of limits, sick and unreachable upstreams and knowledge pass.

--- a/crates/policy/src/hosts/neighbors.rs
+++ b/crates/policy/src/hosts/neighbors.rs
@@ -67,6 +67,11 @@
         let heard = self.heard.as_ref();
         heard.filter(|(heard, _)| now.since(*heard) <= VALID)
     }
+
+    /// When it was heard last.
+    fn last_heard(&self) -> Option<Time> {
+        self.heard.as_ref().map(|(heard, _)| *heard)
+    }
 }
 
 /// What all other hosts together have on one upstream.
@@ -144,10 +149,9 @@
 
     /// All other hosts, when each was heard last, or else became known, and where it listens.
     pub(crate) fn others(&self, own: &HostId) -> impl Iterator<Item = (&HostId, Time, SocketAddr)> {
-        let others = self.hosts.iter().filter(move |(host, _)| *host != own);
-        others.map(|(host, neighbor)| {
-            let heard = neighbor.heard.as_ref().map(|(heard, _)| *heard);
-            (host, heard.unwrap_or(neighbor.known), neighbor.address)
+        self.hosts_but(own).map(|(host, neighbor)| {
+            let seen = neighbor.last_heard().unwrap_or(neighbor.known);
+            (host, seen, neighbor.address)
         })
     }
 
@@ -156,17 +160,17 @@
         &self,
         own: &HostId,
     ) -> impl Iterator<Item = (&HostId, Time, SocketAddr)> {
-        let others = self.hosts.iter().filter(move |(host, _)| *host != own);
-        others.filter_map(|(host, neighbor)| {
-            let (heard, _) = neighbor.heard.as_ref()?;
-            Some((host, *heard, neighbor.address))
-        })
+        self.hosts_but(own)
+            .filter_map(|(host, neighbor)| Some((host, neighbor.last_heard()?, neighbor.address)))
+    }
+
+    fn hosts_but(&self, own: &HostId) -> impl Iterator<Item = (&HostId, &Neighbor)> {
+        self.hosts.iter().filter(move |(host, _)| *host != own)
     }
 
     /// When a host was heard last.
     pub(crate) fn last_heard(&self, host: &HostId) -> Option<Time> {
-        let heard = self.hosts.get(host)?.heard.as_ref();
-        heard.map(|(heard, _)| *heard)
+        self.hosts.get(host)?.last_heard()
     }
 
     /// Time between two notes, by what was told last.
@@ -176,8 +180,7 @@
 
     /// Where all other hosts listen.
     pub(crate) fn addresses(&self, own: &HostId) -> impl Iterator<Item = SocketAddr> {
-        let others = self.hosts.iter().filter(move |(host, _)| *host != own);
-        others.map(|(_, neighbor)| neighbor.address)
+        self.hosts_but(own).map(|(_, neighbor)| neighbor.address)
     }
 
     /// The load of all other hosts on each upstream.
--- a/crates/policy/src/upstreams/ejection.rs
+++ b/crates/policy/src/upstreams/ejection.rs
@@ -57,11 +57,7 @@
     /// well and not given up.
     fn has_others(&self, state: &UpstreamState, given_up: impl Fn(&UpstreamState) -> bool) -> bool {
         let is_served = |target: &Target| {
-            let places = self.targets.get(target);
-            let places = places
-                .into_iter()
-                .flat_map(|places| places.own.iter().chain(&places.foreign));
-            let mut others = places.map(|place| &self.states[*place]);
+            let mut others = self.copies(target);
             others.any(|other| other.health.is_well() && !given_up(other))
         };
         pool::targets_of(&state.definition).iter().all(is_served)
@@ -71,14 +67,12 @@
     /// makes every upstream fail, all are ejected, and nothing is served even
     /// where something still could be.
     fn may_eject(&self, target: &Target) -> bool {
-        let Some(places) = self.targets.get(target) else {
+        if !self.serves(target) {
             return false;
-        };
-        let all = || places.own.iter().chain(&places.foreign);
-        let ejected = all()
-            .filter(|place| !self.states[**place].health.is_well())
-            .count();
-        (ejected + 1) * KEEP_ONE_IN <= all().count().max(KEEP_ONE_IN)
+        }
+        let all = self.copies(target);
+        let ejected = all.clone().filter(|state| !state.health.is_well());
+        (ejected.count() + 1) * KEEP_ONE_IN <= all.count().max(KEEP_ONE_IN)
     }
 
     /// Upstreams to be probed now; each is named once for each probe.
