Say from whom it is known that an upstream leaves

The line `belief: upstream leaves, by its answer` was also written for what another host told, which may have it from its directory. It names the source now. Found when reading the change as a newcomer; text only.

--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -174,8 +174,9 @@
         let source = noted.source.as_str();
         counter!("rhubarbcove_leaving_noted_total", "source" => source).increment(1);
         if self.budget.take(LineKind::Important, now) {
-            info!(self.logger, "belief: upstream leaves, by its answer";
+            info!(self.logger, "belief: upstream leaves";
                 "upstream" => %noted.upstream,
+                "source" => source,
                 "from" => noted.source.host().map(ToString::to_string),
             );
         }
