Read figures of an installation that have a fraction

Callers saw nothing at all: where a bound of the installation is no whole number, no host started (retry_extra = 33.16, on both small twins of the whole fleet; 45 exits of 23 hosts). Two more would have been read wrongly without a word, as the template appended 000 to seconds: 8.25 s became 8.25000 ms.

Ruled out: rounding in the template, which has no arithmetic.

Change: seconds are settings of their own (drain_limit_s, retry_window_s, usage_late_s, usage_window_s; _ms before); milliseconds and counts are rounded to the side of the bound: limits down, the lease's term up. Values that no host can keep (negative, not a number) are refused by name.

Small twins, before: did not start.

--- a/crates/config/src/duty_settings.rs
+++ b/crates/config/src/duty_settings.rs
@@ -12,38 +12,25 @@
     /// Names of the duties, as the installation has them.
     pub kinds: Vec<String>,
     /// Term of the lease under which they are done.
+    #[serde(deserialize_with = "whole_number::ceiled")]
     pub lease_ms: u64,
     /// Time after the end of a window at which its usage report is due.
-    pub usage_late_ms: u64,
+    pub usage_late_s: f64,
     /// Length of a window of usage.
-    pub usage_window_ms: u64,
+    pub usage_window_s: f64,
 }
 
 impl DutySettings {
     pub(crate) fn check(&self) -> Result<(), SettingsError> {
-        let checks = [
-            (
-                "relay.duties.lease_ms",
-                self.lease_ms >= MIN_LEASE_MS,
-                "1500 or more",
-            ),
-            (
-                "relay.duties.usage_window_ms",
-                self.usage_window_ms > 0,
-                "1 or more",
-            ),
-            (
-                "relay.duties.usage_late_ms",
-                self.usage_late_ms > 0,
-                "1 or more",
-            ),
-        ];
-        match checks.iter().find(|(_, holds, _)| !holds) {
-            Some((field, _, expected)) => Err(SettingsError::OutOfRange {
-                expected: (*expected).to_string(),
-                field: (*field).to_string(),
-            }),
-            None => Ok(()),
+        if self.lease_ms < MIN_LEASE_MS {
+            return Err(SettingsError::OutOfRange {
+                expected: "1500 or more".to_string(),
+                field: "relay.duties.lease_ms".to_string(),
+            });
         }
+        relay_settings::seconds_above_zero(&[
+            ("relay.duties.usage_window_s", self.usage_window_s),
+            ("relay.duties.usage_late_s", self.usage_late_s),
+        ])
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,7 +3,7 @@
 
 use {
     json_patch::Patch as JsonPatch,
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Deserializer, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
         fmt::{self, Display, Formatter},
@@ -35,6 +35,7 @@
 mod upstream;
 mod validation;
 mod weighted_service;
+mod whole_number;
 
 pub use {
     caller_limits::CallerLimits, class::Class, config_error::ConfigError, document::Document,
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -73,9 +73,8 @@
                 field: "caller_threads".to_string(),
             });
         }
-        let relay = self.relay.as_ref();
-        if let Some(duties) = relay.and_then(|relay| relay.duties.as_ref()) {
-            duties.check()?;
+        if let Some(relay) = &self.relay {
+            relay.check()?;
         }
         self.check_limits()
     }
--- /dev/null
+++ b/crates/config/src/whole_number.rs
@@ -0,0 +1,30 @@
+//! Whole numbers of settings that an installation may give with a fraction.
+//!
+//! Each is rounded to the side on which the host keeps the installation's bound.
+
+use super::*;
+
+/// Rounds down: what must not be exceeded.
+pub(crate) fn floored<'a, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'a>,
+    T: TryFrom<u64>,
+{
+    whole(f64::deserialize(deserializer)?.floor())
+}
+
+/// Rounds up: what must not be fallen short of.
+pub(crate) fn ceiled<'a, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'a>,
+    T: TryFrom<u64>,
+{
+    whole(f64::deserialize(deserializer)?.ceil())
+}
+
+fn whole<T: TryFrom<u64>, E: serde::de::Error>(value: f64) -> Result<T, E> {
+    let is_whole = value.is_finite() && (0.0..=u64::MAX as f64).contains(&value);
+    let number = is_whole.then_some(value as u64);
+    let number = number.and_then(|number| T::try_from(number).ok());
+    number.ok_or_else(|| E::custom(format!("{value} is out of range")))
+}
--- a/crates/router/src/relay_rules.rs
+++ b/crates/router/src/relay_rules.rs
@@ -24,11 +24,11 @@
         key_knowledge: limit.saturating_sub(KEY_KNOWLEDGE_MARGIN),
         retry_extra: relay.retry_extra,
         retry_ratio: relay.retry_ratio,
-        retry_window: Duration::from_millis(relay.retry_window_ms),
+        retry_window: Duration::from_secs_f64(relay.retry_window_s),
         usage_window: relay
             .duties
             .as_ref()
-            .map(|duties| Duration::from_millis(duties.usage_window_ms)),
+            .map(|duties| Duration::from_secs_f64(duties.usage_window_s)),
     }
 }
 
@@ -36,6 +36,6 @@
 pub(crate) fn drain_limit(settings: &Settings) -> Option<Duration> {
     let relay = settings.relay.as_ref()?;
     let pause = Duration::from_millis(settings.balancer_pause_ms);
-    let limit = Duration::from_millis(relay.drain_limit_ms);
+    let limit = Duration::from_secs_f64(relay.drain_limit_s);
     Some(limit.saturating_sub(pause + STOP_RESERVE))
 }
