Let each host know a working set of the upstreams, and a group of the hosts

Cause: every host kept, compared, copied and looked through all 10,000 upstreams, told all 984 others its load, and read the whole table of hosts at its start. All of that doubles with the fleet; the tables of the installation grow by 500 rows in a second while it starts, and each time all of it was built again.

Ruled out: the copies alone.

Change: upstreams have a level by their name and by how many there are. A host knows 128 to 255 of a service of more than 256 in its own failure domain and 8 to 15 in each other one; the one that asks the store tells the others no other rows. Beyond 384 hosts, notes go to the hosts of the own group, hosts are known by failure domain, and rows of hosts lie in a part of the table for each domain (a part takes 200 writes a second, and all hosts write in the first half a second). Changes that change nothing build nothing, the pool changes in place, and what a host shows is copied only when it changed.

Test: the costs of one host at 100, 300, 985 and 1,970 hosts in virtual time; grouping and levels apart; 2,000 upstreams before five real hosts; levels, removals and copies of the tables.

--- a/crates/peer/src/handing.rs
+++ b/crates/peer/src/handing.rs
@@ -3,11 +3,10 @@
 /// Path of the configuration; the version that the asking host has is appended.
 pub const DOCUMENT_PATH: &str = "/document/newer-than/";
 
-/// Path of the tables that few hosts read for all; the revisions up to which the asking
-/// host knows the upstreams' and the hosts' are appended, 0 for one that it does not know.
+/// Path of the tables that few hosts read for all; a `TablesQuestion` is appended.
 pub const TABLES_PATH: &str = "/tables/changed-after/";
 
-/// Path of a copy of the tables, however old; the same revisions are appended.
+/// Path of a copy of the tables, however old; the same question is appended.
 pub const TABLES_COPY_PATH: &str = "/tables/copied-after/";
 
 /// Where the asking host serves other hosts, so that they can be referred to it.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -14,11 +14,13 @@
         fmt::{self, Display, Formatter},
         io::{Read, Write},
         net::SocketAddr,
+        str::FromStr,
     },
     subtle::ConstantTimeEq,
     types::prelude::*,
 };
 
+mod coverage;
 mod crash_note;
 mod datagram;
 mod demand;
@@ -36,6 +38,7 @@
 mod rpc;
 mod table_news;
 mod table_row;
+mod tables_question;
 mod token_ask;
 mod token_grant;
 mod upstream_note;
@@ -43,6 +46,7 @@
 mod version_note;
 
 pub use {
+    coverage::Coverage,
     crash_note::{Cleared, Crash, CrashNote, MAX_CRASHES},
     demand::Demand,
     duty_note::DutyNote,
@@ -56,6 +60,7 @@
     peer_phase::PeerPhase,
     table_news::{TableNews, TablesNews},
     table_row::TableRow,
+    tables_question::TablesQuestion,
     token_ask::{MAX_WANTED, TokenAsk, WantedTokens},
     token_grant::{ExpectedWait, TokenGrant},
     upstream_note::{MAX_LEAVING, MAX_LIMITS, UpstreamNote},
--- a/crates/peer/src/message_error.rs
+++ b/crates/peer/src/message_error.rs
@@ -7,6 +7,8 @@
     NotANote,
     /// It does not hold news of tables.
     NotNews,
+    /// It is not a question for tables.
+    NotQuestion,
     /// It has a version that this host does not speak.
     Protocol {
         /// The version.
@@ -48,6 +50,7 @@
         match self {
             Self::NotANote => f.write_str("datagram is not a note of a host with the same secret"),
             Self::NotNews => f.write_str("message does not hold news of tables"),
+            Self::NotQuestion => f.write_str("message is not a question for tables"),
             Self::Protocol { found } => write!(f, "message has protocol version {found}"),
             Self::Size { found, max, part } => {
                 write!(f, "message has {found} {part}, at most {max} are allowed")
--- a/crates/peer/src/table_news.rs
+++ b/crates/peer/src/table_news.rs
@@ -24,8 +24,13 @@
 /// News of all tables that few hosts read for the others.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TablesNews {
+    /// Which upstreams are told of.
+    pub coverage: Coverage,
     /// The hosts of the installation.
     pub hosts: TableNews,
+    /// Hosts of the whole installation; where there are many, a host is told those of its own
+    /// failure domain.
+    pub hosts_in_all: u32,
     /// The upstreams.
     pub upstreams: TableNews,
 }
--- a/crates/peer/src/table_row.rs
+++ b/crates/peer/src/table_row.rs
@@ -5,6 +5,9 @@
 pub struct TableRow {
     /// Its key.
     pub key: String,
+    /// Level from which on a host's working set holds the upstream of this row; 0 for a row
+    /// that every host knows.
+    pub level: u8,
     /// Whether it was removed.
     pub removed: bool,
     /// Revision of the store at which it was written or removed.
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -214,9 +214,17 @@
                 sent,
                 upstream,
             } => self.on_notice_answered(now, &upstream, &notice, sent, actions),
-            Event::PeersListed { peers } => {
-                self.retries.note_hosts(peers.len());
-                self.neighbors.note_listed(now, peers);
+            Event::PeersListed { in_all, peers } => {
+                if let Some(in_all) = in_all {
+                    self.retries.note_hosts(in_all);
+                }
+                let ControllerOptions {
+                    failure_domain,
+                    host,
+                    ..
+                } = &self.options;
+                self.neighbors
+                    .note_listed(now, host, failure_domain, &peers, in_all);
             }
             Event::ProbeAnswered { healthy, upstream } => {
                 if healthy {
@@ -369,6 +377,11 @@
         self.pool.select(|state| state.home > 0)
     }
 
+    /// Counts the times that [`Self::home`] may have changed.
+    pub const fn shares_version(&self) -> u64 {
+        self.pool.shares_version
+    }
+
     /// Other hosts that this one hears.
     pub fn heard(&self, now: Time) -> Vec<HostId> {
         self.neighbors.heard(now)
--- a/crates/policy/src/crashes/barring.rs
+++ b/crates/policy/src/crashes/barring.rs
@@ -170,7 +170,9 @@
         if self.options.relay.is_none() {
             return;
         }
-        let to_keep = self.crashes.record.take_to_keep(fingerprint);
+        let keeps_first = self.neighbors.is_part_of_all();
+        let record = &mut self.crashes.record;
+        let to_keep = record.take_to_keep(fingerprint, keeps_first);
         if !to_keep.is_empty() {
             let crashes = to_keep.iter().map(|crash| crash.to_told(now));
             actions.push(Action::KeepCrashes(crashes.collect()));
--- a/crates/policy/src/crashes/crash_record.rs
+++ b/crates/policy/src/crashes/crash_record.rs
@@ -112,10 +112,16 @@
         is_new.then_some(crashes)
     }
 
-    /// Own crashes of a request that are to be kept in the store; each is given once.
-    pub(crate) fn take_to_keep(&mut self, fingerprint: &Fingerprint) -> Vec<ObservedCrash> {
+    /// Own crashes of a request that are to be kept in the store, each is given once; the
+    /// first one, too, if other hosts hear of it by the store only.
+    pub(crate) fn take_to_keep(
+        &mut self,
+        fingerprint: &Fingerprint,
+        keeps_first: bool,
+    ) -> Vec<ObservedCrash> {
+        let keep_from = if keeps_first { 1 } else { KEEP_FROM };
         let ends = self.requests.get_mut(fingerprint);
-        let Some(ends) = ends.filter(|ends| ends.0.len() >= KEEP_FROM) else {
+        let Some(ends) = ends.filter(|ends| ends.0.len() >= keep_from) else {
             return Vec::new();
         };
         let to_keep = ends.0.iter_mut().filter(|(_, end)| end.is_to_keep);
--- a/crates/policy/src/duties/reporting.rs
+++ b/crates/policy/src/duties/reporting.rs
@@ -69,7 +69,11 @@
     /// This host holds the duties, and tells the others.
     pub(crate) fn on_duty_held(&mut self, now: Time, note: DutyNote, actions: &mut Vec<Action>) {
         self.reporting.note_holder(now, None, &note);
-        let to = self.neighbors.addresses(&self.options.host).collect();
+        let to = if self.neighbors.is_part_of_all() {
+            self.neighbors.all_addresses().to_vec()
+        } else {
+            self.neighbors.addresses(&self.options.host).collect()
+        };
         actions.push(Action::TellDuty { note, to });
     }
 
@@ -82,7 +86,7 @@
         if self.usage_window_ms().is_none() || now < self.reporting.next_told {
             return;
         }
-        let hosts = self.neighbors.len() as u32;
+        let hosts = self.neighbors.len().max(self.neighbors.listed()) as u32;
         self.reporting.next_told = now + TELL_INTERVAL + TELL_INTERVAL_PER_HOST * hosts;
         let holder = self.reporting.holder.as_ref();
         let Some(holder) = holder.filter(|holder| now.since(holder.heard) < HOLDER_VALID) else {
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -132,7 +132,10 @@
     },
     /// The other hosts were listed.
     PeersListed {
-        /// Hosts, this one perhaps among them.
+        /// Hosts of the whole installation; `None` if that is not known yet.
+        in_all: Option<usize>,
+        /// Hosts, this one perhaps among them; where there are many, those of its own failure
+        /// domain.
         peers: Vec<PeerHost>,
     },
     /// A probe of an ejected upstream was answered, or was not.
--- a/crates/policy/src/hosts/mod.rs
+++ b/crates/policy/src/hosts/mod.rs
@@ -3,6 +3,7 @@
 use super::*;
 
 mod hearing;
+mod host_group;
 mod member;
 mod membership;
 pub(crate) mod neighbors;
@@ -12,6 +13,8 @@
 mod shares;
 mod steward;
 
+pub use {host_group::own_group, neighbors::are_grouped};
+
 pub(crate) use {
     member::Member,
     membership::Membership,
--- a/crates/policy/src/hosts/neighbors.rs
+++ b/crates/policy/src/hosts/neighbors.rs
@@ -51,6 +51,17 @@
 /// first one is its home, the others take over in an order that is the same on all hosts.
 const CANDIDATES: usize = 3;
 
+/// Hosts up to which each exchanges notes with all others. Beyond that a note to all takes over
+/// half a minute within the budget, and says nothing that still holds; hosts then exchange them
+/// with those of their group.
+const MAX_EXCHANGING: usize = 384;
+
+/// Whether hosts are so many that each exchanges notes with those of its group only, and knows
+/// those of its own failure domain.
+pub const fn are_grouped(hosts: usize) -> bool {
+    hosts > MAX_EXCHANGING
+}
+
 /// Another host.
 #[derive(Debug)]
 struct Neighbor {
@@ -85,7 +96,12 @@
 /// The other hosts and what they said last.
 #[derive(Debug, Default)]
 pub(crate) struct Neighbors {
+    /// Where the other known hosts listen, also those that exchange no notes with this one.
+    addresses: Vec<SocketAddr>,
+    /// Those that exchange notes with this one.
     hosts: BTreeMap<HostId, Neighbor>,
+    /// Hosts of the whole installation, this one included.
+    listed: usize,
     pub(crate) next_idle: Time,
     next_note: Time,
     /// Shared parts that this host had read, and in how many more notes each is
@@ -96,9 +112,27 @@
 
 impl Neighbors {
     /// Takes a list of hosts; those that are missing may just not be listed.
-    pub(crate) fn note_listed(&mut self, now: Time, peers: Vec<PeerHost>) {
-        for peer in peers {
-            let neighbor = self.hosts.entry(peer.host).or_insert(Neighbor {
+    pub(crate) fn note_listed(
+        &mut self,
+        now: Time,
+        own: &HostId,
+        domain: &FailureDomainId,
+        peers: &[PeerHost],
+        in_all: Option<usize>,
+    ) {
+        self.listed = in_all.unwrap_or(peers.len());
+        let others = peers.iter().filter(|peer| peer.host != *own);
+        self.addresses = others.clone().map(|peer| peer.address).collect();
+        let exchanging: Vec<&PeerHost> = if are_grouped(self.listed) {
+            let group = own_group(own, domain, peers.iter());
+            self.hosts
+                .retain(|host, _| group.iter().any(|peer| peer.host == *host));
+            group
+        } else {
+            peers.iter().collect()
+        };
+        for peer in exchanging {
+            let neighbor = self.hosts.entry(peer.host.clone()).or_insert(Neighbor {
                 address: peer.address,
                 heard: None,
                 known: now,
@@ -142,11 +176,21 @@
         notes.map(|note| note.host.clone()).collect()
     }
 
-    /// Hosts that were ever listed or heard.
+    /// Hosts that exchange notes with this one, as far as they were listed or heard.
     pub(crate) fn len(&self) -> usize {
         self.hosts.len()
     }
 
+    /// Whether there are hosts that exchange no notes with this one.
+    pub(crate) fn is_part_of_all(&self) -> bool {
+        self.listed > self.hosts.len() + 1
+    }
+
+    /// Hosts of the whole installation, this one included.
+    pub(crate) const fn listed(&self) -> usize {
+        self.listed
+    }
+
     /// All other hosts, when each was heard last, or else became known, and where it listens.
     pub(crate) fn others(&self, own: &HostId) -> impl Iterator<Item = (&HostId, Time, SocketAddr)> {
         self.hosts_but(own).map(|(host, neighbor)| {
@@ -178,7 +222,12 @@
         self.interval(self.told.len(), 0).max(IDLE_INTERVAL)
     }
 
-    /// Where all other hosts listen.
+    /// Where the other known hosts listen, also those that exchange no notes with this one.
+    pub(crate) fn all_addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// Where the hosts listen that exchange notes with this one.
     pub(crate) fn addresses(&self, own: &HostId) -> impl Iterator<Item = SocketAddr> {
         self.hosts_but(own).map(|(_, neighbor)| neighbor.address)
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -51,6 +51,7 @@
     event::Event,
     fetch_end::FetchEnd,
     host_phase::HostPhase,
+    hosts::{are_grouped, own_group},
     queueing::{Overdraft, RoomRules},
     relay_rules::RelayRules,
     requests::{
@@ -61,6 +62,7 @@
     transfers::{TransferSearch, TransferSlots},
     upstream_limits::LimitNoted,
     upstream_notices::{LeavingNoted, NoticeSource},
+    upstreams::{UpstreamCensus, WorkingSet},
 };
 
 use {
--- a/crates/policy/src/upstream_limits/known_hosts.rs
+++ b/crates/policy/src/upstream_limits/known_hosts.rs
@@ -14,7 +14,8 @@
     pub(crate) fn remembered(&self, own: &HostId, now: Time) -> usize {
         let others = self.others(own);
         let known = others.filter(|(_, seen, _)| now.since(*seen) < REMEMBERED);
-        known.count()
+        // Those that exchange no notes with this one send, too.
+        known.count().max(self.listed().saturating_sub(1))
     }
 
     /// Whether a note of a host came within a time.
--- a/crates/policy/src/upstreams/mod.rs
+++ b/crates/policy/src/upstreams/mod.rs
@@ -17,7 +17,11 @@
 pub(crate) mod prompt_cache;
 mod silent_domains;
 mod track_record;
+mod upstream_census;
 mod upstream_state;
+mod working_set;
+
+pub use {upstream_census::UpstreamCensus, working_set::WorkingSet};
 
 pub(crate) use {
     affinity::Affinity,
@@ -32,5 +36,6 @@
     prompt_cache::PromptCache,
     silent_domains::SilentDomains,
     track_record::{TrackRecord, Usual},
+    upstream_census::Place,
     upstream_state::UpstreamState,
 };
--- a/crates/policy/src/upstreams/placement.rs
+++ b/crates/policy/src/upstreams/placement.rs
@@ -49,6 +49,11 @@
 /// are no less late, share fewer engines and are lost together with one.
 const NOT_QUIET_COST: f64 = 10_000.0;
 
+/// Engines of the own failure domain from which on prompts have their homes among them: no
+/// document is then asked for by so many that engines of other domains must read it, too, and
+/// nothing of a prompt crosses to another domain while its own one has room.
+const MIN_NEAR_HOMES: usize = 128;
+
 /// Engines from which is told what is usual.
 const USUAL_SAMPLE: usize = 64;
 
@@ -87,7 +92,7 @@
     let Some(count) = wanted.candidates else {
         return cheapest(states.collect());
     };
-    let side = |state: &&UpstreamState| prompt.is_own_side(state);
+    let side = |state: &&UpstreamState| prompt.may_be_home(state) && prompt.is_own_side(state);
     let mut candidates = heaviest(states.clone().filter(side), prompt.chain, count);
     candidates.extend(heaviest(states, own, count));
     cheapest(candidates)
@@ -119,6 +124,8 @@
     /// Time until its first token is due.
     due_in_ms: f64,
     home: Option<&'a UpstreamId>,
+    /// Whether its home is in the own failure domain.
+    is_home_near: bool,
     is_long: bool,
     now: Time,
     parts: &'w [PromptPart],
@@ -139,15 +146,20 @@
         now: Time,
     ) -> Self {
         let chain = shared_chain(wanted.parts);
-        let quiet_up_to = quiet_up_to(states.clone(), wanted.stream_share);
+        let near = states.clone().filter(|state| state.near);
+        let is_home_near = near.count() >= MIN_NEAR_HOMES;
+        let homes = states.clone();
+        let homes = homes.filter(|state| !is_home_near || state.near);
+        let quiet_up_to = quiet_up_to(homes.clone(), wanted.stream_share);
         let own_side = |state: &&UpstreamState| is_quiet(state, quiet_up_to) == wanted.pause_bound;
-        let own_side = states.clone().filter(own_side);
-        let home = home(own_side, chain).or_else(|| home(states.clone(), chain));
+        let own_side = homes.clone().filter(own_side);
+        let home = home(own_side, chain).or_else(|| home(homes, chain));
         let sample = states.clone().take(USUAL_SAMPLE);
         Self {
             chain,
             due_in_ms: wanted.due.since(now).as_secs_f64() * 1_000.0,
             home: home.map(|home| &home.id),
+            is_home_near,
             is_long: wanted.is_long,
             now,
             parts: wanted.parts,
@@ -159,6 +171,10 @@
         }
     }
 
+    fn may_be_home(&self, state: &UpstreamState) -> bool {
+        !self.is_home_near || state.near
+    }
+
     fn is_own_side(&self, state: &UpstreamState) -> bool {
         is_quiet(state, self.quiet_up_to) == self.pause_bound
     }
--- a/crates/policy/src/upstreams/pool.rs
+++ b/crates/policy/src/upstreams/pool.rs
@@ -16,6 +16,8 @@
     /// the configuration that names them, so it is kept apart from the states.
     pub(crate) listed_leaving: BTreeSet<UpstreamId>,
     pub(crate) room: RoomRules,
+    /// Counts the times that shares were set.
+    pub(crate) shares_version: u64,
     pub(crate) silent: SilentDomains,
     /// Whether the upstreams of all failure domains are used alike.
     spread: bool,
@@ -48,27 +50,25 @@
         upstreams: &BTreeMap<UpstreamId, Upstream>,
         domain: &FailureDomainId,
     ) {
-        let mut old: BTreeMap<UpstreamId, UpstreamState> = std::mem::take(&mut self.states)
-            .into_iter()
-            .map(|state| (state.id.clone(), state))
-            .collect();
-        for (id, definition) in upstreams {
-            let state = match old.remove(id) {
-                Some(mut state) if state.definition.address() == definition.address() => {
-                    state.definition = definition.clone();
+        self.states
+            .retain_mut(|state| match upstreams.get(&state.id) {
+                Some(definition) if definition.address() == state.definition.address() => {
+                    state.definition.clone_from(definition);
                     state.removed = false;
-                    state
+                    true
                 }
-                _ => UpstreamState::new(id.clone(), definition.clone()),
-            };
-            self.states.push(state);
-        }
-        for (_, mut state) in old {
-            if state.in_flight > 0 && !upstreams.contains_key(&state.id) {
-                state.removed = true;
-                self.states.push(state);
-            }
-        }
+                Some(_) => false,
+                None => {
+                    state.removed = true;
+                    state.in_flight > 0
+                }
+            });
+        let known: HashSet<UpstreamId> = self.states.iter().map(|state| state.id.clone()).collect();
+        let new = upstreams.iter().filter(|(id, _)| !known.contains(*id));
+        let new = new.map(|(id, definition)| UpstreamState::new(id.clone(), definition.clone()));
+        self.states.extend(new);
+        self.states
+            .sort_by(|a, b| (a.removed, &a.id).cmp(&(b.removed, &b.id)));
         self.reindex(domain);
         self.mark_backing_off();
         self.mark_leaving();
@@ -81,6 +81,7 @@
         own: impl Fn(&str, u32) -> Share,
         foreign: impl Fn(u32) -> u32,
     ) {
+        self.shares_version += 1;
         for state in &mut self.states {
             state.foreign_share = foreign(state.definition.slots());
             state.home = 0;
--- /dev/null
+++ b/crates/policy/tests/installation/costs.rs
@@ -0,0 +1,284 @@
+//! What one host knows, keeps and sends by the size of its installation, in virtual time: ten
+//! upstreams and one request a second for each host.
+
+use {
+    crate::support::{Ask, Host, address, sent},
+    config::{Engine, ServiceReplica, Upstream},
+    peer::{LoadNote, PeerHost},
+    policy::{Action, Event, UpstreamCensus, WorkingSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+    types::{Listening, prelude::*},
+};
+
+const DOMAINS: [&str; 5] = ["north-a", "north-b", "north-c", "north-d", "north-e"];
+
+/// Bytes of a datagram's headers.
+const HEADERS: usize = 28;
+
+const TOKEN: &str = "hosts-of-the-test";
+
+/// Span in which messages are counted.
+const COUNTED: Duration = Duration::from_secs(60);
+
+/// What a host costs; all of it must not grow with the installation.
+#[derive(Clone, Copy, Debug, Default)]
+struct Costs {
+    /// Upstreams that it knows.
+    upstreams: usize,
+    /// Hosts that it exchanges notes with.
+    exchanging: usize,
+    note_bytes_per_s: usize,
+    notes_per_min: usize,
+    /// Datagrams by which it tells of one upstream that leaves, and of one crash.
+    leaving: usize,
+    crash: usize,
+    /// Datagrams by which it tells of a version.
+    version: usize,
+}
+
+impl Costs {
+    fn all(&self) -> [(&'static str, usize); 7] {
+        [
+            ("upstreams known", self.upstreams),
+            ("hosts exchanging notes", self.exchanging),
+            ("note bytes a second", self.note_bytes_per_s),
+            ("notes a minute", self.notes_per_min),
+            ("datagrams for a leaving", self.leaving),
+            ("datagrams for a crash", self.crash),
+            ("datagrams for a version", self.version),
+        ]
+    }
+}
+
+fn peers(count: usize) -> Vec<PeerHost> {
+    let peers = (0..count).map(|number| PeerHost {
+        address: address(number),
+        failure_domain: DOMAINS[number % DOMAINS.len()].parse().unwrap(),
+        host: format!("host-{number}").parse().unwrap(),
+        leaving: false,
+    });
+    peers.collect()
+}
+
+/// An upstream of an installation: every twentieth is a replica of the plain service.
+fn upstream(number: usize) -> (UpstreamId, Upstream) {
+    let failure_domain = DOMAINS[number / 20 % DOMAINS.len()].parse().unwrap();
+    let address = address(number);
+    let health_path = "/health".to_string();
+    if number.is_multiple_of(20) {
+        let replica = ServiceReplica {
+            address,
+            failure_domain,
+            health_path,
+            service: "shop".parse().unwrap(),
+            slots: 6,
+        };
+        let id = format!("shop-{number}").parse().unwrap();
+        return (id, Upstream::Service(replica));
+    }
+    let engine = Engine {
+        address,
+        checks_fence: false,
+        failure_domain,
+        health_path,
+        memory: Some(Tokens::new(700_000)),
+        models: BTreeSet::from(["pool".parse().unwrap()]),
+        queue_bound: 64,
+        resumes: false,
+        slots: 32,
+    };
+    let id = format!("engine-{number}").parse().unwrap();
+    (id, Upstream::Engine(engine))
+}
+
+fn service(upstream: &Upstream) -> &'static str {
+    match upstream {
+        Upstream::Engine(_) => "pool",
+        Upstream::Service(_) => "shop",
+    }
+}
+
+/// Those of so many upstreams that the hosts of the first failure domain know.
+fn known(count: usize) -> BTreeMap<UpstreamId, Upstream> {
+    let all: Vec<(UpstreamId, Upstream)> = (0..count).map(upstream).collect();
+    let mut census = UpstreamCensus::default();
+    for (id, upstream) in &all {
+        census.note(id.name(), service(upstream), upstream.failure_domain());
+    }
+    let working_set = WorkingSet::divide(&DOMAINS[0].parse().unwrap(), &census);
+    let known = all
+        .into_iter()
+        .filter(|(id, _)| census.level(id.name(), &working_set) == 0);
+    known.collect()
+}
+
+/// A host of an installation of so many hosts.
+fn host(hosts: usize) -> Host {
+    let mut host = Host::new(0);
+    host.read_directory(known(10 * hosts), &[]);
+    let peers = peers(hosts);
+    host.handle(Event::PeersListed {
+        in_all: Some(peers.len()),
+        peers,
+    });
+    host.actions.clear();
+    host
+}
+
+/// Counts the notes that a host wants sent, and lets those who get them answer.
+fn exchange(host: &mut Host, costs: &mut Costs, bytes: &mut usize) {
+    let mut sent: Vec<(SocketAddr, LoadNote)> = Vec::new();
+    for action in std::mem::take(&mut host.actions) {
+        if let Action::SendNotes { notes } = action {
+            sent.extend(notes);
+        }
+    }
+    let others: BTreeSet<SocketAddr> = sent.iter().map(|(to, _)| *to).collect();
+    costs.exchanging = costs.exchanging.max(others.len());
+    costs.notes_per_min += sent.len();
+    for (from, note) in sent {
+        *bytes += note.to_datagram(TOKEN).len() + HEADERS;
+        let note = LoadNote {
+            host: host_at(from),
+            loads: Vec::new(),
+            reads: Vec::new(),
+            sent_us: host.now.as_us(),
+            ..note
+        };
+        host.handle(Event::NoteHeard { from, note });
+    }
+}
+
+/// The host that listens at an address.
+fn host_at(listens: SocketAddr) -> HostId {
+    let number = (0..).find(|number| address(*number) == listens);
+    format!("host-{}", number.unwrap()).parse().unwrap()
+}
+
+/// Sends one request a second for a while.
+fn serve(host: &mut Host, costs: &mut Costs) {
+    let mut bytes = 0;
+    for second in 0..COUNTED.as_secs() {
+        let parts = [(second % 7, 13_000), (1_000 + second, 3_000)];
+        let (request, actions) = host.ask(Ask::prompt("question", "first-key", &parts));
+        let order = sent(&actions).unwrap();
+        for _ in 0..8 {
+            host.pass(100);
+            exchange(host, costs, &mut bytes);
+        }
+        host.finish(&order, request);
+        host.pass(200);
+        exchange(host, costs, &mut bytes);
+        let as_of = host.now;
+        host.handle(Event::ConfigurationConfirmed { as_of });
+    }
+    costs.note_bytes_per_s = bytes / COUNTED.as_secs() as usize;
+}
+
+/// Datagrams that are sent in the next second.
+fn datagrams(host: &mut Host, count: impl Fn(&Action) -> usize) -> usize {
+    host.pass(2_000);
+    let as_of = host.now;
+    host.handle(Event::ConfigurationConfirmed { as_of });
+    let told = host.actions.iter().map(count).sum();
+    host.actions.clear();
+    told
+}
+
+fn tell_leaving(host: &mut Host) -> usize {
+    let upstream = known(100).into_keys().next().unwrap();
+    let sent = host.now;
+    host.handle(Event::DirectoryReached(false));
+    host.handle(Event::NoticeAnswered {
+        notice: UpstreamNotice {
+            leaving: true,
+            ..UpstreamNotice::default()
+        },
+        sent,
+        upstream,
+    });
+    datagrams(host, |action| match action {
+        Action::TellUpstreams { to, .. } => to.len(),
+        _ => 0,
+    })
+}
+
+fn tell_crash(host: &mut Host) -> usize {
+    let ask = Ask::prompt("question", "first-key", &[(1, 500), (2, 100)]);
+    let (request, actions) = host.ask(ask);
+    let order = sent(&actions).unwrap();
+    let (cause, verdict) = (FailureCause::Reset, Verdict::MayHaveRun);
+    host.fail(&order, request, cause, verdict, false);
+    let upstream = order.upstream;
+    let listening = Listening::No;
+    let actions = host.handle(Event::ListeningChecked {
+        listening,
+        upstream,
+    });
+    for action in actions {
+        if let Action::CheckListening { upstream, .. } = action {
+            let listening = Listening::Yes;
+            host.handle(Event::ListeningChecked {
+                listening,
+                upstream,
+            });
+        }
+    }
+    datagrams(host, |action| match action {
+        Action::TellCrashes { to, .. } => to.len(),
+        _ => 0,
+    })
+}
+
+fn tell_version(host: &mut Host) -> usize {
+    host.handle(Event::ConfigurationPacked(ConfigVersion::new(2)));
+    datagrams(host, |action| match action {
+        Action::TellVersion { to, .. } => to.len(),
+        _ => 0,
+    })
+}
+
+fn costs(hosts: usize) -> Costs {
+    let mut host = host(hosts);
+    let mut costs = Costs {
+        upstreams: known(10 * hosts).len(),
+        ..Costs::default()
+    };
+    serve(&mut host, &mut costs);
+    costs.version = tell_version(&mut host);
+    costs.leaving = tell_leaving(&mut host);
+    costs.crash = tell_crash(&mut host);
+    costs
+}
+
+/// Guards against a host whose state, messages or work grow with the installation: beyond some
+/// size it has no time left for requests.
+#[test]
+fn a_host_costs_the_same_in_an_installation_of_twice_the_size() {
+    let sizes = [100, 300, 985, 1_970];
+    let by_size: Vec<Costs> = sizes.iter().map(|hosts| costs(*hosts)).collect();
+    let mut table = format!("{:26}", "hosts");
+    table += &sizes.map(|hosts| format!("{hosts:>8}")).concat();
+    for (line, (name, _)) in by_size[0].all().iter().enumerate() {
+        let figures: Vec<String> = by_size
+            .iter()
+            .map(|costs| format!("{:>8}", costs.all()[line].1))
+            .collect();
+        table += &format!("\n{name:26}{}", figures.concat());
+    }
+    println!("{table}");
+    let [.., fleet, twice] = &by_size[..] else {
+        panic!("four sizes")
+    };
+    for ((name, cost), (_, at_twice)) in fleet.all().into_iter().zip(twice.all()) {
+        // Sizes of groups and sets vary by chance, as names decide.
+        assert!(
+            at_twice as f64 <= 1.25 * cost as f64,
+            "{name} grows\n{table}"
+        );
+    }
+}
--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod attempts;
+mod costs;
 mod crashes;
 mod fleet;
 mod incarnations;
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -131,8 +131,11 @@
             host: format!("host-{number}").parse().unwrap(),
             leaving: false,
         });
-        let peers = peers.collect();
-        self.handle(Event::PeersListed { peers });
+        let peers: Vec<PeerHost> = peers.collect();
+        self.handle(Event::PeersListed {
+            in_all: Some(peers.len()),
+            peers,
+        });
     }
 
     pub fn handle(&mut self, event: Event) -> Vec<Action> {
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -46,7 +46,13 @@
         error: String,
     },
     /// The hosts of the installation.
-    Peers(Vec<PeerHost>),
+    Peers {
+        /// Hosts, this one perhaps among them; where there are many, those of its own failure
+        /// domain.
+        hosts: Vec<PeerHost>,
+        /// Hosts of the whole installation; `None` if that is not known yet.
+        in_all: Option<usize>,
+    },
     /// Another host hears the store, and never lost it: what this host heard last was only
     /// long ago, and no entry lapsed meanwhile.
     HeardAgain,
@@ -57,6 +63,13 @@
         /// What is wrong with it.
         error: String,
     },
+    /// The upstreams are divided anew: levels of the rows of their table by key.
+    TableDivided {
+        /// Which of them this host holds for others.
+        coverage: Coverage,
+        /// Levels of all rows.
+        levels: Vec<(String, u8)>,
+    },
     /// What the store said of a table, for other hosts.
     TableRead(TableReading),
     /// All upstreams that the store lists.
--- a/crates/ports/src/table_reading.rs
+++ b/crates/ports/src/table_reading.rs
@@ -13,6 +13,10 @@
 /// store themselves.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TableReading {
+    /// Which upstreams it said it of; of no use for the table of hosts.
+    pub coverage: Coverage,
+    /// Hosts of the whole installation, as far as that is known.
+    pub hosts_in_all: u32,
     /// What it said.
     pub news: TableNews,
     /// Who said it.
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -58,6 +58,8 @@
     /// Settlements that the platform's ring had no room for. They are never
     /// dropped: a lost one would leave a key unresolved for good.
     settlements: VecDeque<Settlement>,
+    /// Version of the shares that the host shows.
+    shares_published: u64,
     /// Last moment to stop, once asked to.
     stop_by: Option<Instant>,
     stopping: bool,
@@ -77,6 +79,7 @@
                     heartbeats: HashMap::default(),
                     next_call: 0,
                     settlements: VecDeque::new(),
+                    shares_published: 0,
                     stop_by: None,
                     stopping: false,
                     thread: self,
@@ -427,12 +430,18 @@
         }
         self.decisions.tick(now);
         let before = self.thread.status.load();
+        let shares = controller.shares_version();
+        let home = if std::mem::replace(&mut self.shares_published, shares) == shares {
+            Arc::clone(&before.home)
+        } else {
+            Arc::new(controller.home())
+        };
         let after = HostStatus {
             behind: controller.is_behind(),
             current: controller.is_current(now),
             ejected: controller.ejected(),
             heard: controller.heard(now),
-            home: controller.home(),
+            home,
             leaving: controller.leaving(now),
             steward: controller.steward(now).clone(),
             phase: controller.phase(),
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -150,7 +150,10 @@
                 self.heard().note_lost();
                 Event::DirectoryReached(false)
             }
-            DirectoryUpdate::Peers(peers) => Event::PeersListed { peers },
+            DirectoryUpdate::Peers { hosts, in_all } => Event::PeersListed {
+                in_all,
+                peers: hosts,
+            },
             DirectoryUpdate::Regained => {
                 info!(logger, "directory: regained");
                 self.heard().note_regained(self.clock.now());
@@ -160,6 +163,14 @@
                 warn!(logger, "directory: answer not used"; "error" => error);
                 return None;
             }
+            DirectoryUpdate::TableDivided { coverage, levels } => {
+                info!(logger, "directory: upstreams divided";
+                    "division" => coverage.division,
+                    "known" => levels.iter().filter(|(_, level)| *level == 0).count(),
+                    "upstreams" => levels.len());
+                self.heard().divide(coverage, levels);
+                return None;
+            }
             DirectoryUpdate::TableRead(reading) => {
                 self.heard().take(self.clock.now(), reading);
                 return None;
--- a/crates/router/src/heard_tables.rs
+++ b/crates/router/src/heard_tables.rs
@@ -12,9 +12,12 @@
 /// place. What another host told is passed on as a copy only, as it may be old.
 #[derive(Debug, Default)]
 pub(crate) struct HeardTables {
+    /// Which upstreams the copy holds.
+    coverage: Coverage,
     /// When the store last said something of the upstreams.
     heard: Option<Time>,
     hosts: TableCopy,
+    hosts_in_all: u32,
     is_lost: bool,
     regained: Option<Time>,
     upstreams: TableCopy,
@@ -36,32 +39,56 @@
     /// Takes what the store or another host said just now.
     pub(crate) fn take(&mut self, now: Time, reading: TableReading) {
         match reading.table {
-            SharedTable::Hosts => self.hosts.take(reading.news),
+            SharedTable::Hosts => {
+                self.hosts.take(reading.news);
+                self.hosts_in_all = reading.hosts_in_all;
+            }
             SharedTable::Upstreams => {
                 if reading.source == TableSource::Store {
                     self.heard = Some(now);
                 }
                 self.upstreams.take(reading.news);
+                if reading.coverage.level < self.coverage.level {
+                    self.upstreams.keep_up_to(reading.coverage.level);
+                }
+                self.coverage = reading.coverage;
             }
         }
     }
 
-    /// What a host lacks that knows the tables up to these revisions, as far as it is known
-    /// here.
-    pub(crate) fn news_after(&self, upstreams: u64, hosts: u64) -> Option<TablesNews> {
+    /// Takes new levels of the upstreams: hosts that know another division are told all anew.
+    pub(crate) fn divide(&mut self, coverage: Coverage, levels: Vec<(String, u8)>) {
+        self.coverage = coverage;
+        self.upstreams.set_levels(levels);
+    }
+
+    /// What a host lacks that asks a question, as far as it is known here.
+    pub(crate) fn news_for(&self, question: &TablesQuestion) -> Option<TablesNews> {
+        let (coverage, upstreams) = self.part_for(question)?;
         Some(TablesNews {
-            hosts: self.hosts.after(hosts)?,
-            upstreams: self.upstreams.after(upstreams)?,
+            coverage,
+            hosts: self.hosts.after(question.hosts, 0)?,
+            hosts_in_all: self.hosts_in_all,
+            upstreams: self.upstreams.after(upstreams, coverage.level)?,
         })
     }
 
     /// Rows that such a host lacks, at the most; `None` if it lacks nothing of the upstreams.
-    pub(crate) fn rows_after(&self, upstreams: u64, hosts: u64) -> Option<usize> {
-        let (known_to, upstream_rows) = self.upstreams.rows_after(upstreams)?;
-        let (_, host_rows) = self.hosts.rows_after(hosts)?;
+    pub(crate) fn rows_for(&self, question: &TablesQuestion) -> Option<usize> {
+        let (coverage, upstreams) = self.part_for(question)?;
+        let (known_to, upstream_rows) = self.upstreams.rows_after(upstreams, coverage.level)?;
+        let (_, host_rows) = self.hosts.rows_after(question.hosts, 0)?;
         (known_to > upstreams).then_some(upstream_rows + host_rows)
     }
 
+    /// Which upstreams a host is told of, and after which revision: it needs all of them if
+    /// it knows another division.
+    fn part_for(&self, question: &TablesQuestion) -> Option<(Coverage, u64)> {
+        let coverage = self.coverage.part(question.coverage.level)?;
+        let is_known = coverage.division == question.coverage.division;
+        Some((coverage, if is_known { question.upstreams } else { 0 }))
+    }
+
     /// The store gives no answer. What it said before is kept, as hosts that know as much
     /// need only the changes after its return.
     pub(crate) fn note_lost(&mut self) {
@@ -97,3 +124,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/heard_tables.rs"]
+mod tests;
--- a/crates/router/src/host_status.rs
+++ b/crates/router/src/host_status.rs
@@ -14,7 +14,7 @@
     /// Other hosts that it hears, in an installation.
     pub heard: Vec<HostId>,
     /// Upstreams on which this host has slots of its own.
-    pub home: Vec<UpstreamId>,
+    pub home: Arc<Vec<UpstreamId>>,
     /// Id.
     pub host: HostId,
     /// Upstreams that get no new work because they are leaving.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,9 +26,9 @@
         Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
     },
     peer::{
-        Crash, CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LoadNote, MessageError, PeerClient,
-        PeerHandler, PeerHost, PeerServer, TableNews, TableRow, TablesNews, TokenAsk, TokenGrant,
-        UpstreamNote, UsageNote, VersionNote,
+        Coverage, Crash, CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LoadNote, MessageError,
+        PeerClient, PeerHandler, PeerHost, PeerServer, TableNews, TableRow, TablesNews,
+        TablesQuestion, TokenAsk, TokenGrant, UpstreamNote, UsageNote, VersionNote,
     },
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -53,11 +53,11 @@
             return self.document(newer_than);
         }
         let to = listens(request.headers());
-        if let Some((upstreams, hosts)) = path.strip_prefix(TABLES_PATH).and_then(revisions) {
-            return self.tables(upstreams, hosts, to);
+        if let Some(question) = question(path, TABLES_PATH) {
+            return self.tables(&question, to);
         }
-        match path.strip_prefix(TABLES_COPY_PATH).and_then(revisions) {
-            Some((upstreams, hosts)) => self.copy(upstreams, hosts, to),
+        match question(path, TABLES_COPY_PATH) {
+            Some(question) => self.copy(&question, to),
             None => text_answer(StatusCode::NOT_FOUND, "text/plain", "no such path\n"),
         }
     }
@@ -75,7 +75,7 @@
     }
 
     /// What the store said of its tables, and how old the configuration is.
-    fn tables(&self, upstreams: u64, hosts: u64, to: Option<SocketAddr>) -> Response<AnswerBody> {
+    fn tables(&self, question: &TablesQuestion, to: Option<SocketAddr>) -> Response<AnswerBody> {
         let told = lock(&self.heard).told(self.clock.now());
         let handout = self.handout.load_full();
         if !matches!(told, TablesTold::News { .. }) {
@@ -89,7 +89,7 @@
                 response
             }
             (TablesTold::News { regained }, Some(handout)) => {
-                let mut response = self.send_news(upstreams, hosts, to);
+                let mut response = self.send_news(question, to);
                 let headers = response.headers_mut();
                 if let Some(since) = regained {
                     headers.insert(REGAINED_HEADER, (since.as_millis() as u64).into());
@@ -102,22 +102,17 @@
     }
 
     /// A copy of the tables, for a host that found the one busy that asks the store.
-    fn copy(&self, upstreams: u64, hosts: u64, to: Option<SocketAddr>) -> Response<AnswerBody> {
-        match lock(&self.heard).rows_after(upstreams, hosts) {
-            Some(_) => self.send_news(upstreams, hosts, to),
+    fn copy(&self, question: &TablesQuestion, to: Option<SocketAddr>) -> Response<AnswerBody> {
+        match lock(&self.heard).rows_for(question) {
+            Some(_) => self.send_news(question, to),
             None => refused(),
         }
     }
 
     /// Sends what changed after the revisions; where that is large and others get it
     /// already, refers to hosts that have it.
-    fn send_news(
-        &self,
-        upstreams: u64,
-        hosts: u64,
-        to: Option<SocketAddr>,
-    ) -> Response<AnswerBody> {
-        let rows = lock(&self.heard).rows_after(upstreams, hosts);
+    fn send_news(&self, question: &TablesQuestion, to: Option<SocketAddr>) -> Response<AnswerBody> {
+        let rows = lock(&self.heard).rows_for(question);
         let slot = if rows.unwrap_or_default() < LARGE_ROWS {
             None
         } else {
@@ -130,7 +125,7 @@
             number,
             transfers: Arc::clone(&self.transfers),
         });
-        let news = lock(&self.heard).news_after(upstreams, hosts);
+        let news = lock(&self.heard).news_for(question);
         let packed = news.map(|news| lock(&self.packed).pack(news));
         let Some(Ok(bytes)) = packed else {
             return refused();
@@ -231,10 +226,9 @@
     }
 }
 
-/// The revisions of a question for the tables.
-fn revisions(path: &str) -> Option<(u64, u64)> {
-    let (upstreams, hosts) = path.split_once('/')?;
-    Some((upstreams.parse().ok()?, hosts.parse().ok()?))
+/// The question for the tables in a path that begins so.
+fn question(path: &str, prefix: &str) -> Option<TablesQuestion> {
+    path.strip_prefix(prefix)?.parse().ok()
 }
 
 /// Counts the hosts that are being handed the configuration.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -26,7 +26,7 @@
             ejected: Vec::new(),
             failure_domain: settings.failure_domain.clone(),
             heard: Vec::new(),
-            home: Vec::new(),
+            home: Arc::default(),
             host: settings.host.clone(),
             leaving: Vec::new(),
             phase: HostPhase::Starting,
--- a/crates/router/src/table_copy.rs
+++ b/crates/router/src/table_copy.rs
@@ -56,16 +56,17 @@
         self.known.is_some()
     }
 
-    /// What has changed after a revision; all rows if that is too long ago. `None` if the
-    /// table is not known.
-    pub(crate) fn after(&self, revision: u64) -> Option<TableNews> {
+    /// What has changed after a revision in rows up to a level; all of those if that is too
+    /// long ago. `None` if the table is not known.
+    pub(crate) fn after(&self, revision: u64, level: u8) -> Option<TableNews> {
         let known = self.known?;
         let whole = revision < known.from;
         let rows = if whole {
-            let rows = self.rows.values().filter(|row| !row.removed);
+            let rows = self.rows.values();
+            let rows = rows.filter(|row| !row.removed && row.level <= level);
             rows.cloned().collect()
         } else {
-            let changed = self.changed_after(revision);
+            let changed = self.changed_after(revision, level);
             let mut rows: Vec<TableRow> = changed.cloned().collect();
             rows.sort_by(|a, b| a.key.cmp(&b.key));
             rows
@@ -79,23 +80,52 @@
 
     /// Revision up to which the table is known, and how many rows it has to tell after
     /// another one, at the most.
-    pub(crate) fn rows_after(&self, revision: u64) -> Option<(u64, usize)> {
+    pub(crate) fn rows_after(&self, revision: u64, level: u8) -> Option<(u64, usize)> {
         let known = self.known?;
         let rows = if revision < known.from {
-            self.rows.len()
+            let rows = self.rows.values();
+            rows.filter(|row| row.level <= level).count()
         } else {
-            self.changed_after(revision).count()
+            self.changed_after(revision, level).count()
         };
         Some((known.to, rows))
     }
 
-    fn changed_after(&self, revision: u64) -> impl Iterator<Item = &TableRow> {
+    /// Sets the levels of rows by key.
+    pub(crate) fn set_levels(&mut self, levels: Vec<(String, u8)>) {
+        for (key, level) in levels {
+            if let Some(row) = self.rows.get_mut(&key) {
+                row.level = level;
+            }
+        }
+    }
+
+    /// Forgets rows beyond a level.
+    pub(crate) fn keep_up_to(&mut self, level: u8) {
+        let by_revision = &mut self.by_revision;
+        self.rows.retain(|_, row| {
+            let keep = row.level <= level;
+            if !keep {
+                by_revision.remove(&(row.revision, row.key.clone()));
+            }
+            keep
+        });
+    }
+
+    fn changed_after(&self, revision: u64, level: u8) -> impl Iterator<Item = &TableRow> {
         let first = (revision.saturating_add(1), String::new());
         let changed = self.by_revision.range(first..);
-        changed.filter_map(|(_, key)| self.rows.get(key))
+        let rows = changed.filter_map(|(_, key)| self.rows.get(key));
+        rows.filter(move |row| row.level <= level)
     }
 
-    fn insert(&mut self, row: TableRow) {
+    fn insert(&mut self, mut row: TableRow) {
+        if row.removed
+            && let Some(before) = self.rows.get(&row.key)
+        {
+            // Nothing says any more where it stood.
+            row.level = before.level;
+        }
         let place = (row.revision, row.key.clone());
         if let Some(before) = self.rows.insert(row.key.clone(), row) {
             self.by_revision.remove(&(before.revision, before.key));
@@ -111,6 +141,7 @@
         for key in missing {
             self.insert(TableRow {
                 key,
+                level: 0,
                 removed: true,
                 revision: news.revision,
                 value: Vec::new(),
--- a/crates/router/tests/unit/table_copy.rs
+++ b/crates/router/tests/unit/table_copy.rs
@@ -3,6 +3,7 @@
 fn row(key: &str, revision: u64) -> TableRow {
     TableRow {
         key: key.to_string(),
+        level: 0,
         removed: false,
         revision,
         value: format!("{key}@{revision}").into_bytes(),
@@ -27,7 +28,7 @@
 
 /// What is told after a revision: `all` or `changes`, the revision and the rows.
 fn told(copy: &TableCopy, revision: u64) -> String {
-    let Some(news) = copy.after(revision) else {
+    let Some(news) = copy.after(revision, u8::MAX) else {
         return "unknown".to_string();
     };
     let rows = news.rows.iter().map(|row| match row.removed {
