Let each of many hosts make one retry beyond the ratio

Cause: the retries beyond the ratio are divided by twice the number of hosts, 0.53 a host in 10 s, and only whole ones can be made; a host gets 2.2 calls of the plain service in that time. Less urgent requests had a part of that only.

Ruled out: loans between hosts (messages for what needs none); dividing by the hosts that are heard (too many when they are cut off).

Change: where there is about one for each host, each can make it. The factor of two stands for an incarnation that does not know what the one before spent; such a host waits a window instead. One whole retry is left to requests of any priority.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -216,7 +216,7 @@
             } => self.on_notice_answered(now, &upstream, &notice, sent, actions),
             Event::PeersListed { in_all, peers } => {
                 if let Some(in_all) = in_all {
-                    self.retries.note_hosts(in_all);
+                    self.retries.note_hosts(now, in_all);
                 }
                 let ControllerOptions {
                     failure_domain,
--- a/crates/policy/src/relay_rules.rs
+++ b/crates/policy/src/relay_rules.rs
@@ -5,6 +5,8 @@
 pub struct RelayRules {
     /// Time for which it may answer by its configuration after it has heard of a newer one.
     pub apply_limit: Duration,
+    /// Whether the whole installation starts for the first time.
+    pub first_start: bool,
     /// Age of its knowledge of the configuration from which it takes no key for
     /// valid any more.
     pub key_knowledge: Duration,
--- a/crates/policy/src/requests/retry_budgets.rs
+++ b/crates/policy/src/requests/retry_budgets.rs
@@ -11,6 +11,11 @@
 /// it has spent, and hosts may start that are not listed yet.
 const PARTS_PER_HOST: u32 = 2;
 
+/// Retries beyond the ratio that a host must be able to make in a window at least, where there
+/// is about one for each host: with less than one, requests that fail are never repeated on
+/// most hosts, although the installation's budget is hardly used.
+const LEAST_EXTRA: f64 = 1.0;
+
 /// Window, where nothing else is set.
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -75,26 +80,36 @@
 #[derive(Debug)]
 pub(crate) struct RetryBudgets {
     extra: f64,
+    /// The same once no incarnation of this host can have spent any in the same window.
+    extra_alone: f64,
     /// Extra retries of all hosts of an installation.
     extra_of_all: Option<u32>,
     /// Hosts of the installation.
     hosts: u32,
+    /// Whether this is the first incarnation of this host.
+    is_first: bool,
     ratio: f64,
+    /// When this host learned first how many hosts there are.
+    started: Option<Time>,
     targets: HashMap<Target, Window>,
     window: Duration,
 }
 
 impl RetryBudgets {
     pub(crate) fn new(rules: Option<&RelayRules>) -> Self {
+        let extra = if rules.is_some() {
+            0.0
+        } else {
+            f64::from(EXTRA)
+        };
         Self {
-            extra: if rules.is_some() {
-                0.0
-            } else {
-                f64::from(EXTRA)
-            },
+            extra,
+            extra_alone: extra,
             extra_of_all: rules.map(|rules| rules.retry_extra),
             hosts: 0,
+            is_first: rules.is_some_and(|rules| rules.first_start),
             ratio: rules.map_or(RATIO, |rules| rules.retry_ratio),
+            started: None,
             targets: HashMap::default(),
             window: rules.map_or(WINDOW, |rules| rules.retry_window),
         }
@@ -114,14 +129,17 @@
     /// The extra retries are divided by it, and not by the hosts that are heard:
     /// where hosts cannot hear each other, each would take more, and the sum would
     /// exceed the installation's budget when it matters most.
-    pub(crate) fn note_hosts(&mut self, hosts: usize) {
+    pub(crate) fn note_hosts(&mut self, now: Time, hosts: usize) {
+        self.started.get_or_insert(now);
         self.hosts = self.hosts.max(hosts as u32);
         self.divide();
     }
 
     fn divide(&mut self) {
         if let (Some(extra), 1..) = (self.extra_of_all, self.hosts) {
-            self.extra = f64::from(extra) / f64::from(PARTS_PER_HOST * self.hosts);
+            let of_host = f64::from(extra) / f64::from(self.hosts);
+            self.extra = of_host / f64::from(PARTS_PER_HOST);
+            self.extra_alone = of_host.min(LEAST_EXTRA).max(self.extra);
         }
     }
 
@@ -145,14 +163,27 @@
     /// Retries that a window leaves now to requests of a priority.
     fn left_of(&self, window: Option<&Window>, priority: u8, now: Time) -> f64 {
         let share = window.map_or(1.0, |window| window.share(priority));
+        let extra = self.extra_at(now);
         let spans = SPANS.map(|part| self.window.mul_f64(part));
         let left = spans.map(|span| {
             let (firsts, retries) = window.map_or((0, 0), |window| window.within(now, span));
-            share * (self.ratio * firsts as f64 + self.extra) - retries as f64
+            let all = self.ratio * firsts as f64 + extra;
+            (share * all).max(all.min(LEAST_EXTRA)) - retries as f64
         });
         left.into_iter().fold(f64::INFINITY, f64::min)
     }
 
+    /// Retries beyond the ratio that this host may make in a window. One that has started again
+    /// does not know what it spent before.
+    fn extra_at(&self, now: Time) -> f64 {
+        let lasted = |started: Time| now.since(started) >= self.window;
+        if self.is_first || self.started.is_some_and(lasted) {
+            self.extra_alone
+        } else {
+            self.extra
+        }
+    }
+
     /// Retries that may be made now, for each target that was asked for.
     pub(crate) fn left(&self, now: Time) -> impl Iterator<Item = (&Target, f64)> {
         let targets = self.targets.iter();
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -103,6 +103,7 @@
                 max_queued: 1_000,
                 relay: Some(RelayRules {
                     apply_limit: APPLY_LIMIT,
+                    first_start: false,
                     key_knowledge: KEY_KNOWLEDGE,
                     retry_extra: RETRY_EXTRA,
                     retry_ratio: 0.2,
--- a/crates/router/src/relay_rules.rs
+++ b/crates/router/src/relay_rules.rs
@@ -21,6 +21,7 @@
     let limit = Duration::from_millis(relay.key_knowledge_limit_ms);
     RelayRules {
         apply_limit: Duration::from_millis(relay.apply_limit_ms).mul_f64(APPLY_PART),
+        first_start: relay.first_start,
         key_knowledge: limit.saturating_sub(KEY_KNOWLEDGE_MARGIN),
         retry_extra: relay.retry_extra,
         retry_ratio: relay.retry_ratio,
