Give prompts homes in common, and let hosts go on from what they were told

(1) Five domains read the same documents. (3) While configurations come every 0.3 s a host is always behind the newest; after a second of that it took the others to hand nothing over and read 0.11 MB from the store, most hosts several times (logs of 111 hosts: 327 large readings begun and 256 given up between 2 and 5 s).

Ruled out: one host in 96 that asks the store.

Change: some upstreams of each service are common to the hosts of all domains, and long prompts with a second or more to their first token have their home there; the others stay in their domain. What is told of the upstreams says how they are divided, so a host goes on by changes where it has all rows that its domain needs.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -24,6 +24,7 @@
 mod crash_note;
 mod datagram;
 mod demand;
+mod divided_place;
 mod duty_note;
 mod grant;
 pub mod handing;
@@ -49,6 +50,7 @@
     coverage::Coverage,
     crash_note::{Cleared, Crash, CrashNote, MAX_CRASHES},
     demand::Demand,
+    divided_place::DividedPlace,
     duty_note::DutyNote,
     grant::Grant,
     heartbeat::Heartbeat,
--- a/crates/peer/src/table_news.rs
+++ b/crates/peer/src/table_news.rs
@@ -26,6 +26,8 @@
 pub struct TablesNews {
     /// Which upstreams are told of.
     pub coverage: Coverage,
+    /// How upstreams are divided, beside all rows of the upstreams.
+    pub divided: Vec<DividedPlace>,
     /// The hosts of the installation.
     pub hosts: TableNews,
     /// Hosts of the whole installation; where there are many, a host is told those of its own
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -180,7 +180,12 @@
                     .get_or_insert_default()
                     .note_reached(reached, now);
             }
-            Event::DirectoryRead { leaving, upstreams } => {
+            Event::DirectoryRead {
+                common,
+                leaving,
+                upstreams,
+            } => {
+                self.pool.common = common;
                 self.note_listed_leaving(now, &leaving);
                 let directory = self.directory.get_or_insert_default();
                 directory.read(leaving, upstreams, now);
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -59,6 +59,8 @@
     },
     /// The directory was read.
     DirectoryRead {
+        /// Those that the hosts of all failure domains know; `None` where that is each of them.
+        common: Option<BTreeSet<UpstreamId>>,
         /// Those that are leaving, among them.
         leaving: BTreeSet<UpstreamId>,
         /// All upstreams that it lists.
--- a/crates/policy/src/hosts/host_group.rs
+++ b/crates/policy/src/hosts/host_group.rs
@@ -1,16 +1,15 @@
 use super::*;
 
-/// Hosts of a failure domain that act as one group: one of them asks the installation's store
-/// for the others. Each host that asks has a moment for the answers of all that ask it, and
-/// thousands of upstreams change by hundreds of rows, which a host on a thin link tells two
-/// others at a time.
+/// Hosts of a failure domain that act as one group: they exchange notes, and one of them asks the
+/// installation's store for the others. That one has a moment for the answers to all of them, and
+/// a note to all takes some 1.5 s within the budget.
 const MAX_GROUP: usize = 40;
 
 /// Key by which the hosts of a domain are divided.
 const GROUP_KEY: &str = "group";
 
 /// The hosts of a host's own group, itself left out. A domain of more hosts than a group has
-/// is divided, alike on all of its hosts.
+/// at most is divided, alike on all of its hosts; groups are about as large.
 pub fn own_group<'a>(
     own: &HostId,
     domain: &FailureDomainId,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,9 +5,10 @@
 use {
     config::{Class, Document, Numbered, Plan, Scheduling, Team, Upstream},
     peer::{
-        Cleared, Crash, CrashNote, Demand, DutyNote, Echo, ExpectedWait, Grant, Heartbeat,
-        HeartbeatAnswer, LoadNote, NamedLimit, PeerHost, PeerPhase, PromptRead, TokenAsk,
-        TokenGrant, UpstreamLoad, UpstreamNote, UsageNote, VersionNote, WantedTokens, WindowCounts,
+        Cleared, Crash, CrashNote, Demand, DividedPlace, DutyNote, Echo, ExpectedWait, Grant,
+        Heartbeat, HeartbeatAnswer, LoadNote, NamedLimit, PeerHost, PeerPhase, PromptRead,
+        TokenAsk, TokenGrant, UpstreamLoad, UpstreamNote, UsageNote, VersionNote, WantedTokens,
+        WindowCounts,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom},
     serde::{Deserialize, Serialize},
--- a/crates/policy/src/upstreams/placement.rs
+++ b/crates/policy/src/upstreams/placement.rs
@@ -49,10 +49,10 @@
 /// are no less late, share fewer engines and are lost together with one.
 const NOT_QUIET_COST: f64 = 10_000.0;
 
-/// Engines of the own failure domain from which on prompts have their homes among them: no
-/// document is then asked for by so many that engines of other domains must read it, too, and
-/// nothing of a prompt crosses to another domain while its own one has room.
-const MIN_NEAR_HOMES: usize = 128;
+/// Time until its first token is due from which on a prompt may have its home in another failure
+/// domain, where hosts do not know all engines: if that domain is cut off, the prompt can still
+/// be placed anew.
+const MIN_DUE_FAR: Duration = Duration::from_millis(1_000);
 
 /// Engines from which is told what is usual.
 const USUAL_SAMPLE: usize = 64;
@@ -117,6 +117,40 @@
     heaviest.into_iter().map(|(_, state)| state).collect()
 }
 
+/// Engines among which a prompt has its home. Where hosts do not know all of them, all hosts
+/// that may place the prompt must come to the same one.
+#[derive(Clone, Copy, Debug)]
+enum Homes {
+    All,
+    Common,
+    Near,
+}
+
+impl Homes {
+    fn of<'a>(
+        mut states: impl Iterator<Item = &'a UpstreamState>,
+        wanted: &PlacementRequest<'_>,
+        now: Time,
+    ) -> Self {
+        if states.all(|state| state.is_common) {
+            return Self::All;
+        }
+        if wanted.due.since(now) >= MIN_DUE_FAR {
+            Self::Common
+        } else {
+            Self::Near
+        }
+    }
+
+    const fn hold(self, state: &UpstreamState) -> bool {
+        match self {
+            Self::All => true,
+            Self::Common => state.is_common,
+            Self::Near => state.near,
+        }
+    }
+}
+
 /// A prompt to be placed, and what is usual among the engines.
 struct Prompt<'a, 'w> {
     /// Hash of the parts that it shares with others.
@@ -124,8 +158,8 @@
     /// Time until its first token is due.
     due_in_ms: f64,
     home: Option<&'a UpstreamId>,
-    /// Whether its home is in the own failure domain.
-    is_home_near: bool,
+    /// Which engines may be its home.
+    homes: Homes,
     is_long: bool,
     now: Time,
     parts: &'w [PromptPart],
@@ -146,20 +180,18 @@
         now: Time,
     ) -> Self {
         let chain = shared_chain(wanted.parts);
-        let near = states.clone().filter(|state| state.near);
-        let is_home_near = near.count() >= MIN_NEAR_HOMES;
-        let homes = states.clone();
-        let homes = homes.filter(|state| !is_home_near || state.near);
-        let quiet_up_to = quiet_up_to(homes.clone(), wanted.stream_share);
+        let homes = Homes::of(states.clone(), wanted, now);
+        let may_be_home = states.clone().filter(|state| homes.hold(state));
+        let quiet_up_to = quiet_up_to(may_be_home.clone(), wanted.stream_share);
         let own_side = |state: &&UpstreamState| is_quiet(state, quiet_up_to) == wanted.pause_bound;
-        let own_side = homes.clone().filter(own_side);
-        let home = home(own_side, chain).or_else(|| home(homes, chain));
+        let own_side = may_be_home.clone().filter(own_side);
+        let home = home(own_side, chain).or_else(|| home(may_be_home, chain));
         let sample = states.clone().take(USUAL_SAMPLE);
         Self {
             chain,
             due_in_ms: wanted.due.since(now).as_secs_f64() * 1_000.0,
             home: home.map(|home| &home.id),
-            is_home_near,
+            homes,
             is_long: wanted.is_long,
             now,
             parts: wanted.parts,
@@ -172,7 +204,7 @@
     }
 
     fn may_be_home(&self, state: &UpstreamState) -> bool {
-        !self.is_home_near || state.near
+        self.homes.hold(state)
     }
 
     fn is_own_side(&self, state: &UpstreamState) -> bool {
--- a/crates/policy/src/upstreams/pool.rs
+++ b/crates/policy/src/upstreams/pool.rs
@@ -6,6 +6,8 @@
     pub(crate) affinity: Affinity,
     /// Until when upstreams want nothing from this host.
     pub(crate) backoffs: HashMap<UpstreamId, Time>,
+    /// Upstreams that the hosts of all failure domains know; `None` where that is each of them.
+    pub(crate) common: Option<BTreeSet<UpstreamId>>,
     /// Upstreams that said that they leave.
     pub(crate) departures: Departures,
     pub(crate) groups: Vec<Group>,
@@ -137,6 +139,8 @@
         for (place, state) in self.states.iter_mut().enumerate() {
             self.index.insert(state.id.clone(), place);
             let targets = targets_of(&state.definition);
+            let common = self.common.as_ref();
+            state.is_common = common.is_none_or(|common| common.contains(&state.id));
             state.near = state.definition.failure_domain() == domain;
             let own = self.spread || state.near;
             state.group = own.then(|| {
--- a/crates/policy/src/upstreams/upstream_state.rs
+++ b/crates/policy/src/upstreams/upstream_state.rs
@@ -34,6 +34,8 @@
     /// Its place among the engines that are kept free of long prompts, the same on
     /// every host; the least come first.
     pub(crate) quiet_order: u64,
+    /// Whether the hosts of all failure domains know it.
+    pub(crate) is_common: bool,
     /// Whether it stands in this host's failure domain.
     pub(crate) near: bool,
     /// How this host's requests there ended lately.
@@ -70,6 +72,7 @@
             home: 0,
             in_flight: 0,
             in_flight_trial: 0,
+            is_common: true,
             limit: UpstreamLimit::default(),
             near: false,
             others: 0,
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -74,6 +74,8 @@
     TableRead(TableReading),
     /// All upstreams that the store lists.
     Upstreams {
+        /// Those that the hosts of all failure domains know; `None` where that is each of them.
+        common: Option<BTreeSet<UpstreamId>>,
         /// Those that are leaving, among them.
         leaving: BTreeSet<UpstreamId>,
         /// Where they are and what they can do.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -9,7 +9,7 @@
     flate2::{Compression, read::GzDecoder, write::GzEncoder},
     hyper::{HeaderMap, StatusCode, http::request::Parts},
     nix::time::{ClockId, clock_gettime},
-    peer::{Coverage, Crash, DutyNote, PeerHost, TableNews, UsageNote},
+    peer::{Coverage, Crash, DividedPlace, DutyNote, PeerHost, TableNews, UsageNote},
     std::{
         collections::{BTreeMap, BTreeSet},
         fmt::{self, Display, Formatter},
--- a/crates/ports/src/table_reading.rs
+++ b/crates/ports/src/table_reading.rs
@@ -15,6 +15,8 @@
 pub struct TableReading {
     /// Which upstreams it said it of; of no use for the table of hosts.
     pub coverage: Coverage,
+    /// How upstreams are divided; empty where that was told before.
+    pub divided: Vec<DividedPlace>,
     /// Hosts of the whole installation, as far as that is known.
     pub hosts_in_all: u32,
     /// What it said.
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -166,19 +166,31 @@
             DirectoryUpdate::TableDivided { coverage, levels } => {
                 info!(logger, "directory: upstreams divided";
                     "division" => coverage.division,
-                    "known" => levels.iter().filter(|(_, level)| *level == 0).count(),
+                    "known" => levels.iter().filter(|(_, level)| *level <= WorkingSet::KNOWN_LEVEL).count(),
                     "upstreams" => levels.len());
                 self.heard().divide(coverage, levels);
                 return None;
             }
             DirectoryUpdate::TableRead(reading) => {
-                self.heard().take(self.clock.now(), reading);
+                let mut heard = self.heard();
+                heard.take(self.clock.now(), reading);
+                for (table, rows) in heard.rows() {
+                    gauge!("rhubarbcove_table_rows", "table" => table).set(rows as f64);
+                }
                 return None;
             }
-            DirectoryUpdate::Upstreams { leaving, upstreams } => {
+            DirectoryUpdate::Upstreams {
+                common,
+                leaving,
+                upstreams,
+            } => {
                 info!(logger, "directory: upstreams read";
                     "leaving" => leaving.len(), "upstreams" => upstreams.len());
-                Event::DirectoryRead { leaving, upstreams }
+                Event::DirectoryRead {
+                    common,
+                    leaving,
+                    upstreams,
+                }
             }
         })
     }
--- a/crates/router/src/heard_tables.rs
+++ b/crates/router/src/heard_tables.rs
@@ -14,6 +14,7 @@
 pub(crate) struct HeardTables {
     /// Which upstreams the copy holds.
     coverage: Coverage,
+    divided: Vec<DividedPlace>,
     /// When the store last said something of the upstreams.
     heard: Option<Time>,
     hosts: TableCopy,
@@ -52,6 +53,9 @@
                     self.upstreams.keep_up_to(reading.coverage.level);
                 }
                 self.coverage = reading.coverage;
+                if !reading.divided.is_empty() {
+                    self.divided = reading.divided;
+                }
             }
         }
     }
@@ -65,11 +69,18 @@
     /// What a host lacks that asks a question, as far as it is known here.
     pub(crate) fn news_for(&self, question: &TablesQuestion) -> Option<TablesNews> {
         let (coverage, upstreams) = self.part_for(question)?;
+        let upstreams = self.upstreams.after(upstreams, coverage.level)?;
+        let divided = upstreams.whole && coverage.division != 0;
         Some(TablesNews {
             coverage,
+            divided: if divided {
+                self.divided.clone()
+            } else {
+                Vec::new()
+            },
             hosts: self.hosts.after(question.hosts, 0)?,
             hosts_in_all: self.hosts_in_all,
-            upstreams: self.upstreams.after(upstreams, coverage.level)?,
+            upstreams,
         })
     }
 
@@ -89,6 +100,14 @@
         Some((coverage, if is_known { question.upstreams } else { 0 }))
     }
 
+    /// Rows that are held for other hosts, by table.
+    pub(crate) fn rows(&self) -> [(&'static str, usize); 2] {
+        [
+            ("hosts", self.hosts.rows()),
+            ("upstreams", self.upstreams.rows()),
+        ]
+    }
+
     /// The store gives no answer. What it said before is kept, as hosts that know as much
     /// need only the changes after its return.
     pub(crate) fn note_lost(&mut self) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,15 +26,15 @@
         Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
     },
     peer::{
-        Coverage, Crash, CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LoadNote, MessageError,
-        PeerClient, PeerHandler, PeerHost, PeerServer, TableNews, TableRow, TablesNews,
-        TablesQuestion, TokenAsk, TokenGrant, UpstreamNote, UsageNote, VersionNote,
+        Coverage, Crash, CrashNote, DividedPlace, DutyNote, Heartbeat, HeartbeatAnswer, LoadNote,
+        MessageError, PeerClient, PeerHandler, PeerHost, PeerServer, TableNews, TableRow,
+        TablesNews, TablesQuestion, TokenAsk, TokenGrant, UpstreamNote, UsageNote, VersionNote,
     },
     policy::{
         Action, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller, ControllerOptions,
         CrashNoted, CrashSource, Event, FetchEnd, HostPhase, LeavingNoted, LimitNoted, Outcome,
         OutcomeEnd, PrefixHash, Refusal, RefusalReason, RelayRules, Repeatability, RoomRules,
-        Routed, SendOrder, Settlement, StoredAnswer, Target, TransferSlots, WasteCause,
+        Routed, SendOrder, Settlement, StoredAnswer, Target, TransferSlots, WasteCause, WorkingSet,
     },
     ports::{
         Clock, Directory, DirectoryChannels, DirectoryUpdate, DutyReport, HeadError, Judgement,
--- a/crates/router/src/note_sender.rs
+++ b/crates/router/src/note_sender.rs
@@ -11,49 +11,55 @@
     /// way, is made good by the next one, so failures are not looked at.
     pub(crate) fn send(&self, notes: &[(SocketAddr, LoadNote)]) {
         for (address, note) in notes {
-            let datagram = note.to_datagram(&self.token);
-            let _ = self.socket.send_to(&datagram, address);
+            self.send_to("load", &note.to_datagram(&self.token), *address);
         }
     }
 
     /// Tells hosts of a version that this one can hand over; lost ones hear it from others.
     pub(crate) fn tell_version(&self, note: &VersionNote, to: &[SocketAddr]) {
-        self.send_to_all(&note.to_datagram(&self.token), to);
+        self.send_to_all("version", &note.to_datagram(&self.token), to);
     }
 
     /// Tells hosts which requests were on upstreams that ended.
     pub(crate) fn tell_crashes(&self, note: &CrashNote, to: &[SocketAddr]) {
-        self.send_to_all(&note.to_datagram(&self.token), to);
+        self.send_to_all("crashes", &note.to_datagram(&self.token), to);
     }
 
     /// Tells hosts that this one holds the duties; lost ones hear it with the next one.
     pub(crate) fn tell_duty(&self, note: &DutyNote, to: &[SocketAddr]) {
-        self.send_to_all(&note.to_datagram(&self.token), to);
+        self.send_to_all("duty", &note.to_datagram(&self.token), to);
     }
 
     /// Tells the holder of the duties what began here.
     pub(crate) fn tell_usage(&self, note: &UsageNote, to: SocketAddr) {
-        self.send_to_all(&note.to_datagram(&self.token), &[to]);
+        self.send_to("usage", &note.to_datagram(&self.token), to);
     }
 
     /// Tells hosts what upstreams say of themselves.
     pub(crate) fn tell_upstreams(&self, note: &UpstreamNote, to: &[SocketAddr]) {
-        self.send_to_all(&note.to_datagram(&self.token), to);
+        self.send_to_all("upstreams", &note.to_datagram(&self.token), to);
     }
 
     /// Asks the keeper of an upstream's limit; a lost question is asked again.
     pub(crate) fn ask_tokens(&self, ask: &TokenAsk, to: SocketAddr) {
-        self.send_to_all(&ask.to_datagram(&self.token), &[to]);
+        self.send_to("ask", &ask.to_datagram(&self.token), to);
     }
 
     /// Answers a host that asks for tokens; lost ones are not given again.
     pub(crate) fn grant_tokens(&self, grant: &TokenGrant, to: SocketAddr) {
-        self.send_to_all(&grant.to_datagram(&self.token), &[to]);
+        self.send_to("grant", &grant.to_datagram(&self.token), to);
     }
 
-    fn send_to_all(&self, datagram: &[u8], to: &[SocketAddr]) {
+    fn send_to_all(&self, kind: &'static str, datagram: &[u8], to: &[SocketAddr]) {
         for address in to {
-            let _ = self.socket.send_to(datagram, address);
+            self.send_to(kind, datagram, *address);
         }
     }
+
+    fn send_to(&self, kind: &'static str, datagram: &[u8], to: SocketAddr) {
+        counter!("rhubarbcove_datagrams_sent_total", "kind" => kind).increment(1);
+        counter!("rhubarbcove_datagram_bytes_sent_total", "kind" => kind)
+            .increment(datagram.len() as u64);
+        let _ = self.socket.send_to(datagram, to);
+    }
 }
--- a/crates/router/src/table_copy.rs
+++ b/crates/router/src/table_copy.rs
@@ -51,6 +51,11 @@
         });
     }
 
+    /// Rows that are held, removed ones among them.
+    pub(crate) fn rows(&self) -> usize {
+        self.rows.len()
+    }
+
     /// Whether the table was ever read whole.
     pub(crate) const fn is_known(&self) -> bool {
         self.known.is_some()
--- a/crates/router/tests/unit/heard_tables.rs
+++ b/crates/router/tests/unit/heard_tables.rs
@@ -15,6 +15,7 @@
 fn reading(table: SharedTable, division: u32, news: TableNews) -> TableReading {
     TableReading {
         coverage: Coverage::whole(division),
+        divided: Vec::new(),
         hosts_in_all: 0,
         news,
         source: TableSource::Store,
@@ -127,6 +128,7 @@
     copy.take(Time::from_ms(2_000), hosts);
     let upstreams = TableReading {
         coverage: news.coverage,
+        divided: Vec::new(),
         hosts_in_all: 0,
         news: news.upstreams,
         source: TableSource::Host,
