Tell what upstreams say before the table of hosts is read

Ruled out by reading: that changes of an entry are missed where nothing is built anew.

Change: what upstreams say is told as soon as it is known; the hosts follow.

Test: failed before (unknown in place of news).

Conclusion: one way to be late is gone; whether it was this one is not shown.

--- a/crates/peer/src/table_news.rs
+++ b/crates/peer/src/table_news.rs
@@ -31,7 +31,7 @@
     /// The hosts of the installation.
     pub hosts: TableNews,
     /// Hosts of the whole installation; where there are many, a host is told those of its own
-    /// failure domain.
+    /// failure domain. 0 if the sender has not read them.
     pub hosts_in_all: u32,
     /// The upstreams.
     pub upstreams: TableNews,
--- a/crates/router/src/heard_tables.rs
+++ b/crates/router/src/heard_tables.rs
@@ -78,7 +78,7 @@
             } else {
                 Vec::new()
             },
-            hosts: self.hosts.after(question.hosts, 0)?,
+            hosts: self.hosts_after(question.hosts),
             hosts_in_all: self.hosts_in_all,
             upstreams,
         })
@@ -88,10 +88,22 @@
     pub(crate) fn rows_for(&self, question: &TablesQuestion) -> Option<usize> {
         let (coverage, upstreams) = self.part_for(question)?;
         let (known_to, upstream_rows) = self.upstreams.rows_after(upstreams, coverage.level)?;
-        let (_, host_rows) = self.hosts.rows_after(question.hosts, 0)?;
+        let host_rows = self.hosts.rows_after(question.hosts, 0);
+        let host_rows = host_rows.map_or(0, |(_, rows)| rows);
         (known_to > upstreams).then_some(upstream_rows + host_rows)
     }
 
+    /// What changed of the hosts; nothing before they were read here, as what upstreams say
+    /// must not wait for that.
+    fn hosts_after(&self, revision: u64) -> TableNews {
+        let news = self.hosts.after(revision, 0);
+        news.unwrap_or_else(|| TableNews {
+            revision,
+            rows: Vec::new(),
+            whole: false,
+        })
+    }
+
     /// Which upstreams a host is told of, and after which revision: it needs all of them if
     /// it knows another division.
     fn part_for(&self, question: &TablesQuestion) -> Option<(Coverage, u64)> {
@@ -134,7 +146,7 @@
         if !self.heard.is_some_and(fresh) {
             return TablesTold::Unknown;
         }
-        if !(self.upstreams.is_known() && self.hosts.is_known()) {
+        if !self.upstreams.is_known() {
             return TablesTold::Unknown;
         }
         let regained = self.regained.map(|at| now.since(at));
--- a/crates/router/tests/unit/heard_tables.rs
+++ b/crates/router/tests/unit/heard_tables.rs
@@ -163,3 +163,17 @@
     assert_eq!(told(&heard, &question(0, 0, 0)), "0/0 all: a");
     assert_eq!(told(&heard, &question(5, 0, 3)), "0/0 changes: ");
 }
+
+/// Guards against hosts that hear too late that an upstream leaves, as the one that they ask has
+/// just started and still reads the table of hosts, part by part.
+#[test]
+fn tells_of_upstreams_before_it_has_read_the_hosts() {
+    let mut heard = HeardTables::default();
+    let now = Time::from_ms(1_000);
+    let rows = vec![row("a", 1, 0)];
+    heard.take(now, reading(SharedTable::Upstreams, 0, news(5, true, rows)));
+    assert_eq!(heard.told(now), TablesTold::News { regained: None });
+    assert_eq!(told(&heard, &question(0, 0, 0)), "0/0 all: a");
+    let hosts = heard.news_for(&question(0, 0, 0)).unwrap().hosts;
+    assert_eq!((hosts.revision, hosts.whole), (9, false));
+}
