Log upstreams that are used though not listed, and how long a store was lost

Cause: a host that kept an upstream after its entry was gone said so nowhere: the pool's upstreams were seen only by the requests that were sent, and `directory: regained` did not tell whether the host had had no word of the store for one second or for ten.

Change: `belief: upstreams used though not listed` and `rhubarbcove_unlisted_upstreams`; `silent_ms` at `directory: regained` and `directory: reachable again`. No decision changes.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -384,6 +384,16 @@
         self.pool.select(|state| state.is_leaving(now))
     }
 
+    /// Upstreams that are used though the directory lists them no more, as their entries may only
+    /// have lapsed.
+    pub fn unlisted(&self) -> Vec<UpstreamId> {
+        let directory = self.directory.iter();
+        directory
+            .flat_map(DirectoryView::missing)
+            .cloned()
+            .collect()
+    }
+
     /// Upstreams on which this host has slots of its own.
     pub fn home(&self) -> Vec<UpstreamId> {
         self.pool.select(|state| state.home > 0)
--- a/crates/policy/src/upstreams/directory_view.rs
+++ b/crates/policy/src/upstreams/directory_view.rs
@@ -40,6 +40,11 @@
         self.upstreams.contains_key(upstream) && !self.missing.contains_key(upstream)
     }
 
+    /// Upstreams that are used though they are not listed.
+    pub(crate) fn missing(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.missing.keys()
+    }
+
     /// Upstreams that are leaving.
     pub(crate) fn leaving(&self) -> BTreeSet<UpstreamId> {
         self.leaving.clone()
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -55,9 +55,15 @@
     },
     /// Another host reaches the store, and never lost it: what this host received last was only
     /// long ago, and no entry lapsed meanwhile.
-    ReachableAgain,
+    ReachableAgain {
+        /// How long this host had no word of the store.
+        silent: Duration,
+    },
     /// The store answers again.
-    Regained,
+    Regained {
+        /// How long this host had no word of the store.
+        silent: Duration,
+    },
     /// The store answered with something that cannot be used; it is passed over.
     Unusable {
         /// What is wrong with it.
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -438,6 +438,7 @@
         let unread_bytes = self.thread.unread.held_bytes();
         gauge!("rhubarbcove_unread_answer_bytes").set(unread_bytes as f64);
         gauge!("rhubarbcove_limited_upstreams").set(controller.limited().len() as f64);
+        gauge!("rhubarbcove_unlisted_upstreams").set(controller.unlisted().len() as f64);
         let speeds = controller.speed_counts();
         for (speed, engines) in [
             ("faster", speeds.faster),
@@ -468,6 +469,7 @@
             coordinator: controller.coordinator(now).clone(),
             phase: controller.phase(),
             queued: controller.queued(),
+            unlisted: controller.unlisted(),
             version: controller.version(),
             ..(**before).clone()
         };
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -305,6 +305,12 @@
             &before.leaving,
             &after.leaving,
         );
+        self.set_changed(
+            now,
+            "belief: upstreams used though not listed",
+            &before.unlisted,
+            &after.unlisted,
+        );
         self.observed_changed(now, &after.observed);
     }
 
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -140,8 +140,9 @@
                 duty_log::log(logger, &report);
                 return None;
             }
-            DirectoryUpdate::ReachableAgain => {
-                info!(logger, "directory: reachable again");
+            DirectoryUpdate::ReachableAgain { silent } => {
+                info!(logger, "directory: reachable again";
+                    "silent_ms" => silent.as_millis() as u64);
                 self.received().note_reachable_again();
                 Event::DirectoryReachableAgain
             }
@@ -154,8 +155,8 @@
                 in_all,
                 peers: hosts,
             },
-            DirectoryUpdate::Regained => {
-                info!(logger, "directory: regained");
+            DirectoryUpdate::Regained { silent } => {
+                info!(logger, "directory: regained"; "silent_ms" => silent.as_millis() as u64);
                 self.received().note_regained(self.clock.now());
                 Event::DirectoryReached(true)
             }
--- a/crates/router/src/host_status.rs
+++ b/crates/router/src/host_status.rs
@@ -30,6 +30,9 @@
     /// Host that it asks for its shares.
     #[serde(rename = "steward")]
     pub coordinator: HostId,
+    /// Upstreams that it uses though the directory lists them no more.
+    #[serde(default)]
+    pub unlisted: Vec<UpstreamId>,
     /// Version of the configuration in force.
     pub version: Option<ConfigVersion>,
 }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -34,6 +34,7 @@
             phase: HostPhase::Starting,
             queued: 0,
             coordinator: settings.host.clone(),
+            unlisted: Vec::new(),
             version: None,
         };
         let clock = Clock::start();
