Add a failing test of upstreams that left while a host had lost its way to the store

What callers saw: requests at an engine 3.39 to 3.99 s after its entry was removed. Figures: the test fails on the code as it is, at its first request, which goes to the replica whose entry is gone while two others are listed.

--- a/crates/policy/tests/installation/upstreams.rs
+++ b/crates/policy/tests/installation/upstreams.rs
@@ -50,6 +50,24 @@
     assert!(sent(&host.ask(lookup()).1).is_none());
 }
 
+/// Guards against requests to an upstream that has left, where a host had only lost its own way to
+/// the store.
+#[test]
+fn an_upstream_that_left_gets_nothing_from_a_host_that_lost_its_way_to_the_store() {
+    let mut host = Host::new(0);
+    host.handle(Event::DirectoryReached(false));
+    host.pass(2_000);
+    host.handle(Event::DirectoryReached(true));
+    let mut listed = upstreams();
+    listed.remove(&"shop-1".parse().unwrap());
+    host.read_directory(listed, &[]);
+    for _ in 0..20 {
+        let order = sent(&host.ask(lookup()).1).unwrap();
+        assert_ne!(order.upstream.name(), "shop-1");
+        host.pass(100);
+    }
+}
+
 /// Symptom: as above, after an outage. Events: an upstream says that it is
 /// leaving, the store goes away, and its entry is gone at the return. Cause: one
 /// that was leaving is taken for one that lapsed.
