Take a few missing upstreams for gone after the store was lost

Cause: whatever was missing from the first readings after a loss of the store was kept for two seconds, as entries lapse while the store is away. But a host also counts as lost when only its own way to the store fails: while the configuration grows, the link of the host that asks for its domain is full, others hear nobody for 1.6 s, ask the store themselves, and find it at once. Class: a host's own fault is taken for a fault of what it observes.

Ruled out: to go by the time without word of the store (an outage needs 2.4 s to let entries lapse; these hosts had no word for 1.8 to 2.5 s, so the two cannot be told apart), to ask a neighbor whether it lost the store too (0.8 s more, and none may be in reach), to send to missing ones only where all listed ones are full (the placement of prompts would need a second set of homes).

Change: an outage keeps all upstreams from renewing their entries. Where more of a target's are missing than listed, the missing ones are kept until the end of the two seconds; else they are gone at once. What it costs: after an outage in which fewer than half have lapsed, those are used again only when they are listed, at most two seconds later.

--- a/crates/policy/src/upstreams/directory_view.rs
+++ b/crates/policy/src/upstreams/directory_view.rs
@@ -12,6 +12,9 @@
 /// after its return lists none, and every request is refused although all
 /// upstreams are well. So for a short while after its return a missing
 /// upstream is kept; at any other time one that is missing is gone at once.
+///
+/// A host cannot tell an outage of the directory from a fault on its own way there. An outage
+/// lets most entries of a target lapse, so where most are listed the missing ones have left.
 #[derive(Debug, Default)]
 pub(crate) struct DirectoryView {
     leaving: BTreeSet<UpstreamId>,
@@ -77,20 +80,28 @@
         self.missing
             .retain(|id, _| !self.upstreams.contains_key(id));
         if let Some(until) = self.grace_until(now) {
-            for (id, definition) in known {
-                // One that said it was leaving has left, and one that started again
-                // is listed as its new incarnation.
-                if self.upstreams.contains_key(&id) || self.leaving.contains(&id) {
-                    continue;
-                }
-                if self.is_replaced(&id) {
-                    continue;
-                }
+            self.keep_lapsed(known, until);
+        }
+        self.leaving = leaving;
+    }
+
+    /// Keeps upstreams that were known and are missing now, if their entries may only have lapsed.
+    fn keep_lapsed(&mut self, known: BTreeMap<UpstreamId, Upstream>, until: Time) {
+        let missing = known.into_iter().filter(|(id, _)| self.may_have_lapsed(id));
+        let missing: Vec<(UpstreamId, Upstream)> = missing.collect();
+        let census = TargetCensus::of(self.upstreams.values(), missing.iter().map(|(_, it)| it));
+        for (id, definition) in missing {
+            if self.missing.contains_key(&id) || census.lapsed(&definition) {
                 self.missing.entry(id.clone()).or_insert(until);
                 self.upstreams.insert(id, definition);
             }
         }
-        self.leaving = leaving;
+    }
+
+    /// One that said it was leaving has left, and one that started again is listed as its new
+    /// incarnation.
+    fn may_have_lapsed(&self, id: &UpstreamId) -> bool {
+        !self.upstreams.contains_key(id) && !self.leaving.contains(id) && !self.is_replaced(id)
     }
 
     /// Drops missing upstreams that have not come back; true if there was one.
--- a/crates/policy/src/upstreams/mod.rs
+++ b/crates/policy/src/upstreams/mod.rs
@@ -25,6 +25,7 @@
 mod speed_samples;
 mod speed_step;
 mod speed_votes;
+mod target_census;
 mod track_record;
 mod upstream_census;
 mod upstream_state;
@@ -54,6 +55,7 @@
     speed_samples::SpeedSamples,
     speed_step::SpeedStep,
     speed_votes::SpeedVotes,
+    target_census::TargetCensus,
     track_record::{TrackRecord, Usual},
     upstream_census::Place,
     upstream_state::UpstreamState,
--- a/crates/policy/tests/installation/upstreams.rs
+++ b/crates/policy/tests/installation/upstreams.rs
@@ -61,13 +61,36 @@
     let mut listed = upstreams();
     listed.remove(&"shop-1".parse().unwrap());
     host.read_directory(listed, &[]);
+    let as_of = host.now;
+    host.handle(Event::ConfigurationConfirmed { as_of });
     for _ in 0..20 {
-        let order = sent(&host.ask(lookup()).1).unwrap();
+        let (request, actions) = host.ask(lookup());
+        let order = sent(&actions).unwrap();
         assert_ne!(order.upstream.name(), "shop-1");
+        host.finish(&order, request);
         host.pass(100);
     }
 }
 
+/// Guards against refusals where an outage let most entries lapse, and some are back before others.
+#[test]
+fn upstreams_that_lapsed_together_are_kept_until_the_last_ones_are_back() {
+    let mut host = Host::new(0);
+    host.handle(Event::DirectoryReached(false));
+    host.pass(4_000);
+    host.handle(Event::DirectoryReached(true));
+    for back in ["shop-0", "shop-1"] {
+        let mut listed = upstreams();
+        listed.retain(|id, _| id.name() == back);
+        host.read_directory(listed, &[]);
+        host.pass(500);
+        let unlisted = host.controller.unlisted();
+        assert!(unlisted.contains(&"shop-2".parse().unwrap()), "{back}");
+    }
+    host.pass(1_100);
+    assert_eq!(host.controller.unlisted(), []);
+}
+
 /// Symptom: as above, after an outage. Events: an upstream says that it is
 /// leaving, the store goes away, and its entry is gone at the return. Cause: one
 /// that was leaving is taken for one that lapsed.
