Keep lapsed upstreams from the store's return on, not from the word of it

What callers saw: nothing that was traced to this alone; found by looking for the incident's cause elsewhere. A host that is told that the store is back may send requests to upstreams that left for up to four seconds after its return, where two are meant.

Cause: the age that a host gives with its word of the store's return was read and thrown away. Each host that was told counted its two seconds from then, and, if it came to ask the store for others, told them of a return that was as new as its own. Class: word of others is passed on without its age.

Change: the moment of the return goes with it, to the pool and to what is told on.

Evidence: the new test learns of the return 1.8 s late. Before, the event could not carry the moment, so all six upstreams were kept for 2 s from the word on; now for 0.2 s.

--- a/crates/policy/benches/installation/main.rs
+++ b/crates/policy/benches/installation/main.rs
@@ -27,8 +27,8 @@
         place(&mut host, 0);
         let tick = each(ROUNDS, |_| host.pass(10));
         let table = each(20, |round| change_table(&mut host, count, round));
-        host.handle(Event::DirectoryReached(false));
-        host.handle(Event::DirectoryReached(true));
+        host.handle(Event::DirectoryLost);
+        host.handle(Event::DirectoryRegained { at: host.now });
         let regained = each(4, |round| change_table(&mut host, count, round));
         println!(
             "{count:>7} {:>10.1} {:>9.1} {:>9.2} {:>9.2}",
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -179,10 +179,9 @@
                     .get_or_insert_default()
                     .note_reachable_again();
             }
-            Event::DirectoryReached(reached) => {
-                self.directory
-                    .get_or_insert_default()
-                    .note_reached(reached, now);
+            Event::DirectoryLost => self.directory.get_or_insert_default().note_lost(),
+            Event::DirectoryRegained { at } => {
+                self.directory.get_or_insert_default().note_regained(at);
             }
             Event::DirectoryRead {
                 common,
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -57,6 +57,8 @@
         /// When the question was sent that was answered so.
         as_of: Time,
     },
+    /// The directory gives no answer.
+    DirectoryLost,
     /// The directory was read.
     DirectoryRead {
         /// Those that the hosts of all failure domains know; `None` where that is each of them.
@@ -68,8 +70,11 @@
     },
     /// Another host reaches the directory, and never lost it.
     DirectoryReachableAgain,
-    /// The directory answers again, or does no more.
-    DirectoryReached(bool),
+    /// The directory answers again.
+    DirectoryRegained {
+        /// When the first host found that.
+        at: Time,
+    },
     /// This host holds the duties that one host does for all.
     DutyHeld(DutyNote),
     /// Another host announced that it holds them.
--- a/crates/policy/src/upstreams/directory_view.rs
+++ b/crates/policy/src/upstreams/directory_view.rs
@@ -53,12 +53,17 @@
         self.leaving.clone()
     }
 
-    /// Notes that the directory answers again, or does no more.
-    pub(crate) fn note_reached(&mut self, reached: bool, now: Time) {
-        if reached && self.lost {
-            self.regained = Some(now);
+    /// Notes that the directory gives no answer.
+    pub(crate) const fn note_lost(&mut self) {
+        self.lost = true;
+    }
+
+    /// Notes that the directory answers again since a moment.
+    pub(crate) const fn note_regained(&mut self, at: Time) {
+        if self.lost {
+            self.regained = Some(at);
         }
-        self.lost = !reached;
+        self.lost = false;
     }
 
     /// Notes that the directory never was away: a missing upstream is gone at once.
--- a/crates/policy/tests/installation/costs.rs
+++ b/crates/policy/tests/installation/costs.rs
@@ -194,7 +194,7 @@
 fn tell_leaving(host: &mut Host) -> usize {
     let upstream = known(100).into_keys().next().unwrap();
     let sent = host.now;
-    host.handle(Event::DirectoryReached(false));
+    host.handle(Event::DirectoryLost);
     host.handle(Event::NoticeAnswered {
         notice: UpstreamNotice {
             leaving: true,
--- a/crates/policy/tests/installation/notices.rs
+++ b/crates/policy/tests/installation/notices.rs
@@ -72,7 +72,7 @@
 #[test]
 fn an_upstream_that_says_in_an_answer_that_it_leaves_gets_nothing_more() {
     let mut host = Host::new(0);
-    host.handle(Event::DirectoryReached(false));
+    host.handle(Event::DirectoryLost);
     says(&mut host, "shop-0", leaving());
     host.pass(DRAIN_LIMIT.as_millis() as u64);
     let counts = calls_by_upstream(&mut host, Duration::from_secs(10));
@@ -190,7 +190,7 @@
 #[test]
 fn requests_are_refused_when_due_while_all_their_upstreams_leave() {
     let mut host = Host::new(0);
-    host.handle(Event::DirectoryReached(false));
+    host.handle(Event::DirectoryLost);
     for upstream in ["shop-0", "shop-1", "shop-2"] {
         says(&mut host, upstream, leaving());
     }
@@ -228,7 +228,7 @@
 #[test]
 fn other_hosts_are_notified_at_once_while_the_directory_is_away() {
     let mut host = Host::new(0);
-    host.handle(Event::DirectoryReached(false));
+    host.handle(Event::DirectoryLost);
     let actions = says(&mut host, "shop-0", leaving());
     let noted = actions.iter().find_map(|action| match action {
         Action::NoteLeaving(noted) => Some(noted.clone()),
@@ -261,7 +261,7 @@
     for hosts in [6, 66, 195] {
         let mut fleet = Fleet::new(hosts, 4, 1);
         for host in 0..hosts {
-            fleet.hosts[host].handle(Event::DirectoryReached(false));
+            fleet.hosts[host].handle(Event::DirectoryLost);
         }
         let load = [("lookup", 60.0)];
         fleet.pass(Duration::from_secs(1), &load);
--- a/crates/policy/tests/installation/upstreams.rs
+++ b/crates/policy/tests/installation/upstreams.rs
@@ -11,9 +11,9 @@
 #[test]
 fn keeps_upstreams_that_may_only_have_lapsed() {
     let mut host = Host::new(0);
-    host.handle(Event::DirectoryReached(false));
+    host.handle(Event::DirectoryLost);
     host.pass(2_000);
-    host.handle(Event::DirectoryReached(true));
+    host.handle(Event::DirectoryRegained { at: host.now });
     host.read_directory(engines(0), &[]);
     let as_of = host.now;
     host.handle(Event::ConfigurationConfirmed { as_of });
@@ -43,7 +43,7 @@
 #[test]
 fn drops_a_missing_upstream_at_once_where_the_store_never_was_away() {
     let mut host = Host::new(0);
-    host.handle(Event::DirectoryReached(false));
+    host.handle(Event::DirectoryLost);
     host.pass(2_000);
     host.handle(Event::DirectoryReachableAgain);
     host.read_directory(engines(0), &[]);
@@ -55,9 +55,9 @@
 #[test]
 fn an_upstream_that_left_gets_nothing_from_a_host_that_lost_its_way_to_the_store() {
     let mut host = Host::new(0);
-    host.handle(Event::DirectoryReached(false));
+    host.handle(Event::DirectoryLost);
     host.pass(2_000);
-    host.handle(Event::DirectoryReached(true));
+    host.handle(Event::DirectoryRegained { at: host.now });
     let mut listed = upstreams();
     listed.remove(&"shop-1".parse().unwrap());
     host.read_directory(listed, &[]);
@@ -76,9 +76,9 @@
 #[test]
 fn upstreams_that_lapsed_together_are_kept_until_the_last_ones_are_back() {
     let mut host = Host::new(0);
-    host.handle(Event::DirectoryReached(false));
+    host.handle(Event::DirectoryLost);
     host.pass(4_000);
-    host.handle(Event::DirectoryReached(true));
+    host.handle(Event::DirectoryRegained { at: host.now });
     for back in ["shop-0", "shop-1"] {
         let mut listed = upstreams();
         listed.retain(|id, _| id.name() == back);
@@ -91,6 +91,21 @@
     assert_eq!(host.controller.unlisted(), []);
 }
 
+/// Guards against requests to upstreams that left, where a host learns late that the store is back.
+#[test]
+fn missing_upstreams_are_kept_from_the_stores_return_not_from_the_word_of_it() {
+    let mut host = Host::new(0);
+    host.handle(Event::DirectoryLost);
+    host.pass(4_000);
+    let at = host.now;
+    host.pass(1_800);
+    host.handle(Event::DirectoryRegained { at });
+    host.read_directory(engines(0), &[]);
+    assert_eq!(host.controller.unlisted().len(), 6);
+    host.pass(210);
+    assert_eq!(host.controller.unlisted(), []);
+}
+
 /// Symptom: as above, after an outage. Events: an upstream says that it is
 /// leaving, the store goes away, and its entry is gone at the return. Cause: one
 /// that was leaving is taken for one that lapsed.
@@ -99,8 +114,8 @@
     let mut host = Host::new(0);
     let all = ["shop-0", "shop-1", "shop-2"];
     host.read_directory(upstreams(), &all);
-    host.handle(Event::DirectoryReached(false));
-    host.handle(Event::DirectoryReached(true));
+    host.handle(Event::DirectoryLost);
+    host.handle(Event::DirectoryRegained { at: host.now });
     host.read_directory(engines(0), &[]);
     assert!(sent(&host.ask(lookup()).1).is_none());
 }
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -61,6 +61,8 @@
     },
     /// The store answers again.
     Regained {
+        /// How long ago the first host found that, as far as this one knows.
+        ago: Duration,
         /// How long this host had no word of the store.
         silent: Duration,
     },
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -149,16 +149,18 @@
             DirectoryUpdate::Lost { error } => {
                 warn!(logger, "directory: lost"; "error" => error);
                 self.received().note_lost();
-                Event::DirectoryReached(false)
+                Event::DirectoryLost
             }
             DirectoryUpdate::Peers { hosts, in_all } => Event::PeersListed {
                 in_all,
                 peers: hosts,
             },
-            DirectoryUpdate::Regained { silent } => {
-                info!(logger, "directory: regained"; "silent_ms" => silent.as_millis() as u64);
-                self.received().note_regained(self.clock.now());
-                Event::DirectoryReached(true)
+            DirectoryUpdate::Regained { ago, silent } => {
+                info!(logger, "directory: regained";
+                    "ago_ms" => ago.as_millis() as u64, "silent_ms" => silent.as_millis() as u64);
+                let at = self.clock.now() - ago;
+                self.received().note_regained(at);
+                Event::DirectoryRegained { at }
             }
             DirectoryUpdate::Unusable { error } => {
                 warn!(logger, "directory: answer not used"; "error" => error);
--- a/crates/router/src/received_tables.rs
+++ b/crates/router/src/received_tables.rs
@@ -132,9 +132,9 @@
         self.is_lost = false;
     }
 
-    pub(crate) fn note_regained(&mut self, now: Time) {
+    pub(crate) fn note_regained(&mut self, at: Time) {
         self.is_lost = false;
-        self.regained = Some(now);
+        self.regained = Some(at);
     }
 
     /// Whether other hosts learn what the tables hold.
