Count only upstreams that stay against those that are missing

After an outage a service of which one replica leaves and the other's entry has lapsed refused its requests until that was listed again.

Cause: a replica that leaves was counted as listed, although it takes no new work.

--- a/crates/policy/src/upstreams/directory_view.rs
+++ b/crates/policy/src/upstreams/directory_view.rs
@@ -14,7 +14,8 @@
 /// upstream is kept; at any other time one that is missing is gone at once.
 ///
 /// A host cannot tell an outage of the directory from a fault on its own way there. An outage
-/// lets most entries of a target lapse, so where most are listed the missing ones have left.
+/// lets most entries of a target lapse, so where most are listed and stay the missing ones have
+/// left.
 #[derive(Debug, Default)]
 pub(crate) struct DirectoryView {
     leaving: BTreeSet<UpstreamId>,
@@ -84,17 +85,25 @@
         let known = std::mem::replace(&mut self.upstreams, upstreams);
         self.missing
             .retain(|id, _| !self.upstreams.contains_key(id));
+        let before = std::mem::replace(&mut self.leaving, leaving);
         if let Some(until) = self.grace_until(now) {
-            self.keep_lapsed(known, until);
+            // One that said that it leaves has left.
+            let stayed = known.into_iter().filter(|(id, _)| !before.contains(id));
+            self.keep_lapsed(stayed, until);
         }
-        self.leaving = leaving;
     }
 
     /// Keeps upstreams that were known and are missing now, if their entries may only have lapsed.
-    fn keep_lapsed(&mut self, known: BTreeMap<UpstreamId, Upstream>, until: Time) {
-        let missing = known.into_iter().filter(|(id, _)| self.may_have_lapsed(id));
+    fn keep_lapsed(&mut self, known: impl Iterator<Item = (UpstreamId, Upstream)>, until: Time) {
+        let missing = known.filter(|(id, _)| !self.upstreams.contains_key(id));
+        let missing = missing.filter(|(id, _)| !self.is_replaced(id));
         let missing: Vec<(UpstreamId, Upstream)> = missing.collect();
-        let census = TargetCensus::of(self.upstreams.values(), missing.iter().map(|(_, it)| it));
+        let listed = self.upstreams.iter();
+        let staying = listed.filter(|(id, _)| !self.leaving.contains(*id));
+        let census = TargetCensus::of(
+            staying.map(|(_, definition)| definition),
+            missing.iter().map(|(_, definition)| definition),
+        );
         for (id, definition) in missing {
             if self.missing.contains_key(&id) || census.lapsed(&definition) {
                 self.missing.entry(id.clone()).or_insert(until);
@@ -103,12 +112,6 @@
         }
     }
 
-    /// One that said it was leaving has left, and one that started again is listed as its new
-    /// incarnation.
-    fn may_have_lapsed(&self, id: &UpstreamId) -> bool {
-        !self.upstreams.contains_key(id) && !self.leaving.contains(id) && !self.is_replaced(id)
-    }
-
     /// Drops missing upstreams that have not come back; true if there was one.
     pub(crate) fn expire(&mut self, now: Time) -> bool {
         let before = self.missing.len();
--- a/crates/policy/src/upstreams/target_census.rs
+++ b/crates/policy/src/upstreams/target_census.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// How many upstreams of each target are listed, and how many are missing.
+/// How many upstreams of each target are listed and stay, and how many are missing.
 #[derive(Debug, Default)]
 pub(crate) struct TargetCensus {
     targets: HashMap<Target, Counts>,
@@ -8,18 +8,18 @@
 
 #[derive(Debug, Default)]
 struct Counts {
-    listed: usize,
+    staying: usize,
     missing: usize,
 }
 
 impl TargetCensus {
     pub(crate) fn of<'a>(
-        listed: impl Iterator<Item = &'a Upstream>,
+        staying: impl Iterator<Item = &'a Upstream>,
         missing: impl Iterator<Item = &'a Upstream>,
     ) -> Self {
         let mut census = Self::default();
-        for definition in listed {
-            census.count(definition, |counts| counts.listed += 1);
+        for definition in staying {
+            census.count(definition, |counts| counts.staying += 1);
         }
         for definition in missing {
             census.count(definition, |counts| counts.missing += 1);
@@ -27,12 +27,12 @@
         census
     }
 
-    /// Whether entries have lapsed together: more are missing than listed for some target of an
+    /// Whether entries have lapsed together: more are missing than stay for some target of an
     /// upstream.
     pub(crate) fn lapsed(&self, definition: &Upstream) -> bool {
         let targets = pool::targets_of(definition);
         let mut counts = targets.iter().filter_map(|target| self.targets.get(target));
-        counts.any(|counts| counts.missing > counts.listed)
+        counts.any(|counts| counts.missing > counts.staying)
     }
 
     fn count(&mut self, definition: &Upstream, add: impl Fn(&mut Counts)) {
--- a/crates/policy/tests/installation/upstreams.rs
+++ b/crates/policy/tests/installation/upstreams.rs
@@ -91,6 +91,23 @@
     assert_eq!(host.controller.unlisted(), []);
 }
 
+/// Guards against refusals where all that is listed after an outage is leaving.
+#[test]
+fn an_upstream_that_may_have_lapsed_is_kept_where_all_that_are_listed_leave() {
+    let mut host = Host::new(0);
+    host.read_directory(upstreams(), &["shop-0", "shop-1"]);
+    host.handle(Event::DirectoryLost);
+    host.pass(4_000);
+    host.handle(Event::DirectoryRegained { at: host.now });
+    let as_of = host.now;
+    host.handle(Event::ConfigurationConfirmed { as_of });
+    let mut listed = upstreams();
+    listed.remove(&"shop-2".parse().unwrap());
+    host.read_directory(listed, &["shop-0", "shop-1"]);
+    let order = sent(&host.ask(lookup()).1).unwrap();
+    assert_eq!(order.upstream.name(), "shop-2");
+}
+
 /// Guards against requests to upstreams that left, where a host learns late that the store is back.
 #[test]
 fn missing_upstreams_are_kept_from_the_stores_return_not_from_the_word_of_it() {
