Remember the limit of an upstream whose entry lapses and returns

What callers saw: nothing that was traced to this. Found by going through what else rests on the table of upstreams: an upstream that names a limit gets requests beyond it after its entry has lapsed and come back, until its next answer names the limit again.

Cause: the limit was kept in the upstream's state, which ends with the entry. Leavings and backoffs are remembered apart, by incarnation, for just this reason.

Change: the limit with its tokens is put aside when a state ends, and given back with the entry. It is forgotten an hour after it was named.

Ruled out: to tell the limit anew on the entry's return by asking other hosts, which may have forgotten it as well.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -373,6 +373,7 @@
         let domain = &self.options.failure_domain;
         self.pool.apply(listed, domain);
         self.pool.note_listed(directory.leaving());
+        self.follow_limits(now);
         self.apply_shares(now);
         self.note_unlisted(now, &unlisted, actions);
     }
--- a/crates/policy/src/upstream_limits/mod.rs
+++ b/crates/policy/src/upstream_limits/mod.rs
@@ -39,6 +39,9 @@
 /// Time for which a token may be used.
 const TOKEN_VALID: Duration = Duration::from_millis(500);
 
+/// Time for which a limit is remembered after it was named, while the upstream is not listed.
+const REMEMBERED: Duration = Duration::from_secs(3_600);
+
 /// What a host knows of all limits.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamLimits {
@@ -115,6 +118,16 @@
         true
     }
 
+    /// Takes up the limits of upstreams that are listed again.
+    pub(crate) fn follow_limits(&mut self, now: Time) {
+        let pool = &mut self.pool;
+        pool.lapsed_limits
+            .retain(|_, limit| now.since(limit.as_of()) < REMEMBERED);
+        let limited = pool.select(|state| state.limit.rate().is_some());
+        self.upstream_limits.limited.extend(limited);
+        self.pool.has_limits = !self.upstream_limits.is_empty();
+    }
+
     /// Limits that upstreams name now.
     pub fn limited(&self) -> Vec<(UpstreamId, Rate)> {
         let limited = self.upstream_limits.limited.iter();
@@ -125,3 +138,18 @@
         named.collect()
     }
 }
+
+impl Pool {
+    /// Gives the upstreams the limits that they named before their entries lapsed, as their states
+    /// are new.
+    pub(crate) fn mark_limited(&mut self) {
+        if self.lapsed_limits.is_empty() {
+            return;
+        }
+        for state in &mut self.states {
+            if let Some(limit) = self.lapsed_limits.remove(&state.id) {
+                state.limit = limit;
+            }
+        }
+    }
+}
--- a/crates/policy/src/upstreams/pool.rs
+++ b/crates/policy/src/upstreams/pool.rs
@@ -14,6 +14,8 @@
     /// Whether any upstream names a limit.
     pub(crate) has_limits: bool,
     pub(crate) index: HashMap<UpstreamId, usize>,
+    /// Limits of upstreams whose entries have lapsed.
+    pub(crate) lapsed_limits: HashMap<UpstreamId, UpstreamLimit>,
     /// Upstreams that are leaving by the platform's list. It may be read before
     /// the configuration that names them, so it is kept apart from the states.
     pub(crate) listed_leaving: BTreeSet<UpstreamId>,
@@ -54,8 +56,9 @@
         upstreams: &BTreeMap<UpstreamId, Upstream>,
         domain: &FailureDomainId,
     ) {
-        self.states
-            .retain_mut(|state| match upstreams.get(&state.id) {
+        let lapsed_limits = &mut self.lapsed_limits;
+        self.states.retain_mut(|state| {
+            let keep = match upstreams.get(&state.id) {
                 Some(definition) if definition.address() == state.definition.address() => {
                     state.definition.clone_from(definition);
                     state.removed = false;
@@ -66,7 +69,12 @@
                     state.removed = true;
                     state.in_flight > 0
                 }
-            });
+            };
+            if !keep && state.limit.rate().is_some() {
+                lapsed_limits.insert(state.id.clone(), std::mem::take(&mut state.limit));
+            }
+            keep
+        });
         let known: HashSet<UpstreamId> = self.states.iter().map(|state| state.id.clone()).collect();
         let new = upstreams.iter().filter(|(id, _)| !known.contains(*id));
         let new = new.map(|(id, definition)| UpstreamState::new(id.clone(), definition.clone()));
@@ -74,6 +82,7 @@
         self.states
             .sort_by(|a, b| (a.removed, &a.id).cmp(&(b.removed, &b.id)));
         self.reindex(domain);
+        self.mark_limited();
         self.mark_backing_off();
         self.mark_leaving();
     }
--- a/crates/policy/tests/installation/named_limits.rs
+++ b/crates/policy/tests/installation/named_limits.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         fleet::{Fleet, replica},
-        support::{Host, lookup, refused, sent},
+        support::{Host, engines, lookup, refused, sent, upstreams},
     },
     policy::{Action, Event, NoticeSource, RefusalReason},
     quickcheck::{Arbitrary, Gen, QuickCheck},
@@ -84,6 +84,28 @@
     assert_eq!(counts.refused, 0);
 }
 
+/// Guards against a limit that is forgotten while the upstream's entry lapses and returns.
+#[test]
+fn a_limit_holds_after_the_upstreams_entry_has_lapsed_and_returned() {
+    let mut host = Host::new(0);
+    let mut only = upstreams();
+    only.retain(|id, _| id.name() == "shop-1");
+    host.read_directory(only.clone(), &[]);
+    name(&mut host, "shop-1", Some(1.0));
+    host.read_directory(engines(3), &[]);
+    host.pass(500);
+    host.read_directory(only, &[]);
+    let mut sends = 0;
+    for _ in 0..20 {
+        let (request, actions) = host.ask(lookup());
+        if let Some(order) = sent(&actions) {
+            sends += 1;
+            host.finish(&order, request);
+        }
+    }
+    assert!(sends <= allowed(1.0), "{sends} requests at one moment");
+}
+
 /// Guards against a limit that is kept by each host alone.
 #[test]
 fn few_and_many_hosts_keep_small_and_large_limits() {
