--- a/crates/policy/tests/installation/upstreams.rs
+++ b/crates/policy/tests/installation/upstreams.rs
@@ -50,8 +50,7 @@
     assert!(sent(&host.ask(lookup()).1).is_none());
 }
 
-/// Guards against requests to an upstream that has left, where a host had only lost its own way to
-/// the store.
+/// Guards against requests to an upstream that left while a host lost its own way to the store.
 #[test]
 fn an_upstream_that_left_gets_nothing_from_a_host_that_lost_its_way_to_the_store() {
     let mut host = Host::new(0);
