Log how attempts to connect to upstreams end

Cause of the change: the logs of the incident name failed connections, but not whether they were refused or not answered, so a host that lost its paths cannot be told from upstreams that are full or gone. No logic changes; events of the controller carry each attempt and how it ended.

Ruled out: hosts that choose badly among upstreams that they reach; all attempts of a whole cut fail. Conclusion: a request has one way to an upstream, its host's own connection.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -142,6 +142,7 @@
             | Event::DutyAdvertised { .. }
             | Event::HeartbeatAsked { .. }
             | Event::NoticeAnswered { .. }
+            | Event::PathsTried { .. }
             | Event::TokensAsked { .. }
             | Event::Progressed { .. }
             | Event::TimeOfDay { .. } => Affected::Nothing,
@@ -222,6 +223,8 @@
                 sent,
                 upstream,
             } => self.on_notice_answered(now, &upstream, &notice, sent, actions),
+            // It is logged; nothing is decided by it.
+            Event::PathsTried { .. } => {}
             Event::PeersListed { in_all, peers } => {
                 if let Some(in_all) = in_all {
                     self.retries.note_hosts(now, in_all);
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -137,6 +137,13 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// A connection to an upstream was wanted.
+    PathsTried {
+        /// How each attempt ended.
+        tries: Vec<PathTry>,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// The other hosts were listed.
     PeersListed {
         /// Hosts of the whole installation; `None` if that is not known yet.
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -339,6 +339,9 @@
             Event::NoticeAnswered {
                 notice, upstream, ..
             } => self.decisions.notice_answered(now, upstream, notice),
+            Event::PathsTried { tries, upstream } => {
+                self.decisions.paths_tried(now, upstream, tries);
+            }
             _ => {}
         }
     }
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -104,6 +104,27 @@
         }
     }
 
+    /// A connection to an upstream was wanted; one that stood at once is counted only.
+    pub(crate) fn paths_tried(&mut self, now: Time, upstream: &UpstreamId, tries: &[PathTry]) {
+        for tried in tries {
+            let path = match tried.path {
+                Path::Direct => "direct",
+                Path::Through(_) => "through",
+            };
+            let end = tried.end.as_str();
+            counter!("rhubarbcove_paths_tried_total", "path" => path, "end" => end).increment(1);
+        }
+        let as_usual = tries.iter().all(|tried| tried.end == PathEnd::Connected);
+        if as_usual || !self.budget.take(LineKind::Important, now) {
+            return;
+        }
+        let tries: Vec<String> = tries.iter().map(ToString::to_string).collect();
+        info!(self.logger, "upstreams: path not open";
+            "upstream" => %upstream,
+            "tries" => tries.join(", "),
+        );
+    }
+
     /// A request ended.
     pub(crate) fn ended(&mut self, now: Time, id: &str, outcome: &Outcome, known: &Knowledge) {
         let as_it_should = matches!(outcome.end, OutcomeEnd::Finished | OutcomeEnd::Replayed);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -73,8 +73,8 @@
     },
     types::prelude::*,
     upstream::{
-        Answer, Call, CallFailure, Connections, EngineAdapter, ServiceAdapter, StreamItem,
-        TokenStream, UpstreamSender, check_listening,
+        Answer, Call, CallFailure, Connections, EngineAdapter, Kept, NO_CONNECTION, ServiceAdapter,
+        StreamItem, TokenStream, UpstreamSender, check_listening,
     },
 };
 
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -152,7 +152,16 @@
             return Err(Stopped::Failed(CallFailure::not_run(FailureCause::Connect)));
         };
         let connections = self.connections.clone();
-        let sent = connections.send(order.address, request, HEAD_TIMEOUT);
+        let kept = connections.send_kept(order.address, request, HEAD_TIMEOUT);
+        let request = match self.in_time(order, kept).await? {
+            Kept::Sent(sent) => return sent.map_err(Stopped::Failed),
+            Kept::Unsent(request) => request,
+        };
+        let opening = connections.open(order.address);
+        let opening = self.in_time(order, opening).await?;
+        self.task.tell_paths(order, opening.tries).await;
+        let sender = opening.sender.ok_or(Stopped::Failed(NO_CONNECTION))?;
+        let sent = connections.send_on(sender, request, HEAD_TIMEOUT);
         self.in_time(order, sent).await?.map_err(Stopped::Failed)
     }
 
--- a/crates/router/src/request_task.rs
+++ b/crates/router/src/request_task.rs
@@ -104,6 +104,15 @@
         .await;
     }
 
+    /// Tells by which paths it was tried to reach an upstream.
+    pub(crate) async fn tell_paths(&self, order: &SendOrder, tries: Vec<PathTry>) {
+        self.tell(Event::PathsTried {
+            tries,
+            upstream: order.upstream.clone(),
+        })
+        .await;
+    }
+
     /// Counts an event of the stream that is passed on.
     pub(crate) const fn count_event(&mut self) {
         self.unreported += 1;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
     sha2::{Digest, Sha256},
     std::{
         fmt::{self, Display, Formatter},
+        net::SocketAddr,
         ops::{Add, Sub},
         str::FromStr,
         time::Duration,
@@ -36,6 +37,9 @@
 mod model_id;
 mod parse_id_error;
 mod parse_quantity_error;
+mod path;
+mod path_end;
+mod path_try;
 pub mod prelude;
 mod prompt_part;
 mod rate;
@@ -58,8 +62,8 @@
     failure_domain_id::FailureDomainId, fence::Fence, fingerprint::Fingerprint, host_id::HostId,
     idempotency_key::IdempotencyKey, incarnation::Incarnation, key_hash::KeyHash,
     listening::Listening, load_report::LoadReport, model_id::ModelId, parse_id_error::ParseIdError,
-    parse_quantity_error::ParseQuantityError, prompt_part::PromptPart, rate::Rate,
-    rendezvous::rendezvous_weight, request_id::RequestId, route_id::RouteId, service_id::ServiceId,
-    team_id::TeamId, tier::Tier, time::Time, tokens::Tokens, upstream_id::UpstreamId,
-    upstream_notice::UpstreamNotice, verdict::Verdict,
+    parse_quantity_error::ParseQuantityError, path::Path, path_end::PathEnd, path_try::PathTry,
+    prompt_part::PromptPart, rate::Rate, rendezvous::rendezvous_weight, request_id::RequestId,
+    route_id::RouteId, service_id::ServiceId, team_id::TeamId, tier::Tier, time::Time,
+    tokens::Tokens, upstream_id::UpstreamId, upstream_notice::UpstreamNotice, verdict::Verdict,
 };
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -3,6 +3,7 @@
 pub use crate::{
     AnsweredBackoff, AnsweredLimit, AttemptId, Bandwidth, ByteSize, ClassId, ConfigVersion,
     FailureCause, FailureDomainId, Fence, Fingerprint, HashMap, HashSet, HostId, IdempotencyKey,
-    Incarnation, KeyHash, LoadReport, ModelId, PromptPart, Rate, RequestId, RouteId, ServiceId,
-    TeamId, Tier, Time, Tokens, UpstreamId, UpstreamNotice, Verdict, rendezvous_weight,
+    Incarnation, KeyHash, LoadReport, ModelId, Path, PathEnd, PathTry, PromptPart, Rate, RequestId,
+    RouteId, ServiceId, TeamId, Tier, Time, Tokens, UpstreamId, UpstreamNotice, Verdict,
+    rendezvous_weight,
 };
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -13,7 +13,7 @@
     pub(crate) body: Incoming,
     pub(crate) connections: Connections,
     pub(crate) content_type: String,
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: UpstreamSender,
     pub(crate) status: StatusCode,
 }
 
@@ -22,7 +22,7 @@
         connections: Connections,
         address: SocketAddr,
         response: Response<Incoming>,
-        sender: SendRequest<Full<Bytes>>,
+        sender: UpstreamSender,
     ) -> Result<Self, CallFailure> {
         let status = response.status();
         let says_not_run = response.headers().contains_key(NOT_RUN_HEADER);
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -7,6 +7,9 @@
 /// that lost its power answers none, and each request would wait this long.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Failure of a request for which no connection could be made.
+pub const NO_CONNECTION: CallFailure = CallFailure::not_run(FailureCause::Connect);
+
 /// Time after which bytes that were sent and not acknowledged end a connection,
 /// and in which a silent peer must answer a keep-alive probe. Without it, a
 /// connection to an upstream that lost its power hangs for minutes.
@@ -15,10 +18,7 @@
 /// Silence after which a keep-alive probe is sent, and the time between two.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// A connection to an upstream, free for one more request.
-pub type UpstreamSender = SendRequest<Full<Bytes>>;
-
-use UpstreamSender as Sender;
+type Sender = SendRequest<Full<Bytes>>;
 
 /// A connection that is kept for the next request.
 #[derive(Debug)]
@@ -42,36 +42,75 @@
 }
 
 impl Connections {
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request, over a kept connection if there is one, and waits for the head of the
+    /// answer.
     pub async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         head_timeout: Duration,
-    ) -> Result<(Response<Incoming>, Sender), CallFailure> {
+    ) -> Result<(Response<Incoming>, UpstreamSender), CallFailure> {
+        let request = match self.send_kept(address, request, head_timeout).await {
+            Kept::Sent(sent) => return sent,
+            Kept::Unsent(request) => request,
+        };
+        let opening = self.open(address).await;
+        let sender = opening.sender.ok_or(NO_CONNECTION)?;
+        self.send_on(sender, request, head_timeout).await
+    }
+
+    /// Sends a request over a kept connection, and waits for the head of the answer.
+    pub async fn send_kept(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        head_timeout: Duration,
+    ) -> Kept {
         let mut request = request;
         while let Some(mut sender) = self.take_idle(address) {
             match Self::try_send(&mut sender, request, head_timeout).await {
                 Ok(response) => {
                     count("reused");
-                    return Ok((response, sender));
+                    return Kept::Sent(Ok((response, UpstreamSender(sender))));
                 }
                 // The connection had been closed: nothing was written.
                 Err((_, Some(unsent))) => request = unsent,
-                Err((failure, None)) => return Err(failure),
+                Err((failure, None)) => return Kept::Sent(Err(failure)),
             }
         }
-        let mut sender = self
-            .connect(address)
-            .await
-            .inspect_err(|_| count("failed"))?;
-        count("opened");
+        Kept::Unsent(request)
+    }
+
+    /// Sends a request over a new connection, and waits for the head of the answer.
+    pub async fn send_on(
+        &self,
+        sender: UpstreamSender,
+        request: Request<Full<Bytes>>,
+        head_timeout: Duration,
+    ) -> Result<(Response<Incoming>, UpstreamSender), CallFailure> {
+        let UpstreamSender(mut sender) = sender;
         match Self::try_send(&mut sender, request, head_timeout).await {
-            Ok(response) => Ok((response, sender)),
+            Ok(response) => Ok((response, UpstreamSender(sender))),
             Err((failure, _)) => Err(failure),
         }
     }
 
+    /// Opens a connection.
+    pub async fn open(&self, address: SocketAddr) -> Opening {
+        let opened = self.connect(address).await;
+        count(if opened.is_ok() { "opened" } else { "failed" });
+        let end = opened
+            .as_ref()
+            .map_or_else(|end| *end, |_| PathEnd::Connected);
+        Opening {
+            sender: opened.ok().map(UpstreamSender),
+            tries: vec![PathTry {
+                end,
+                path: Path::Direct,
+            }],
+        }
+    }
+
     async fn try_send(
         sender: &mut Sender,
         request: Request<Full<Bytes>>,
@@ -90,14 +129,15 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Sender, CallFailure> {
-        let failure = CallFailure::not_run(FailureCause::Connect);
+    async fn connect(&self, address: SocketAddr) -> Result<Sender, PathEnd> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
-            .map_err(|_| failure)?
-            .map_err(|_| failure)?;
-        watch_peer(&stream).map_err(|_| failure)?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| failure)?;
+            .map_err(|_| PathEnd::NoAnswer)?
+            .map_err(|_| PathEnd::Refused)?;
+        watch_peer(&stream).map_err(|_| PathEnd::Refused)?;
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| PathEnd::Refused)?;
         let mut tasks = lock(&self.tasks);
         while tasks.try_join_next().is_some() {}
         tasks.spawn(async move {
@@ -122,7 +162,8 @@
 
     /// Keeps a connection whose answer has been read to its end, for a time in
     /// which the upstream is not expected to close it.
-    pub fn keep(&self, address: SocketAddr, sender: Sender, keep_for: Duration) {
+    pub fn keep(&self, address: SocketAddr, sender: UpstreamSender, keep_for: Duration) {
+        let UpstreamSender(sender) = sender;
         let now = Instant::now();
         let mut idle = lock(&self.idle);
         let senders = idle.entry(address).or_default();
--- a/crates/upstream/src/event_stream.rs
+++ b/crates/upstream/src/event_stream.rs
@@ -16,7 +16,7 @@
     connections: Connections,
     ended: bool,
     events: Pin<Box<Frames>>,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<UpstreamSender>,
 }
 
 impl TokenStream {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -31,20 +31,26 @@
 mod connections;
 mod engine;
 mod event_stream;
+mod kept;
 mod listening;
+mod opening;
 mod service;
 mod stream_item;
+mod upstream_sender;
 
 pub use {
     answer::Answer,
     call::Call,
     call_failure::CallFailure,
-    connections::{Connections, UpstreamSender},
+    connections::{Connections, NO_CONNECTION},
     engine::EngineAdapter,
     event_stream::TokenStream,
+    kept::Kept,
     listening::check_listening,
+    opening::Opening,
     service::ServiceAdapter,
     stream_item::StreamItem,
+    upstream_sender::UpstreamSender,
 };
 
 use connections::CONNECT_TIMEOUT;
