Find ways through other hosts where notes between hosts are rare

Of 200 hosts, those of one failure domain were cut off from all upstreams: 2,084 of 2,758 first tries were served there, 5,379 of 5,379 elsewhere.

Cause: only hosts whose last note was at most 2.5 s old counted as ways. With many hosts notes come each 6 to 14 s, within their budget, so most hosts counted as ended. Class: what is known of few hosts is taken for what is known of many.

Change: a host counts as living for four usual intervals between notes, the measure that keepers of limits are already found by, now in one place; what its note says of its own reach counts only while that is recent.

Evidence: many_hosts_without_a_path_serve_like_others (66 and 200 hosts) fails without the change and passes with it.

--- a/crates/policy/src/hosts/neighbors.rs
+++ b/crates/policy/src/hosts/neighbors.rs
@@ -44,7 +44,10 @@
 
 /// Time for which a host's last note counts. After it the host is taken to have
 /// ended, and its load with it.
-pub(crate) const VALID: Duration = Duration::from_millis(2_500);
+const VALID: Duration = Duration::from_millis(2_500);
+
+/// Notes of a host that may be missing until it is taken to have ended, where notes are rare.
+const MISSING_NOTES: u32 = 4;
 
 /// Time between two notes up to which what they tell of an engine is still there when a
 /// prompt is placed: a prompt is read in some 0.1 to 0.2 s, and runs for a second.
@@ -242,13 +245,12 @@
         targets: &[Target],
         now: Time,
     ) -> impl Iterator<Item = (u64, bool, SocketAddr)> {
+        let silence = self.longest_silence();
         self.hosts_but(own).filter_map(move |(_, neighbor)| {
-            let (_, note) = neighbor.fresh(now)?;
-            let is_able = !note.reach.declines
-                && (note.reach.cut_off.is_empty()
-                    || !targets
-                        .iter()
-                        .any(|target| note.reach.cut_off.contains(&target.to_string())));
+            let received = neighbor.last_received()?;
+            let note = neighbor.fresh(now);
+            let is_able = now.since(received) <= silence
+                && note.is_none_or(|(_, note)| is_way(&note.reach, targets));
             is_able.then_some((neighbor.pair, neighbor.is_near, neighbor.address))
         })
     }
@@ -264,6 +266,11 @@
             .max(IDLE_INTERVAL)
     }
 
+    /// Silence after which a host is taken to have ended.
+    pub(crate) fn longest_silence(&self) -> Duration {
+        (self.usual_interval() * MISSING_NOTES).max(VALID)
+    }
+
     /// Where the other known hosts listen, also those that exchange no notes with this one.
     pub(crate) fn all_addresses(&self) -> &[SocketAddr] {
         &self.addresses
@@ -330,6 +337,12 @@
     }
 }
 
+/// Whether the sender of a note may reach upstreams of some targets for others.
+fn is_way(reach: &ReachNote, targets: &[Target]) -> bool {
+    let is_cut_off = |target: &Target| reach.cut_off.contains(&target.to_string());
+    !reach.declines && (reach.cut_off.is_empty() || !targets.iter().any(is_cut_off))
+}
+
 impl Controller {
     pub(crate) fn apply_neighbors(&mut self, now: Time) {
         let loads = self.neighbors.loads(now);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -75,7 +75,7 @@
 use {
     crashes::Crashes,
     duties::Reporting,
-    hosts::{Divided, Neighbors, NewerConfiguration, Peering, Share, neighbors},
+    hosts::{Divided, Neighbors, NewerConfiguration, Peering, Share},
     overload::{Congestion, EarlyRefusal},
     prompt_transfers::{PromptCopies, PromptFetch, TransferLink},
     queueing::{Lane, LengthEstimate, PRESSING_TIERS, QueuedItem, Rank, TeamLimits, Urgency},
--- a/crates/policy/src/upstream_limits/known_hosts.rs
+++ b/crates/policy/src/upstream_limits/known_hosts.rs
@@ -6,9 +6,6 @@
 /// off from each other for an hour must not both spend the whole limit.
 const REMEMBERED: Duration = Duration::from_secs(2 * 3_600);
 
-/// Notes of a host that may be missing until it is taken to have ended.
-const MISSING_NOTES: u32 = 4;
-
 impl Neighbors {
     /// Other hosts that may send requests, also those that are not observed now.
     pub(crate) fn remembered(&self, own: &HostId, now: Time) -> usize {
@@ -30,7 +27,7 @@
         own: &HostId,
         now: Time,
     ) -> impl Iterator<Item = (&HostId, SocketAddr)> {
-        let silence = (self.usual_interval() * MISSING_NOTES).max(neighbors::VALID);
+        let silence = self.longest_silence();
         let others = self.received_others(own);
         let living = others.filter(move |(_, received, _)| now.since(*received) <= silence);
         living.map(|(host, _, address)| (host, address))
--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -17,6 +17,8 @@
 mod pauses;
 mod placement;
 mod prompt_transfers;
+mod reach;
+mod reach_world;
 mod refusals;
 mod retries_of_many;
 mod sick;
--- /dev/null
+++ b/crates/policy/tests/installation/reach_world.rs
@@ -0,0 +1,425 @@
+//! Hosts in several failure domains before the replicas of a service, in virtual time: connections
+//! of a host's own can be cut, and another host can open one for it.
+
+use {
+    crate::support::{Ask, Host, address},
+    config::{ServiceReplica, Upstream},
+    peer::PeerHost,
+    policy::{Action, AttemptEnd, Event, SendOrder},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+    types::{Path, PathEnd, PathTry, prelude::*},
+};
+
+pub const DOMAINS: [&str; 3] = ["north-a", "north-b", "north-c"];
+
+/// Replicas of the service.
+pub const REPLICAS: usize = 12;
+
+/// Where replicas listen, apart from hosts.
+const REPLICAS_AT: usize = 5_000;
+
+const TICK: Duration = Duration::from_millis(20);
+
+const DATAGRAM: Duration = Duration::from_millis(1);
+
+/// Time in which a replica answers.
+const ANSWER: Duration = Duration::from_millis(30);
+
+/// Head start of a path over the next one, and the time for all of them.
+const HEAD_START: Duration = Duration::from_millis(60);
+const OPEN_LIMIT: Duration = Duration::from_millis(300);
+
+/// Time for which a host tries to connect for another one.
+const TRANSIT_LIMIT: Duration = Duration::from_millis(200);
+
+const CONNECT: Duration = Duration::from_millis(1);
+
+/// Paths that do not stand for a time.
+#[derive(Clone, Debug)]
+pub struct Cut {
+    pub from: Time,
+    pub hosts: BTreeSet<usize>,
+    /// Whether connections are refused, rather than not answered.
+    pub refuses: bool,
+    pub replicas: BTreeSet<usize>,
+    pub until: Time,
+}
+
+/// First tries of callers, and how many of them were served.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tries {
+    pub all: usize,
+    pub served: usize,
+}
+
+enum Due {
+    Ended {
+        end: Box<AttemptEnd>,
+        host: usize,
+        order: Box<SendOrder>,
+        request: RequestId,
+    },
+    Happens {
+        event: Box<Event>,
+        host: usize,
+    },
+}
+
+pub struct World {
+    /// When each request arrived at which host.
+    arrivals: BTreeMap<(usize, RequestId), Time>,
+    pub cuts: Vec<Cut>,
+    /// Hosts that do nothing, and answer nothing.
+    pub dead: BTreeSet<usize>,
+    due: BTreeMap<(Time, u64), Due>,
+    pub hosts: Vec<Host>,
+    next: u64,
+    pub now: Time,
+    rng: SmallRng,
+    /// Requests that were served: when and where they arrived.
+    served: BTreeSet<(Time, usize, RequestId)>,
+    /// Attempts that connected through another host.
+    pub through: usize,
+    asked: Vec<(Time, usize, RequestId)>,
+}
+
+impl World {
+    pub fn new(hosts: usize, seed: u64) -> Self {
+        let peers: Vec<PeerHost> = (0..hosts).map(peer).collect();
+        let start = |number: usize| {
+            let mut host = Host::new_in(domain_of(number), number as u64);
+            host.read_directory(replicas(), &[]);
+            host.handle(Event::PeersListed {
+                in_all: Some(hosts),
+                peers: peers.clone(),
+            });
+            host.actions.clear();
+            host
+        };
+        Self {
+            arrivals: BTreeMap::new(),
+            asked: Vec::new(),
+            cuts: Vec::new(),
+            dead: BTreeSet::new(),
+            due: BTreeMap::new(),
+            hosts: (0..hosts).map(start).collect(),
+            next: 0,
+            now: Time::from_ms(1_000),
+            rng: SmallRng::seed_from_u64(seed),
+            served: BTreeSet::new(),
+            through: 0,
+        }
+    }
+
+    /// Cuts hosts off from replicas from now on.
+    pub fn cut(&mut self, hosts: &[usize], replicas: &[usize], refuses: bool, span: Duration) {
+        self.cuts.push(Cut {
+            from: self.now,
+            hosts: hosts.iter().copied().collect(),
+            refuses,
+            replicas: replicas.iter().copied().collect(),
+            until: self.now + span,
+        });
+    }
+
+    /// Lets time pass, with so many requests a second at each host.
+    pub fn pass(&mut self, span: Duration, per_host_s: f64) {
+        let end = self.now + span;
+        while self.now < end {
+            let next = self.now + TICK;
+            for host in 0..self.hosts.len() {
+                if self.rng.random::<f64>() < per_host_s * TICK.as_secs_f64() {
+                    self.ask(host);
+                }
+            }
+            self.settle(next);
+            self.now = next;
+            for host in 0..self.hosts.len() {
+                if next.as_us().is_multiple_of(1_000_000) {
+                    self.tell(host, Event::ConfigurationConfirmed { as_of: next });
+                }
+                self.tell(host, Event::Ticked);
+            }
+        }
+    }
+
+    /// Requests that arrived in a span at hosts for which something holds.
+    pub fn tries(&self, from: Time, until: Time, counts: impl Fn(usize) -> bool) -> Tries {
+        let asked = self.asked.iter();
+        let asked = asked.filter(|(at, host, _)| *at >= from && *at < until && counts(*host));
+        asked.fold(Tries::default(), |tries, asked| Tries {
+            all: tries.all + 1,
+            served: tries.served + usize::from(self.served.contains(asked)),
+        })
+    }
+
+    /// Numbers of the replicas.
+    pub fn all_replicas() -> Vec<usize> {
+        (0..REPLICAS).collect()
+    }
+
+    /// Hosts of a domain.
+    pub fn hosts_in(&self, domain: &str) -> Vec<usize> {
+        let hosts = 0..self.hosts.len();
+        hosts.filter(|host| domain_of(*host) == domain).collect()
+    }
+
+    fn ask(&mut self, host: usize) {
+        if self.dead.contains(&host) {
+            return;
+        }
+        self.hosts[host].now = self.now;
+        let (request, _) = self.hosts[host].ask(Ask::call("lookup"));
+        self.arrivals.insert((host, request), self.now);
+        self.asked.push((self.now, host, request));
+        self.carry_out(host);
+    }
+
+    fn settle(&mut self, until: Time) {
+        while let Some(entry) = self.due.first_entry() {
+            let (at, _) = *entry.key();
+            if at >= until {
+                return;
+            }
+            let due = entry.remove();
+            self.now = self.now.max(at);
+            match due {
+                Due::Ended {
+                    end,
+                    host,
+                    order,
+                    request,
+                } => {
+                    if matches!(*end, AttemptEnd::Completed { .. }) {
+                        let arrived = self.arrivals[&(host, request)];
+                        self.served.insert((arrived, host, request));
+                    }
+                    let event = Event::AttemptEnded {
+                        attempt: order.attempt,
+                        end: *end,
+                        request,
+                    };
+                    self.tell(host, event);
+                }
+                Due::Happens { event, host } => self.tell(host, *event),
+            }
+        }
+    }
+
+    fn tell(&mut self, host: usize, event: Event) {
+        if self.dead.contains(&host) {
+            return;
+        }
+        self.hosts[host].now = self.now;
+        self.hosts[host].handle(event);
+        self.carry_out(host);
+    }
+
+    fn carry_out(&mut self, host: usize) {
+        for action in std::mem::take(&mut self.hosts[host].actions) {
+            match action {
+                Action::Send { order, request } => self.send(host, order, request),
+                Action::CheckPath {
+                    paths, upstream, ..
+                } => {
+                    let (_, tries, span) = self.open(host, &paths, &upstream);
+                    self.happens(span, host, Event::PathsTried { tries, upstream });
+                }
+                Action::Probe {
+                    paths, upstream, ..
+                } => {
+                    let (path, _, span) = self.open(host, &paths, &upstream);
+                    let healthy = path.is_some();
+                    self.happens(span, host, Event::ProbeAnswered { healthy, upstream });
+                }
+                Action::SendNotes { notes } => {
+                    for (to, note) in notes {
+                        let from = address(host);
+                        if let Some(to) = self.number_of(to) {
+                            self.happens(DATAGRAM, to, Event::NoteReceived { from, note });
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, host: usize, order: SendOrder, request: RequestId) {
+        let (path, tries, span) = self.open(host, &order.paths, &order.upstream);
+        self.through += usize::from(matches!(path, Some(Path::Through(_))));
+        let upstream = order.upstream.clone();
+        self.happens(span, host, Event::PathsTried { tries, upstream });
+        let (end, after) = match path {
+            Some(_) => {
+                let end = AttemptEnd::Completed {
+                    answer: None,
+                    longest_pause: Duration::ZERO,
+                    tokens: Tokens::default(),
+                };
+                (end, span + ANSWER)
+            }
+            None => {
+                let end = AttemptEnd::Failed {
+                    cause: FailureCause::Connect,
+                    delivered: false,
+                    tokens: Tokens::default(),
+                    verdict: Verdict::NotRun,
+                };
+                (end, span)
+            }
+        };
+        let due = Due::Ended {
+            end: Box::new(end),
+            host,
+            order: Box::new(order),
+            request,
+        };
+        self.add(after, due);
+    }
+
+    /// Opens the first path that stands; gives what was tried, and how long it took.
+    fn open(
+        &mut self,
+        host: usize,
+        paths: &[Path],
+        upstream: &UpstreamId,
+    ) -> (Option<Path>, Vec<PathTry>, Duration) {
+        let mut attempts: Vec<(Duration, Path, Duration, PathEnd)> = Vec::new();
+        let mut start = Duration::ZERO;
+        for path in paths {
+            let stands = |(_, _, end, outcome): &(_, _, Duration, _)| {
+                *outcome == PathEnd::Connected && *end <= start
+            };
+            if start >= OPEN_LIMIT || attempts.iter().any(stands) {
+                break;
+            }
+            let (takes, outcome) = self.attempt(host, *path, upstream);
+            attempts.push((start, *path, start + takes, outcome));
+            let ends = attempts.iter().map(|(_, _, end, _)| *end);
+            let next = ends.filter(|end| *end > start).min().unwrap_or(OPEN_LIMIT);
+            start = next.min(start + HEAD_START);
+        }
+        let standing = attempts
+            .iter()
+            .filter(|(.., outcome)| *outcome == PathEnd::Connected);
+        let first = standing.min_by_key(|(_, _, end, _)| *end);
+        let opened = first.map(|(_, path, end, _)| (*path, *end));
+        let opened = opened.filter(|(_, end)| *end <= OPEN_LIMIT);
+        let until = opened.map_or(OPEN_LIMIT, |(_, end)| end);
+        let tries = attempts
+            .iter()
+            .filter_map(|(start, path, end, outcome)| {
+                let outcome = if *end <= until {
+                    *outcome
+                } else {
+                    PathEnd::NoAnswer
+                };
+                let counts = *end <= until || until >= *start + HEAD_START;
+                counts.then_some(PathTry {
+                    end: outcome,
+                    path: *path,
+                })
+            })
+            .collect();
+        let all_failed = attempts.iter().map(|(_, _, end, _)| *end).max();
+        let span = opened.map_or_else(
+            || all_failed.unwrap_or(OPEN_LIMIT).min(OPEN_LIMIT),
+            |(_, end)| end,
+        );
+        (opened.map(|(path, _)| path), tries, span)
+    }
+
+    fn attempt(&mut self, host: usize, path: Path, upstream: &UpstreamId) -> (Duration, PathEnd) {
+        let other = match path {
+            Path::Direct => {
+                return match self.cut_between(host, upstream) {
+                    None => (CONNECT, PathEnd::Connected),
+                    Some(cut) if cut.refuses => (CONNECT, PathEnd::Refused),
+                    Some(_) => (Duration::MAX / 4, PathEnd::NoAnswer),
+                };
+            }
+            Path::Through(address) => self.number_of(address),
+        };
+        let Some(other) = other.filter(|other| !self.dead.contains(other)) else {
+            return (Duration::MAX / 4, PathEnd::NoAnswer);
+        };
+        self.hosts[other].now = self.now;
+        let answers = self.hosts[other].handle(Event::TransitAsked {
+            call: 0,
+            upstream: upstream.clone(),
+        });
+        self.carry_out(other);
+        let connects = answers
+            .iter()
+            .any(|action| matches!(action, Action::AnswerTransit { to: Some(_), .. }));
+        if !connects {
+            return (CONNECT * 2, PathEnd::Declined);
+        }
+        match self.cut_between(other, upstream) {
+            None => (CONNECT * 3, PathEnd::Connected),
+            Some(cut) if cut.refuses => (CONNECT * 3, PathEnd::Unreached),
+            Some(_) => (TRANSIT_LIMIT, PathEnd::Unreached),
+        }
+    }
+
+    fn cut_between(&self, host: usize, upstream: &UpstreamId) -> Option<&Cut> {
+        self.cuts.iter().find(|cut| {
+            let is_cut = |number: &usize| replica(*number) == *upstream;
+            cut.from <= self.now
+                && self.now < cut.until
+                && cut.hosts.contains(&host)
+                && cut.replicas.iter().any(is_cut)
+        })
+    }
+
+    fn number_of(&self, at: SocketAddr) -> Option<usize> {
+        (0..self.hosts.len()).find(|number| address(*number) == at)
+    }
+
+    fn happens(&mut self, after: Duration, host: usize, event: Event) {
+        let event = Box::new(event);
+        self.add(after, Due::Happens { event, host });
+    }
+
+    fn add(&mut self, after: Duration, due: Due) {
+        self.next += 1;
+        self.due.insert((self.now + after, self.next), due);
+    }
+}
+
+pub fn domain_of(host: usize) -> &'static str {
+    DOMAINS[host % DOMAINS.len()]
+}
+
+pub fn replica(number: usize) -> UpstreamId {
+    format!("shop-{number}").parse().unwrap()
+}
+
+fn peer(number: usize) -> PeerHost {
+    PeerHost {
+        address: address(number),
+        failure_domain: domain_of(number).parse().unwrap(),
+        host: format!("host-{number}").parse().unwrap(),
+        leaving: false,
+    }
+}
+
+fn replicas() -> BTreeMap<UpstreamId, Upstream> {
+    let replicas = (0..REPLICAS).map(|number| {
+        let definition = ServiceReplica {
+            address: address(REPLICAS_AT + number),
+            failure_domain: domain_of(number).parse().unwrap(),
+            health_path: "/health".to_string(),
+            service: "shop".parse().unwrap(),
+            slots: 64,
+        };
+        (replica(number), Upstream::Service(definition))
+    });
+    replicas.collect()
+}
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -101,10 +101,15 @@
 impl Host {
     /// A host that has read the configuration and the directory.
     pub fn new(number: u64) -> Self {
+        Self::new_in("north-a", number)
+    }
+
+    /// The same in a failure domain.
+    pub fn new_in(domain: &str, number: u64) -> Self {
         let mut host = Self {
             actions: Vec::new(),
             controller: Controller::new(ControllerOptions {
-                failure_domain: "north-a".parse().unwrap(),
+                failure_domain: domain.parse().unwrap(),
                 host: format!("host-{number}").parse().unwrap(),
                 incarnation: Incarnation::new(number),
                 max_queued: 1_000,
