Give up attempts that may be repeated when their path is lost

What callers saw: requests that were under way when a host lost its paths waited until the kernel took the peer for dead, 1.5 s, though by 0.3 to 0.9 s the host knew the loss and another way.

Cause: what a host learns of its paths was used for new attempts only. Change: an attempt on an own path that is known to be lost, of a request that may run again, and with no sign of the upstream for 0.5 s, is given up: it ends as silent, may-have-run, and is made again within the budget of retries. Old connections that live on behind a cut show signs. The controller's event of a new path names the request, so that one that goes through another host is left alone.

Ruled out: giving up at once (a prompt is read for some 150 ms), requests that must not run twice.

The gain is small while a peer counts as dead after 1.5 s; tests in virtual time and on the real programs.

--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -28,6 +28,13 @@
 /// Something to be done, ordered by the controller.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
+    /// Give an attempt up whose upstream is silent; its end is reported as that.
+    Abandon {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The request.
+        request: RequestId,
+    },
     /// Answer a heartbeat.
     AnswerHeartbeat {
         /// What to say.
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -52,6 +52,8 @@
     listed: bool,
     pub(crate) neighbors: Neighbors,
     pub(crate) newer: NewerConfiguration,
+    /// When it is looked again for attempts whose paths are lost.
+    pub(crate) next_abandon: Time,
     pub(crate) next_attempt: u64,
     pub(crate) next_seq: u64,
     /// When it is looked again for lost paths, while no upstream is observed.
@@ -96,6 +98,7 @@
             listed: false,
             neighbors: Neighbors::default(),
             newer: NewerConfiguration::default(),
+            next_abandon: Time::default(),
             next_attempt: 0,
             next_seq: 0,
             next_suspicion: Time::default(),
@@ -231,7 +234,12 @@
                 sent,
                 upstream,
             } => self.on_notice_answered(now, &upstream, &notice, sent, actions),
-            Event::PathsTried { tries, upstream } => {
+            Event::PathsTried {
+                request,
+                tries,
+                upstream,
+            } => {
+                self.note_way_of(request, &tries);
                 self.on_paths_tried(now, &upstream, tries, actions);
             }
             Event::PeersListed { in_all, peers } => {
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -139,6 +139,8 @@
     },
     /// A connection to an upstream was wanted.
     PathsTried {
+        /// The request for which it was wanted, if it was for one.
+        request: Option<RequestId>,
         /// How each attempt ended.
         tries: Vec<PathTry>,
         /// The upstream.
--- a/crates/policy/src/reach/checking.rs
+++ b/crates/policy/src/reach/checking.rs
@@ -49,14 +49,26 @@
         }
     }
 
-    /// Notes that an upstream answered a request, sent over a path of this host's own if that
-    /// stood.
+    /// Notes that a request goes through another host.
+    pub(crate) fn note_way_of(&mut self, request: Option<RequestId>, tries: &[PathTry]) {
+        let is_through = tries
+            .iter()
+            .any(|tried| tried.end == PathEnd::Connected && matches!(tried.path, Path::Through(_)));
+        let request = request.and_then(|request| self.requests.get_mut(&request));
+        if let Some(Stage::Running(request)) = request
+            && is_through
+        {
+            request.stage.is_direct = false;
+        }
+    }
+
+    /// Notes that an upstream answered a request that was sent over a path of this host's own.
     pub(crate) fn note_path_answered(&mut self, now: Time, upstream: &UpstreamId, is_direct: bool) {
         if !is_direct || self.own_paths.is_whole() {
             return;
         }
         let targets = self.pool.targets_of(upstream);
-        // Where the own path did not stand, it was found lost before this answer.
+        // A connection that stood before its path was lost may live on.
         if self.own_paths.is_open(upstream, &targets) {
             self.own_paths.note_direct(upstream, &targets, now);
         }
@@ -85,6 +97,7 @@
                 upstream,
             });
         }
+        self.abandon_stalled(now, actions);
         if self.options.relay.is_some()
             && now >= self.next_suspicion
             && self.pool.silent.is_all_silent(&self.pool.states, now)
--- a/crates/policy/src/reach/mod.rs
+++ b/crates/policy/src/reach/mod.rs
@@ -9,6 +9,7 @@
 
 use super::*;
 
+mod abandoning;
 mod checking;
 mod lost_path;
 mod own_paths;
--- a/crates/policy/src/requests/request.rs
+++ b/crates/policy/src/requests/request.rs
@@ -117,7 +117,9 @@
     pub(crate) attempt: AttemptId,
     /// What is fetched of its prompt.
     pub(crate) fetch: Option<PromptFetch>,
-    /// Whether it was sent over a path of this host's own, if one stood.
+    /// Whether the attempt is given up, and its end not reported yet.
+    pub(crate) is_abandoned: bool,
+    /// Whether it was sent over a path of this host's own, as far as is known.
     pub(crate) is_direct: bool,
     /// Whether it is the engine at which hosts look for its shared parts.
     pub(crate) is_rendezvous: bool,
@@ -162,6 +164,7 @@
         Self {
             attempt,
             fetch: None,
+            is_abandoned: false,
             is_direct: false,
             is_rendezvous: false,
             last_progress: now,
@@ -253,6 +256,7 @@
         self.tried.push(left);
         self.attempts += 1;
         self.stage.attempt = attempt;
+        self.stage.is_abandoned = false;
         self.stage.last_progress = now;
         self.stage.resumes += 1;
         self.stage.sent = now;
--- a/crates/policy/tests/installation/reach.rs
+++ b/crates/policy/tests/installation/reach.rs
@@ -3,11 +3,12 @@
 use {
     crate::{
         reach_world::{DOMAINS, REPLICAS, World, domain_of},
-        support::{Ask, address, sent},
+        support::{Ask, Host, address, lookup, order, sent},
     },
+    policy::{Action, Event},
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom},
     std::time::Duration,
-    types::{Path, prelude::*},
+    types::prelude::*,
 };
 
 /// Time after the begin of a cut from which hosts must serve as others do.
@@ -206,3 +207,64 @@
     assert_eq!(paths[2], Path::Through(address(far[0])));
     assert_eq!(paths[3], Path::Direct);
 }
+
+/// Finds the path of a host to an upstream lost, as another host connects to it.
+fn lose_path(host: &mut Host, upstream: &UpstreamId) {
+    let tried = |path, end| PathTry { end, path };
+    host.handle(Event::PathsTried {
+        request: None,
+        tries: vec![
+            tried(Path::Direct, PathEnd::NoAnswer),
+            tried(Path::Through(address(1)), PathEnd::Connected),
+        ],
+        upstream: upstream.clone(),
+    });
+}
+
+fn abandoned(host: &mut Host) -> Vec<RequestId> {
+    let actions = std::mem::take(&mut host.actions).into_iter();
+    let requests = actions.filter_map(|action| match action {
+        Action::Abandon { request, .. } => Some(request),
+        _ => None,
+    });
+    requests.collect()
+}
+
+/// Guards against requests that wait for the kernel to take a peer for dead, where it is known that
+/// they could be answered elsewhere.
+#[test]
+fn requests_that_may_be_repeated_do_not_wait_on_a_lost_path() {
+    let mut host = Host::new(0);
+    let (repeatable, actions) = host.ask(lookup());
+    assert!(sent(&actions).is_some());
+    host.ask(order());
+    host.pass(2_000);
+    assert_eq!(abandoned(&mut host), [], "its path is not lost");
+    let others = (0..3).map(|number| format!("shop-{number}").parse().unwrap());
+    for other in others {
+        lose_path(&mut host, &other);
+    }
+    host.pass(200);
+    assert_eq!(abandoned(&mut host), [repeatable]);
+    host.pass(1_000);
+    assert_eq!(abandoned(&mut host), [], "it is given up once");
+}
+
+/// Guards against giving up what another host carries.
+#[test]
+fn a_request_that_goes_through_another_host_is_not_given_up() {
+    let mut host = Host::new(0);
+    let (request, actions) = host.ask(lookup());
+    let upstream = sent(&actions).unwrap().upstream;
+    host.handle(Event::PathsTried {
+        request: Some(request),
+        tries: vec![PathTry {
+            end: PathEnd::Connected,
+            path: Path::Through(address(1)),
+        }],
+        upstream: upstream.clone(),
+    });
+    lose_path(&mut host, &upstream);
+    host.pass(2_000);
+    assert_eq!(abandoned(&mut host), []);
+}
--- a/crates/policy/tests/installation/reach_world.rs
+++ b/crates/policy/tests/installation/reach_world.rs
@@ -228,7 +228,12 @@
                     paths, upstream, ..
                 } => {
                     let (_, tries, span) = self.open(host, &paths, &upstream);
-                    self.happens(span, host, Event::PathsTried { tries, upstream });
+                    let event = Event::PathsTried {
+                        request: None,
+                        tries,
+                        upstream,
+                    };
+                    self.happens(span, host, event);
                 }
                 Action::Probe {
                     paths, upstream, ..
@@ -254,7 +259,12 @@
         let (path, tries, span) = self.open(host, &order.paths, &order.upstream);
         self.through += usize::from(matches!(path, Some(Path::Through(_))));
         let upstream = order.upstream.clone();
-        self.happens(span, host, Event::PathsTried { tries, upstream });
+        let event = Event::PathsTried {
+            request: Some(request),
+            tries,
+            upstream,
+        };
+        self.happens(span, host, event);
         let (end, after) = match path {
             Some(_) => {
                 let end = AttemptEnd::Completed {
--- a/crates/policy/tests/properties/model.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -249,7 +249,8 @@
                 }
                 known.settled = true;
             }
-            Action::Cancel { .. }
+            Action::Abandon { .. }
+            | Action::Cancel { .. }
             | Action::AnswerHeartbeat { .. }
             | Action::AnswerTransit { .. }
             | Action::CheckPath { .. }
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -3,6 +3,7 @@
 /// An action as one line of a script.
 pub fn render(action: &Action) -> String {
     match action {
+        Action::Abandon { request, .. } => format!("abandon the attempt of {request}"),
         Action::AnswerHeartbeat { answer, call } => {
             format!("answer {call}: {}", granted(answer.grants.as_deref()))
         }
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -197,6 +197,9 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
+            Action::Abandon { attempt, request } => {
+                self.instruct(request, Instruction::Abandon(attempt));
+            }
             Action::AnswerHeartbeat { answer, call } => {
                 if let Some(sender) = self.heartbeats.remove(&call) {
                     let _ = sender.send(answer);
@@ -215,7 +218,7 @@
                 }
             }
             Action::Break { refusal, request } => {
-                self.instruct_last(request, Instruction::Break(refusal));
+                self.instruct(request, Instruction::Break(refusal));
             }
             // The task that found its caller gone has cut the stream itself.
             Action::Cancel { .. } => {}
@@ -286,10 +289,10 @@
             Action::ReadConfiguration => self.thread.read_configuration.notify_one(),
             Action::Record(outcome) => self.end(&outcome),
             Action::Refuse { refusal, request } => {
-                self.instruct_last(request, Instruction::Refuse(refusal));
+                self.instruct(request, Instruction::Refuse(refusal));
             }
             Action::Replay { answer, request } => {
-                self.instruct_last(request, Instruction::Replay(answer));
+                self.instruct(request, Instruction::Replay(answer));
             }
             Action::Send { order, request } => {
                 let now = self.thread.clock.now();
@@ -347,7 +350,7 @@
         }
     }
 
-    fn instruct_last(&mut self, request: RequestId, instruction: Instruction) {
+    fn instruct(&mut self, request: RequestId, instruction: Instruction) {
         if let Some(waiting) = self.callers.get(&request) {
             let _ = waiting.caller.try_send(instruction);
         }
@@ -367,7 +370,9 @@
             Event::NoticeAnswered {
                 notice, upstream, ..
             } => self.decisions.notice_answered(now, upstream, notice),
-            Event::PathsTried { tries, upstream } => {
+            Event::PathsTried {
+                tries, upstream, ..
+            } => {
                 self.decisions.paths_tried(now, upstream, tries);
             }
             _ => {}
--- a/crates/router/src/instruction.rs
+++ b/crates/router/src/instruction.rs
@@ -3,6 +3,8 @@
 /// What the controller tells the task that serves one request.
 #[derive(Debug)]
 pub(crate) enum Instruction {
+    /// Give an attempt up.
+    Abandon(AttemptId),
     /// End a stream that was cut.
     Break(Refusal),
     /// Give the final answer.
@@ -15,6 +17,6 @@
 
 impl Instruction {
     /// The controller has at most this many instructions under way for one
-    /// request: a send, a break and a refusal.
+    /// request: a send, an abandonment, a break and a refusal.
     pub(crate) const RING: usize = 4;
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -114,6 +114,7 @@
 mod http_listener;
 mod installation;
 mod instruction;
+mod instructions;
 mod jitter;
 mod ledger;
 mod limits_in_force;
@@ -191,6 +192,7 @@
     host_metrics::HostMetrics,
     http_listener::HttpListener,
     instruction::Instruction,
+    instructions::Instructions,
     jitter::jittered,
     ledger::Ledger,
     limits_in_force::LimitsInForce,
--- a/crates/router/src/pump.rs
+++ b/crates/router/src/pump.rs
@@ -44,6 +44,8 @@
     pub(crate) async fn run(mut self) {
         while let Some(instruction) = self.task.next_instruction().await {
             let next = match instruction {
+                // No attempt of the own interface is given up.
+                Instruction::Abandon(_) => Next::Wait,
                 Instruction::Send(order) => self.attempt(*order).await,
                 Instruction::Refuse(refusal) => self.refuse(&refusal),
                 Instruction::Replay(answer) => self.replay(answer),
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -58,6 +58,8 @@
             let next = match instruction {
                 Instruction::Send(order) => self.attempt(&order).await,
                 Instruction::Refuse(refusal) => self.refuse(&refusal),
+                // That attempt has ended meanwhile.
+                Instruction::Abandon(_) => Next::Wait,
                 // The caller's connection breaks with the answer's sender.
                 Instruction::Break(_) | Instruction::Replay(_) => Next::End,
             };
@@ -181,6 +183,9 @@
         tokio::select! {
             wanted = wanted => Ok(wanted),
             () = self.task.answer.gone() => Err(Stopped::CallerGone),
+            () = self.task.instructions.abandoned(order.attempt) => {
+                Err(Stopped::Failed(CallFailure::may_have_run(FailureCause::Silent)))
+            }
             () = sleep(time_left) => {
                 Err(Stopped::Failed(CallFailure::may_have_run(FailureCause::TimedOut)))
             }
--- a/crates/router/src/request_task.rs
+++ b/crates/router/src/request_task.rs
@@ -22,7 +22,7 @@
     delivered: bool,
     events: flume::Sender<RingEvent>,
     id: RequestId,
-    instructions: mpsc::Receiver<Instruction>,
+    pub(crate) instructions: Instructions,
     /// When a part of the answer was passed on last.
     last_part: Option<Instant>,
     last_progress: Instant,
@@ -43,7 +43,7 @@
             delivered: false,
             events,
             id,
-            instructions,
+            instructions: Instructions::new(instructions),
             last_part: None,
             last_progress: Instant::now(),
             longest_pause: Duration::ZERO,
@@ -56,7 +56,7 @@
     pub(crate) async fn next_instruction(&mut self) -> Option<Instruction> {
         tokio::select! {
             biased;
-            instruction = self.instructions.recv() => return instruction,
+            instruction = self.instructions.next() => return instruction,
             () = self.answer.gone() => {}
         }
         self.tell_caller_gone().await;
@@ -107,6 +107,7 @@
     /// Tells by which paths it was tried to reach an upstream.
     pub(crate) async fn tell_paths(&self, order: &SendOrder, tries: Vec<PathTry>) {
         self.tell(Event::PathsTried {
+            request: Some(self.id),
             tries,
             upstream: order.upstream.clone(),
         })
--- a/crates/router/src/upstream_thread.rs
+++ b/crates/router/src/upstream_thread.rs
@@ -85,6 +85,7 @@
                 }
             }
             ProbeQuestion::Path => Event::PathsTried {
+                request: None,
                 tries: connections.open(&to).await.tries,
                 upstream,
             },
