Let an upstream be silent for longer before its connections break

Bytes that were not acknowledged for 1.5 s ended a connection, and since the timeout for such bytes also decides when keep-alive probes give up, idle ones likewise. Packets are sent again with doubling pauses, so a silence of 1.4 s already came close. A request that may not run twice is lost with it.

Change: 2.5 s.

No test: a kernel on loopback acknowledges for a silent program.

--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -13,7 +13,7 @@
 /// Time after which bytes that were sent and not acknowledged end a connection,
 /// and in which a silent peer must answer a keep-alive probe. Without it, a
 /// connection to an upstream that lost its power hangs for minutes.
-const DEAD_PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
+const DEAD_PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Silence after which a keep-alive probe is sent, and the time between two.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
