--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -374,6 +374,7 @@
         if self.directory.is_none() {
             let domain = &self.options.failure_domain;
             self.pool.apply(&numbered.document.upstreams, domain);
+            self.follow_limits(now);
         }
         self.limits.retain(&numbered.document);
         self.peering.follow(&numbered.document.scheduling);
--- a/crates/policy/src/upstream_limits/mod.rs
+++ b/crates/policy/src/upstream_limits/mod.rs
@@ -121,10 +121,10 @@
     /// Takes up the limits of upstreams that are listed again.
     pub(crate) fn follow_limits(&mut self, now: Time) {
         let pool = &mut self.pool;
+        let restored = pool.restore_limits();
         pool.lapsed_limits
             .retain(|_, limit| now.since(limit.as_of()) < REMEMBERED);
-        let limited = pool.select(|state| state.limit.rate().is_some());
-        self.upstream_limits.limited.extend(limited);
+        self.upstream_limits.limited.extend(restored);
         self.pool.has_limits = !self.upstream_limits.is_empty();
     }
 
@@ -141,15 +141,18 @@
 
 impl Pool {
     /// Gives the upstreams the limits that they named before their entries lapsed, as their states
-    /// are new.
-    pub(crate) fn mark_limited(&mut self) {
+    /// are new; tells which.
+    fn restore_limits(&mut self) -> Vec<UpstreamId> {
+        let mut restored = Vec::new();
         if self.lapsed_limits.is_empty() {
-            return;
+            return restored;
         }
         for state in &mut self.states {
             if let Some(limit) = self.lapsed_limits.remove(&state.id) {
                 state.limit = limit;
+                restored.push(state.id.clone());
             }
         }
+        restored
     }
 }
--- a/crates/policy/src/upstreams/pool.rs
+++ b/crates/policy/src/upstreams/pool.rs
@@ -82,7 +82,6 @@
         self.states
             .sort_by(|a, b| (a.removed, &a.id).cmp(&(b.removed, &b.id)));
         self.reindex(domain);
-        self.mark_limited();
         self.mark_backing_off();
         self.mark_leaving();
     }
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -174,6 +174,14 @@
         });
     }
 
+    /// Has no answer of the directory for a time.
+    pub fn lose_directory(&mut self, ms: u64) {
+        self.handle(Event::DirectoryLost);
+        self.pass(ms);
+        let at = self.now;
+        self.handle(Event::DirectoryRegained { at });
+    }
+
     /// Numbers its next requests from here on.
     pub fn skip_requests(&mut self, to: u64) {
         self.next_request = to;
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -483,7 +483,8 @@
         gauge!("rhubarbcove_limited_upstreams").set(controller.limited().len() as f64);
         let out_of_reach = controller.out_of_reach();
         gauge!("rhubarbcove_upstreams_out_of_reach").set(out_of_reach.len() as f64);
-        gauge!("rhubarbcove_unlisted_upstreams").set(controller.unlisted().len() as f64);
+        let unlisted = controller.unlisted();
+        gauge!("rhubarbcove_unlisted_upstreams").set(unlisted.len() as f64);
         let speeds = controller.speed_counts();
         for (speed, engines) in [
             ("faster", speeds.faster),
@@ -515,7 +516,7 @@
             phase: controller.phase(),
             out_of_reach,
             queued: controller.queued(),
-            unlisted: controller.unlisted(),
+            unlisted,
             version: controller.version(),
             ..(**before).clone()
         };
--- a/crates/router/src/instructions.rs
+++ b/crates/router/src/instructions.rs
@@ -35,6 +35,6 @@
                 }
             }
         }
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
