Keep to parts of the slots of upstreams that say that they are brittle

Hosts did not read it, and went on asking full ones: each pauses for 0.2 s after a refusal, so eight hosts ask a full upstream forty times a second.

Change: the word is decoded in the adapter into a rate and known by incarnation, by service for those that have not answered. Each host has a part of the slots; parts add up to the slots, also where hosts do not observe each other. Beyond it a host goes only while all others could do the same without a rejection that is not borne, and none was seen lately; a rejection is told to all, and after half of N nobody sends. More hosts than slots take turns. Admission counts parts as slots. A fall after rejections is no crash.

Tests: the word in the middle of a burst, hosts that end or are cut off, some replicas only, brittle no more.

--- a/crates/peer/src/upstream_note.rs
+++ b/crates/peer/src/upstream_note.rs
@@ -18,20 +18,33 @@
     pub limits: Vec<NamedLimit>,
     /// Version of this protocol.
     pub protocol: u32,
+    /// Brittle upstreams that have just rejected a request of the sender. They stand behind the
+    /// rest of the note, where hosts of the release before pass over them.
+    #[serde(skip)]
+    pub rejected: Vec<UpstreamId>,
 }
 
 impl UpstreamNote {
     /// The note as a datagram.
     pub fn to_datagram(&self, token: &str) -> Vec<u8> {
-        datagram::seal(datagram::Kind::Upstream, token, self)
+        let kind = datagram::Kind::Upstream;
+        if self.rejected.is_empty() {
+            return datagram::seal(kind, token, self);
+        }
+        datagram::seal(kind, token, &(self, &self.rejected))
     }
 
     /// Reads a datagram; one without the right mark is not a note of this kind.
     pub fn from_datagram(datagram: &[u8], token: &str) -> Result<Self, MessageError> {
-        let note: Self = datagram::open(datagram::Kind::Upstream, token, datagram)?;
+        let kind = datagram::Kind::Upstream;
+        let (mut note, rest): (Self, &[u8]) = datagram::open_first(kind, token, datagram)?;
+        if !rest.is_empty() {
+            note.rejected = postcard::from_bytes(rest).map_err(|_| MessageError::NotANote)?;
+        }
         MessageError::check_protocol(note.protocol)?;
         MessageError::check_size("leaving", note.leaving.len(), MAX_LEAVING)?;
         MessageError::check_size("limits", note.limits.len(), MAX_LIMITS)?;
+        MessageError::check_size("rejected", note.rejected.len(), MAX_LEAVING)?;
         Ok(note)
     }
 }
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -104,6 +104,8 @@
     },
     /// Keep crashes in the store, for hosts that start later.
     KeepCrashes(Vec<Crash>),
+    /// Log a change of what an upstream says of the rejections that it bears.
+    NoteBrittle(BrittleNoted),
     /// Log and show a change of the part of a class that is taken.
     NoteAdmission(AdmissionNoted),
     /// Log and count an upstream that ended under a request.
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -55,6 +55,8 @@
     /// When it is looked again for attempts whose paths are lost.
     pub(crate) next_abandon: Time,
     pub(crate) next_attempt: u64,
+    /// When the slots of brittle upstreams are divided again.
+    pub(crate) next_division: Time,
     pub(crate) next_seq: u64,
     /// When it is looked again for lost paths, while no upstream is observed.
     pub(crate) next_suspicion: Time,
@@ -100,6 +102,7 @@
             newer: NewerConfiguration::default(),
             next_abandon: Time::default(),
             next_attempt: 0,
+            next_division: Time::default(),
             next_seq: 0,
             next_suspicion: Time::default(),
             own_paths: OwnPaths::default(),
@@ -398,6 +401,7 @@
         self.pool.apply(listed, domain);
         self.pool.note_listed(directory.leaving());
         self.follow_limits(now);
+        self.follow_brittle(now);
         self.apply_shares(now);
         self.note_unlisted(now, &unlisted, actions);
     }
@@ -508,6 +512,7 @@
         self.serve_if_ready(now);
         self.tick_speeds(now, actions);
         self.tick_peering(now, actions);
+        self.tick_brittleness(now);
         self.tick_reach(now, actions);
         self.tick_neighbors(now, actions);
         self.tick_crashes(now, actions);
--- a/crates/policy/src/crashes/barring.rs
+++ b/crates/policy/src/crashes/barring.rs
@@ -22,7 +22,8 @@
         let Some(state) = self.pool.get(upstream) else {
             return;
         };
-        if state.is_leaving(now) {
+        // One that had to reject too much falls over by that, not by what runs there.
+        if state.is_leaving(now) || state.brittleness.has_rejected(now) {
             return;
         }
         let fingerprint = request.facts.fingerprint;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,14 +17,15 @@
         collections::{BTreeMap, BTreeSet, VecDeque},
         fmt::{self, Display, Formatter},
         net::SocketAddr,
-        ops::Bound,
+        ops::{Bound, Range},
         sync::Arc,
         time::Duration,
     },
-    types::{Listening, prelude::*},
+    types::{AnsweredLimit, Listening, prelude::*},
 };
 
 mod action;
+mod brittleness;
 mod controller;
 mod crashes;
 mod duties;
@@ -45,6 +46,7 @@
 
 pub use {
     action::{Action, SendOrder},
+    brittleness::BrittleNoted,
     controller::{Controller, ControllerOptions},
     crashes::{CrashNoted, CrashSource},
     duties::{
@@ -73,6 +75,7 @@
 };
 
 use {
+    brittleness::Brittleness,
     crashes::Crashes,
     duties::Reporting,
     hosts::{Divided, Neighbors, NewerConfiguration, Peering, Share},
--- a/crates/policy/src/overload/early_refusal.rs
+++ b/crates/policy/src/overload/early_refusal.rs
@@ -26,7 +26,7 @@
         self.time_of_day = Some((now, unix_ms));
     }
 
-    fn unix_ms(&self, now: Time) -> u64 {
+    pub(crate) fn unix_ms(&self, now: Time) -> u64 {
         let (read, unix_ms) = self.time_of_day.unwrap_or_default();
         unix_ms + now.since(read).as_millis() as u64
     }
--- a/crates/policy/src/queueing/dispatch.rs
+++ b/crates/policy/src/queueing/dispatch.rs
@@ -216,6 +216,7 @@
                 inputs: Box::new(SendInputs {
                     attempt: request.attempts,
                     backlog: state.backlog,
+                    brittle: state.brittleness.rate(),
                     class: request.facts.class.clone(),
                     expected_wait: Duration::from_secs_f64(state.waiting_ms() / 1_000.0),
                     fetch_source: fetch.map(|fetch| fetch.source.clone()),
--- a/crates/policy/src/requests/attempts.rs
+++ b/crates/policy/src/requests/attempts.rs
@@ -165,6 +165,7 @@
             self.note_failure(now, &request, failure.cause);
         }
         if failure.cause == FailureCause::Busy {
+            self.note_rejected(now, &request.stage.upstream, actions);
             self.note_congestion(&request.facts.target, true);
         } else {
             request.broken.push(request.stage.upstream.clone());
--- a/crates/policy/src/requests/send_inputs.rs
+++ b/crates/policy/src/requests/send_inputs.rs
@@ -7,6 +7,8 @@
     pub attempt: u32,
     /// Prompt tokens of this host that wait there, this request's included.
     pub backlog: u64,
+    /// Rejections a second that the upstream says it bears.
+    pub brittle: Option<Rate>,
     /// Class of the request.
     pub class: ClassId,
     /// Time for which the engine reads what waits there, this request's prompt included.
--- a/crates/policy/src/upstream_limits/known_hosts.rs
+++ b/crates/policy/src/upstream_limits/known_hosts.rs
@@ -9,10 +9,20 @@
 impl Neighbors {
     /// Other hosts that may send requests, also those that are not observed now.
     pub(crate) fn remembered(&self, own: &HostId, now: Time) -> usize {
-        let others = self.others(own);
-        let known = others.filter(|(_, seen, _)| now.since(*seen) < REMEMBERED);
         // Those that exchange no notes with this one send, too.
-        known.count().max(self.listed().saturating_sub(1))
+        let known = self.remembered_hosts(own, now).count();
+        known.max(self.listed().saturating_sub(1))
+    }
+
+    /// Those of them that exchange notes with this one.
+    pub(crate) fn remembered_hosts(
+        &self,
+        own: &HostId,
+        now: Time,
+    ) -> impl Iterator<Item = &HostId> {
+        let others = self.others(own);
+        let known = others.filter(move |(_, seen, _)| now.since(*seen) < REMEMBERED);
+        known.map(|(host, ..)| host)
     }
 
     /// Whether a note of a host came within a time.
--- a/crates/policy/src/upstream_notices/mod.rs
+++ b/crates/policy/src/upstream_notices/mod.rs
@@ -31,6 +31,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.on_limit_answered(now, upstream, &notice.limit, sent, actions);
+        self.on_brittle_answered(now, upstream, &notice.brittle, sent, actions);
         if notice.leaving {
             self.note_leaving(now, upstream, NoticeSource::Own, actions);
         }
@@ -47,6 +48,9 @@
         for limit in &note.limits {
             self.learn_limit(now, &note.host, limit, actions);
         }
+        for upstream in &note.rejected {
+            self.learn_rejected(now, upstream);
+        }
         for upstream in &note.leaving {
             let source = NoticeSource::Host(note.host.clone());
             self.note_leaving(now, upstream, source, actions);
@@ -74,6 +78,7 @@
                 leaving,
                 limits,
                 protocol: peer::PROTOCOL,
+                rejected: Vec::new(),
             };
             let to = to.to_vec();
             actions.push(Action::TellUpstreams { note, to });
--- a/crates/policy/src/upstreams/pool.rs
+++ b/crates/policy/src/upstreams/pool.rs
@@ -208,7 +208,8 @@
         let own: u32 = groups.map(|group| self.groups[*group].share.slots).sum();
         let foreign = places.foreign.iter();
         let foreign: u32 = foreign.map(|place| self.states[*place].foreign_share).sum();
-        if own > 0 { own } else { foreign }
+        let slots = if own > 0 { own } else { foreign };
+        slots.min(self.brittle_slots(target).unwrap_or(u32::MAX))
     }
 
     /// All upstreams of a target.
--- a/crates/policy/src/upstreams/upstream_state.rs
+++ b/crates/policy/src/upstreams/upstream_state.rs
@@ -10,6 +10,7 @@
     /// token yet.
     pub(crate) backlog: u64,
     pub(crate) backoff: Backoff,
+    pub(crate) brittleness: Brittleness,
     pub(crate) cache: PromptCache,
     pub(crate) definition: Upstream,
     pub(crate) departure: Departure,
@@ -67,6 +68,7 @@
         Self {
             backlog: 0,
             backoff: Backoff::default(),
+            brittleness: Brittleness::default(),
             cache: PromptCache::new(memory),
             departure: Departure::default(),
             foreign_share: 0,
@@ -196,7 +198,16 @@
 
     /// Whether it takes new work of this host now.
     pub(crate) fn is_open(&self, now: Time) -> bool {
-        self.takes_work(now) && self.backoff.may_send(now) && self.limit.has_token(now)
+        self.takes_work(now)
+            && self.backoff.may_send(now)
+            && self.limit.has_token(now)
+            && self.has_room(now)
+    }
+
+    fn has_room(&self, now: Time) -> bool {
+        let slots = self.definition.slots();
+        let brittleness = &self.brittleness;
+        brittleness.has_room(self.in_flight, self.others, slots, now)
     }
 
     /// Slots that may be used while it comes back slowly.
--- a/crates/policy/tests/installation/fleet.rs
+++ b/crates/policy/tests/installation/fleet.rs
@@ -301,6 +301,7 @@
             self.backoffs.push(asked);
         }
         let notice = UpstreamNotice {
+            brittle: AnsweredLimit::Absent,
             backoff: refused.map_or(AnsweredBackoff::Absent, AnsweredBackoff::Asked),
             leaving,
             limit,
--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod attempts;
+mod brittle;
 mod costs;
 mod crashes;
 mod early_refusal;
@@ -18,9 +19,11 @@
 mod placement;
 mod prompt_transfers;
 mod reach;
-mod reach_world;
+
 mod refusals;
 mod retries_of_many;
+mod served_replica;
+mod service_world;
 mod sick;
 mod sides;
 mod speeds;
--- a/crates/policy/tests/installation/reach.rs
+++ b/crates/policy/tests/installation/reach.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        reach_world::{DOMAINS, REPLICAS, World, domain_of},
+        service_world::{DOMAINS, REPLICAS, World, domain_of},
         support::{Ask, Host, address, lookup, order, sent},
     },
     policy::{Action, Event},
--- a/crates/policy/tests/installation/reach_world.rs
+++ b/crates/policy/tests/installation/service_world.rs
@@ -1,8 +1,12 @@
 //! Hosts in several failure domains before the replicas of a service, in virtual time: connections
-//! of a host's own can be cut, and another host can open one for it.
+//! of a host's own can be cut, and another host can open one for it; replicas have room for so many
+//! requests, and may fall over when they have to reject much.
 
 use {
-    crate::support::{Ask, Host, address},
+    crate::{
+        served_replica::{Arrived, ServedReplica, Visit},
+        support::{Ask, Host, address},
+    },
     config::{ServiceReplica, Upstream},
     peer::PeerHost,
     policy::{Action, AttemptEnd, Event, SendOrder},
@@ -12,7 +16,7 @@
         net::SocketAddr,
         time::Duration,
     },
-    types::{Path, PathEnd, PathTry, prelude::*},
+    types::{AnsweredLimit, prelude::*},
 };
 
 pub const DOMAINS: [&str; 3] = ["north-a", "north-b", "north-c"];
@@ -27,7 +31,7 @@
 
 const DATAGRAM: Duration = Duration::from_millis(1);
 
-/// Time in which a replica answers.
+/// Usual time in which a replica answers, on average.
 const ANSWER: Duration = Duration::from_millis(30);
 
 /// Head start of a path over the next one, and the time for all of them.
@@ -58,19 +62,33 @@
 }
 
 enum Due {
+    Asks {
+        host: usize,
+    },
     Ended {
         end: Box<AttemptEnd>,
         host: usize,
         order: Box<SendOrder>,
         request: RequestId,
     },
+    Finishes {
+        attempt: AttemptId,
+        host: usize,
+        replica: usize,
+    },
     Happens {
         event: Box<Event>,
         host: usize,
     },
+    Reaches {
+        replica: usize,
+        visit: Visit,
+    },
 }
 
 pub struct World {
+    /// Time in which a replica answers, on average.
+    pub answer: Duration,
     /// When each request arrived at which host.
     arrivals: BTreeMap<(usize, RequestId), Time>,
     pub cuts: Vec<Cut>,
@@ -80,20 +98,29 @@
     pub hosts: Vec<Host>,
     next: u64,
     pub now: Time,
+    pub replicas: Vec<ServedReplica>,
     rng: SmallRng,
     /// Requests that were served: when and where they arrived.
     served: BTreeSet<(Time, usize, RequestId)>,
+    /// Hosts whose datagrams get nowhere.
+    pub silent: BTreeSet<usize>,
     /// Attempts that connected through another host.
     pub through: usize,
     asked: Vec<(Time, usize, RequestId)>,
 }
 
 impl World {
+    /// Hosts before replicas that always have room.
     pub fn new(hosts: usize, seed: u64) -> Self {
+        Self::with_slots(hosts, 64, seed)
+    }
+
+    /// The same with so many slots of each replica.
+    pub fn with_slots(hosts: usize, slots: usize, seed: u64) -> Self {
         let peers: Vec<PeerHost> = (0..hosts).map(peer).collect();
         let start = |number: usize| {
             let mut host = Host::new_in(domain_of(number), number as u64);
-            host.read_directory(replicas(), &[]);
+            host.read_directory(replicas(slots), &[]);
             host.handle(Event::PeersListed {
                 in_all: Some(hosts),
                 peers: peers.clone(),
@@ -102,6 +129,7 @@
             host
         };
         Self {
+            answer: ANSWER,
             arrivals: BTreeMap::new(),
             asked: Vec::new(),
             cuts: Vec::new(),
@@ -110,8 +138,12 @@
             hosts: (0..hosts).map(start).collect(),
             next: 0,
             now: Time::from_ms(1_000),
+            replicas: (0..REPLICAS)
+                .map(|_| ServedReplica::new(slots, slots))
+                .collect(),
             rng: SmallRng::seed_from_u64(seed),
             served: BTreeSet::new(),
+            silent: BTreeSet::new(),
             through: 0,
         }
     }
@@ -133,8 +165,11 @@
         while self.now < end {
             let next = self.now + TICK;
             for host in 0..self.hosts.len() {
-                if self.rng.random::<f64>() < per_host_s * TICK.as_secs_f64() {
-                    self.ask(host);
+                let mut expected = per_host_s * TICK.as_secs_f64();
+                while self.rng.random::<f64>() < expected {
+                    expected -= 1.0;
+                    let after = TICK.mul_f64(self.rng.random());
+                    self.add(after, Due::Asks { host });
                 }
             }
             self.settle(next);
@@ -143,11 +178,32 @@
                 if next.as_us().is_multiple_of(1_000_000) {
                     self.tell(host, Event::ConfigurationConfirmed { as_of: next });
                 }
+                if next.as_us().is_multiple_of(500_000) {
+                    let unix_ms = next.as_us() / 1_000;
+                    self.tell(host, Event::TimeOfDay { unix_ms });
+                }
                 self.tell(host, Event::Ticked);
             }
         }
     }
 
+    /// Lets replicas be brittle, and less wait there.
+    pub fn make_brittle(&mut self, replicas: &[usize], rejections_per_s: Option<f64>) {
+        for replica in replicas {
+            let replica = &mut self.replicas[*replica];
+            replica.brittle = rejections_per_s;
+            replica.max_waiting = if rejections_per_s.is_some() {
+                0
+            } else {
+                replica.slots
+            };
+        }
+    }
+
+    pub fn falls(&self) -> usize {
+        self.replicas.iter().map(|replica| replica.falls).sum()
+    }
+
     /// Requests that arrived in a span at hosts for which something holds.
     pub fn tries(&self, from: Time, until: Time, counts: impl Fn(usize) -> bool) -> Tries {
         let asked = self.asked.iter();
@@ -189,6 +245,7 @@
             let due = entry.remove();
             self.now = self.now.max(at);
             match due {
+                Due::Asks { host } => self.ask(host),
                 Due::Ended {
                     end,
                     host,
@@ -206,11 +263,98 @@
                     };
                     self.tell(host, event);
                 }
+                Due::Finishes {
+                    attempt,
+                    host,
+                    replica,
+                } => self.finish(replica, host, attempt),
                 Due::Happens { event, host } => self.tell(host, *event),
+                Due::Reaches { replica, visit } => self.reach(replica, visit),
+            }
+        }
+    }
+
+    fn reach(&mut self, replica: usize, visit: Visit) {
+        let (host, attempt) = (visit.host, visit.order.attempt);
+        match self.replicas[replica].arrive(visit, self.now) {
+            Arrived::Falls(there) => {
+                for visit in there {
+                    let failed = failed(FailureCause::Reset, Verdict::MayHaveRun);
+                    self.end(visit, failed, CONNECT);
+                }
+            }
+            Arrived::Rejected(visit) => {
+                self.say(replica, &visit);
+                self.end(visit, failed(FailureCause::Busy, Verdict::NotRun), CONNECT);
             }
+            Arrived::Runs => self.run(replica, host, attempt),
+            Arrived::Waits => {}
         }
     }
 
+    fn run(&mut self, replica: usize, host: usize, attempt: AttemptId) {
+        let takes = self.answer.mul_f64(self.rng.random_range(0.5..1.5));
+        self.add(
+            takes,
+            Due::Finishes {
+                attempt,
+                host,
+                replica,
+            },
+        );
+    }
+
+    fn finish(&mut self, replica: usize, host: usize, attempt: AttemptId) {
+        let Some((ended, next)) = self.replicas[replica].finish(host, attempt) else {
+            return;
+        };
+        if let Some(next) = next {
+            self.run(replica, next.host, next.order.attempt);
+        }
+        self.say(replica, &ended);
+        let end = AttemptEnd::Completed {
+            answer: None,
+            longest_pause: Duration::ZERO,
+            tokens: Tokens::default(),
+        };
+        self.end(ended, end, CONNECT);
+    }
+
+    /// Tells a host what the replica says of itself in the answer to a request.
+    fn say(&mut self, replica: usize, visit: &Visit) {
+        let brittle = self.replicas[replica].brittle.and_then(Rate::per_second);
+        if brittle.is_none() && visit.order.inputs.brittle.is_none() {
+            return;
+        }
+        let event = Event::NoticeAnswered {
+            notice: UpstreamNotice {
+                brittle: brittle.map_or(AnsweredLimit::Absent, AnsweredLimit::Named),
+                ..UpstreamNotice::default()
+            },
+            sent: self.now - CONNECT,
+            upstream: self::replica(replica),
+        };
+        self.happens(CONNECT, visit.host, event);
+    }
+
+    fn end(&mut self, visit: Visit, end: AttemptEnd, after: Duration) {
+        let Visit {
+            host,
+            order,
+            request,
+        } = visit;
+        let end = Box::new(end);
+        self.add(
+            after,
+            Due::Ended {
+                end,
+                host,
+                order,
+                request,
+            },
+        );
+    }
+
     fn tell(&mut self, host: usize, event: Event) {
         if self.dead.contains(&host) {
             return;
@@ -245,9 +389,13 @@
                 Action::SendNotes { notes } => {
                     for (to, note) in notes {
                         let from = address(host);
-                        if let Some(to) = self.number_of(to) {
-                            self.happens(DATAGRAM, to, Event::NoteReceived { from, note });
-                        }
+                        self.send_datagram(host, to, Event::NoteReceived { from, note });
+                    }
+                }
+                Action::TellUpstreams { note, to } => {
+                    for to in to {
+                        let note = note.clone();
+                        self.send_datagram(host, to, Event::UpstreamNoticesReceived(note));
                     }
                 }
                 _ => {}
@@ -255,6 +403,14 @@
         }
     }
 
+    fn send_datagram(&mut self, from: usize, to: SocketAddr, event: Event) {
+        let is_lost = |host: &usize| self.silent.contains(host);
+        let to = self.number_of(to);
+        if let Some(to) = to.filter(|to| !is_lost(to) && !is_lost(&from)) {
+            self.happens(DATAGRAM, to, event);
+        }
+    }
+
     fn send(&mut self, host: usize, order: SendOrder, request: RequestId) {
         let (path, tries, span) = self.open(host, &order.paths, &order.upstream);
         self.through += usize::from(matches!(path, Some(Path::Through(_))));
@@ -265,32 +421,16 @@
             upstream,
         };
         self.happens(span, host, event);
-        let (end, after) = match path {
-            Some(_) => {
-                let end = AttemptEnd::Completed {
-                    answer: None,
-                    longest_pause: Duration::ZERO,
-                    tokens: Tokens::default(),
-                };
-                (end, span + ANSWER)
-            }
-            None => {
-                let end = AttemptEnd::Failed {
-                    cause: FailureCause::Connect,
-                    delivered: false,
-                    tokens: Tokens::default(),
-                    verdict: Verdict::NotRun,
-                };
-                (end, span)
-            }
-        };
-        let due = Due::Ended {
-            end: Box::new(end),
+        let replica = number_of_replica(&order.upstream);
+        let visit = Visit {
             host,
             order: Box::new(order),
             request,
         };
-        self.add(after, due);
+        match path {
+            Some(_) => self.add(span + CONNECT, Due::Reaches { replica, visit }),
+            None => self.end(visit, failed(FailureCause::Connect, Verdict::NotRun), span),
+        }
     }
 
     /// Opens the first path that stands; gives what was tried, and how long it took.
@@ -346,9 +486,11 @@
     }
 
     fn attempt(&mut self, host: usize, path: Path, upstream: &UpstreamId) -> (Duration, PathEnd) {
+        let is_down = self.replicas[number_of_replica(upstream)].is_down(self.now);
         let other = match path {
             Path::Direct => {
                 return match self.cut_between(host, upstream) {
+                    None if is_down => (CONNECT, PathEnd::Refused),
                     None => (CONNECT, PathEnd::Connected),
                     Some(cut) if cut.refuses => (CONNECT, PathEnd::Refused),
                     Some(_) => (Duration::MAX / 4, PathEnd::NoAnswer),
@@ -372,6 +514,7 @@
             return (CONNECT * 2, PathEnd::Declined);
         }
         match self.cut_between(other, upstream) {
+            None if is_down => (CONNECT * 3, PathEnd::Unreached),
             None => (CONNECT * 3, PathEnd::Connected),
             Some(cut) if cut.refuses => (CONNECT * 3, PathEnd::Unreached),
             Some(_) => (TRANSIT_LIMIT, PathEnd::Unreached),
@@ -420,14 +563,28 @@
     }
 }
 
-fn replicas() -> BTreeMap<UpstreamId, Upstream> {
+fn number_of_replica(id: &UpstreamId) -> usize {
+    let number = id.name().rsplit('-').next();
+    number.unwrap().parse().unwrap()
+}
+
+fn failed(cause: FailureCause, verdict: Verdict) -> AttemptEnd {
+    AttemptEnd::Failed {
+        cause,
+        delivered: false,
+        tokens: Tokens::default(),
+        verdict,
+    }
+}
+
+fn replicas(slots: usize) -> BTreeMap<UpstreamId, Upstream> {
     let replicas = (0..REPLICAS).map(|number| {
         let definition = ServiceReplica {
             address: address(REPLICAS_AT + number),
             failure_domain: domain_of(number).parse().unwrap(),
             health_path: "/health".to_string(),
             service: "shop".parse().unwrap(),
-            slots: 64,
+            slots: slots as u32,
         };
         (replica(number), Upstream::Service(definition))
     });
--- a/crates/policy/tests/properties/model.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -258,6 +258,7 @@
             | Action::CheckListening { .. }
             | Action::KeepCrashes(_)
             | Action::NoteAdmission(_)
+            | Action::NoteBrittle(_)
             | Action::NoteCrash(_)
             | Action::NoteLeaving(_)
             | Action::NoteLimit(_)
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -26,6 +26,9 @@
             Some(limit) => format!("{} takes {limit}", noted.upstream),
             None => format!("{} has no limit", noted.upstream),
         },
+        Action::NoteBrittle(noted) => {
+            format!("{} bears {:?} rejections", noted.upstream, noted.rejections)
+        }
         Action::NoteReach(noted) => format!("note that {} paths are lost", noted.lost),
         Action::NoteSpeed(noted) => format!("{} works at {:.2}", noted.upstream, noted.factor),
         Action::Probe { upstream, .. } => format!("probe {upstream}"),
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -256,6 +256,10 @@
                     warn!(self.thread.logger, "crashes: not kept in the store");
                 }
             }
+            Action::NoteBrittle(noted) => {
+                let now = self.thread.clock.now();
+                self.decisions.brittle_noted(now, &noted);
+            }
             Action::NoteAdmission(noted) => {
                 let now = self.thread.clock.now();
                 self.decisions.admission_noted(now, &noted);
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -70,6 +70,7 @@
             "unread_tokens" => inputs.unread.get(),
             "backlog_tokens" => inputs.backlog,
             "in_flight" => inputs.in_flight,
+            "brittle_per_s" => inputs.brittle.map(Rate::get),
             "limit_per_s" => inputs.limit.map(Rate::get),
             "others_backlog_tokens" => inputs.others_backlog,
             "others_in_flight" => inputs.others_in_flight,
@@ -126,6 +127,16 @@
         );
     }
 
+    /// An upstream says something else of the rejections that it bears.
+    pub(crate) fn brittle_noted(&mut self, now: Time, noted: &BrittleNoted) {
+        if self.budget.take(LineKind::Important, now) {
+            info!(self.logger, "belief: brittle upstream";
+                "upstream" => %noted.upstream,
+                "rejections_per_s" => noted.rejections.map(Rate::get),
+            );
+        }
+    }
+
     /// The own path to an upstream was found lost, or stands again.
     pub(crate) fn reach_noted(&mut self, now: Time, noted: &ReachNoted) {
         let change = if noted.is_open { "regained" } else { "lost" };
@@ -272,6 +283,15 @@
                 text,
             );
         }
+        if let AnsweredLimit::Invalid(text) = &notice.brittle {
+            counter!("rhubarbcove_brittleness_unreadable_total").increment(1);
+            self.unreadable(
+                now,
+                "request: unreadable brittleness in an answer",
+                upstream,
+                text,
+            );
+        }
         if let AnsweredBackoff::Invalid(text) = &notice.backoff {
             counter!("rhubarbcove_backoffs_unreadable_total").increment(1);
             self.unreadable(
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -36,11 +36,11 @@
         TablesNews, TablesQuestion, TokenAsk, TokenGrant, UpstreamNote, UsageNote, VersionNote,
     },
     policy::{
-        Action, AdmissionNoted, Arrival, AttemptEnd, ClaimAnswer, ClaimRequest, Controller,
-        ControllerOptions, CrashNoted, CrashSource, Event, FetchEnd, HostPhase, LeavingNoted,
-        LimitNoted, Outcome, OutcomeEnd, PrefixHash, ReachNoted, Refusal, RefusalReason,
-        RelayRules, Repeatability, RoomRules, Routed, SendOrder, Settlement, SpeedNoted,
-        StoredAnswer, Target, TransferSlots, WasteCause, WorkingSet,
+        Action, AdmissionNoted, Arrival, AttemptEnd, BrittleNoted, ClaimAnswer, ClaimRequest,
+        Controller, ControllerOptions, CrashNoted, CrashSource, Event, FetchEnd, HostPhase,
+        LeavingNoted, LimitNoted, Outcome, OutcomeEnd, PrefixHash, ReachNoted, Refusal,
+        RefusalReason, RelayRules, Repeatability, RoomRules, Routed, SendOrder, Settlement,
+        SpeedNoted, StoredAnswer, Target, TransferSlots, WasteCause, WorkingSet,
     },
     ports::{
         Clock, Directory, DirectoryChannels, DirectoryUpdate, DutyReport, HeadError, Judgement,
--- a/crates/router/src/request_task.rs
+++ b/crates/router/src/request_task.rs
@@ -93,7 +93,8 @@
 
     /// Tells what an upstream says of itself in an answer, if that may be news.
     pub(crate) async fn tell_notice(&self, order: &SendOrder, notice: UpstreamNotice, sent: Time) {
-        if notice.is_empty() && order.inputs.limit.is_none() {
+        let inputs = &order.inputs;
+        if notice.is_empty() && inputs.limit.is_none() && inputs.brittle.is_none() {
             return;
         }
         self.tell(Event::NoticeAnswered {
--- a/crates/types/src/answered_limit.rs
+++ b/crates/types/src/answered_limit.rs
@@ -1,6 +1,7 @@
 use super::*;
 
-/// What an answer says of the requests that its upstream takes from all hosts together.
+/// What an answer says of the requests a second of all hosts together that its upstream takes, or
+/// can reject.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AnsweredLimit {
     /// Nothing: the upstream has no limit.
--- a/crates/types/src/upstream_notice.rs
+++ b/crates/types/src/upstream_notice.rs
@@ -5,6 +5,8 @@
 pub struct UpstreamNotice {
     /// For how long it wants nothing from this host.
     pub backoff: AnsweredBackoff,
+    /// Requests a second of all hosts together that it can reject; beyond that it falls over.
+    pub brittle: AnsweredLimit,
     /// Whether it leaves. That is final for its incarnation.
     pub leaving: bool,
     /// Requests that it takes from all hosts together.
@@ -14,8 +16,11 @@
 impl UpstreamNotice {
     /// Whether it says nothing.
     pub fn is_empty(&self) -> bool {
-        let limit = self.limit == AnsweredLimit::Absent;
-        limit && !self.leaving && self.backoff == AnsweredBackoff::Absent
+        let absent = |answered: &AnsweredLimit| *answered == AnsweredLimit::Absent;
+        absent(&self.limit)
+            && absent(&self.brittle)
+            && !self.leaving
+            && self.backoff == AnsweredBackoff::Absent
     }
 }
 
@@ -23,6 +28,7 @@
     fn default() -> Self {
         Self {
             backoff: AnsweredBackoff::Absent,
+            brittle: AnsweredLimit::Absent,
             leaving: false,
             limit: AnsweredLimit::Absent,
         }
