Divide no slots among hosts where all brittle upstreams are gone

What callers would see: the host ends. Found by reading the change before the landing.

Cause: a group of upstreams that are gone from the directory stays while it has requests, and has no slots; the division of slots among hosts divided by them. Test first: 'attempt to calculate the remainder with a divisor of zero'.

Change: groups without slots are passed over; without brittle upstreams nothing is walked each tick.

--- a/crates/policy/src/brittleness/parts.rs
+++ b/crates/policy/src/brittleness/parts.rs
@@ -14,9 +14,11 @@
             self.next_division = now + DIVIDE_INTERVAL;
             self.divide_brittle(now);
         }
-        let unix_ms = self.early_refusal.unix_ms(now);
-        for state in &mut self.pool.states {
-            state.brittleness.follow_time(unix_ms);
+        if self.has_brittle {
+            let unix_ms = self.early_refusal.unix_ms(now);
+            for state in &mut self.pool.states {
+                state.brittleness.follow_time(unix_ms);
+            }
         }
     }
 
@@ -25,19 +27,24 @@
     /// hosts than slots of a target, several share a slot by turns.
     pub(crate) fn divide_brittle(&mut self, now: Time) {
         let mut states = self.pool.states.iter();
-        if states.all(|state| state.brittleness.rate().is_none()) {
+        self.has_brittle = states.any(|state| state.brittleness.rate().is_some());
+        if !self.has_brittle {
             return;
         }
         let (place, hosts) = self.place_among_hosts(now);
-        for group in &self.pool.groups {
+        // Upstreams that are gone and still have requests are groups without slots.
+        let groups = self.pool.groups.iter();
+        for group in groups.filter(|group| group.slots > 0) {
             let all = group.slots as usize;
-            let sharers = hosts.div_ceil(all.max(1));
             let turn = Turn {
-                of: sharers as u64,
-                own: (place / all.max(1)) as u64,
+                of: hosts.div_ceil(all) as u64,
+                own: (place / all) as u64,
+            };
+            let (place, rounds) = if hosts > all {
+                (place % all, all)
+            } else {
+                (place, hosts)
             };
-            let place = if sharers > 1 { place % all } else { place };
-            let rounds = if sharers > 1 { all } else { hosts };
             let mut first = 0;
             for upstream in &group.places {
                 let state = &mut self.pool.states[*upstream];
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -45,6 +45,8 @@
     /// Upstreams of the directory; `None` where the configuration names them.
     pub(crate) directory: Option<DirectoryView>,
     pub(crate) early_refusal: EarlyRefusal,
+    /// Whether any upstream is brittle.
+    pub(crate) has_brittle: bool,
     pub(crate) lanes: BTreeMap<Target, Lane>,
     pub(crate) length: LengthEstimate,
     pub(crate) limits: TeamLimits,
@@ -94,6 +96,7 @@
             deadlines: BTreeSet::new(),
             directory: None,
             early_refusal: EarlyRefusal::default(),
+            has_brittle: false,
             lanes: BTreeMap::new(),
             length: LengthEstimate::default(),
             limits: TeamLimits::default(),
--- a/crates/policy/tests/installation/brittle.rs
+++ b/crates/policy/tests/installation/brittle.rs
@@ -1,8 +1,13 @@
 //! Replicas that fall over when they have to reject more than so many requests a second.
 
 use {
-    crate::service_world::{REPLICAS, World},
+    crate::{
+        service_world::{REPLICAS, World},
+        support::{Host, engines, lookup, sent},
+    },
+    policy::Event,
     std::time::Duration,
+    types::{AnsweredLimit, prelude::*},
 };
 
 /// Slots of a replica.
@@ -149,3 +154,22 @@
         assert!(served > 0.0, "{hosts} hosts: nobody is served");
     }
 }
+
+/// Guards against a division of slots that are none, as all brittle upstreams are gone.
+#[test]
+fn a_host_bears_that_all_brittle_upstreams_are_gone_while_it_has_requests_there() {
+    let mut host = Host::new(0);
+    let (_, actions) = host.ask(lookup());
+    let sent_at = host.now;
+    host.handle(Event::NoticeAnswered {
+        notice: UpstreamNotice {
+            brittle: AnsweredLimit::Named(Rate::per_second(1.0).unwrap()),
+            ..UpstreamNotice::default()
+        },
+        sent: sent_at,
+        upstream: sent(&actions).unwrap().upstream,
+    });
+    host.read_directory(engines(3), &[]);
+    host.pass(2_000);
+    assert_eq!(host.controller.queued(), 0);
+}
