Say indirect path, lost and restored of paths to upstreams

Names and comments only: 'detour', 'way' and 'stand' of paths and connections are replaced by the words of the field; two tests have new names and the same contents.

--- a/crates/peer/src/load_note.rs
+++ b/crates/peer/src/load_note.rs
@@ -19,7 +19,7 @@
     pub loads: Vec<UpstreamLoad>,
     /// Version of this protocol.
     pub protocol: u32,
-    /// What the sender is as a way to upstreams. It stands behind the speeds.
+    /// Whether others can reach upstreams through the sender. It follows the speeds.
     #[serde(skip)]
     pub reach: ReachNote,
     /// Shared parts of prompts that the sender has lately had read anew.
--- a/crates/peer/src/reach_note.rs
+++ b/crates/peer/src/reach_note.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// What a host tells the others of itself as a way to upstreams.
+/// Whether other hosts can reach upstreams through this one.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReachNote {
     /// Targets none of whose upstreams it reaches.
--- a/crates/peer/src/upstream_note.rs
+++ b/crates/peer/src/upstream_note.rs
@@ -18,7 +18,7 @@
     pub limits: Vec<NamedLimit>,
     /// Version of this protocol.
     pub protocol: u32,
-    /// Brittle upstreams that have just rejected a request of the sender. They stand behind the
+    /// Brittle upstreams that have just rejected a request of the sender. They follow the
     /// rest of the note, where hosts of the release before pass over them.
     #[serde(skip)]
     pub rejected: Vec<UpstreamId>,
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -245,7 +245,7 @@
                 tries,
                 upstream,
             } => {
-                self.note_way_of(request, &tries);
+                self.note_path_of(request, &tries);
                 self.on_paths_tried(now, &upstream, tries, actions);
             }
             Event::PeersListed { in_all, peers } => {
--- a/crates/policy/src/hosts/neighbors.rs
+++ b/crates/policy/src/hosts/neighbors.rs
@@ -250,7 +250,7 @@
             let received = neighbor.last_received()?;
             let note = neighbor.fresh(now);
             let is_able = now.since(received) <= silence
-                && note.is_none_or(|(_, note)| is_way(&note.reach, targets));
+                && note.is_none_or(|(_, note)| reaches_for_others(&note.reach, targets));
             is_able.then_some((neighbor.pair, neighbor.is_near, neighbor.address))
         })
     }
@@ -338,7 +338,7 @@
 }
 
 /// Whether the sender of a note may reach upstreams of some targets for others.
-fn is_way(reach: &ReachNote, targets: &[Target]) -> bool {
+fn reaches_for_others(reach: &ReachNote, targets: &[Target]) -> bool {
     let is_cut_off = |target: &Target| reach.cut_off.contains(&target.to_string());
     !reach.declines && (reach.cut_off.is_empty() || !targets.iter().any(is_cut_off))
 }
--- a/crates/policy/src/reach/abandoning.rs
+++ b/crates/policy/src/reach/abandoning.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// Time without a sign of an upstream after which a request there is given up, if the path to it is
-/// known to be lost. Connections that stood before a path was lost may go on.
+/// known to be lost. Connections established before may go on.
 const STALLED: Duration = Duration::from_millis(500);
 
 /// Time between two looks for such requests.
--- a/crates/policy/src/reach/checking.rs
+++ b/crates/policy/src/reach/checking.rs
@@ -1,4 +1,4 @@
-//! How a host learns that a path is lost, or stands again.
+//! How a host learns that a path is lost or restored.
 
 use super::*;
 
@@ -50,7 +50,7 @@
     }
 
     /// Notes that a request goes through another host.
-    pub(crate) fn note_way_of(&mut self, request: Option<RequestId>, tries: &[PathTry]) {
+    pub(crate) fn note_path_of(&mut self, request: Option<RequestId>, tries: &[PathTry]) {
         let is_through = tries
             .iter()
             .any(|tried| tried.end == PathEnd::Connected && matches!(tried.path, Path::Through(_)));
@@ -68,19 +68,19 @@
             return;
         }
         let targets = self.pool.targets_of(upstream);
-        // A connection that stood before its path was lost may live on.
+        // A connection established before its path was lost may live on.
         if self.own_paths.is_open(upstream, &targets) {
             self.own_paths.note_direct(upstream, &targets, now);
         }
     }
 
-    /// Whether the way that a request took to its upstream has been found lost since.
+    /// Whether the path that a request took to its upstream has been found lost since.
     pub(crate) fn is_path_lost(&self, request: &Running) -> bool {
         let targets = self.pool.targets_of(&request.upstream);
         request.is_direct && !self.own_paths.is_open(&request.upstream, &targets)
     }
 
-    /// Looks whether lost paths stand again, and for lost ones where no upstream is observed.
+    /// Checks whether lost paths are restored, and for lost ones where no upstream is observed.
     pub(crate) fn tick_reach(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.transit.forget(now);
         if !self.own_paths.is_whole() {
--- a/crates/policy/src/reach/own_paths.rs
+++ b/crates/policy/src/reach/own_paths.rs
@@ -4,7 +4,7 @@
 /// of reach; all of them where there are fewer.
 const MIN_LOST: usize = 2;
 
-/// Time between two checks of whether a lost path stands again.
+/// Time between two checks of whether a lost path is restored.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// What a host knows of its own paths to upstreams.
--- a/crates/policy/src/reach/transit.rs
+++ b/crates/policy/src/reach/transit.rs
@@ -68,7 +68,7 @@
         });
     }
 
-    /// What other hosts are told of this one as a way to upstreams.
+    /// What other hosts are told of reaching upstreams through this one.
     pub(crate) fn reach_note(&self) -> ReachNote {
         let cut_off = self.own_paths.cut_off().iter();
         ReachNote {
--- a/crates/policy/src/reach/transit_hosts.rs
+++ b/crates/policy/src/reach/transit_hosts.rs
@@ -7,7 +7,7 @@
 /// Time after it could not reach an upstream that a third host reached.
 const AVOID_UNREACHED: Duration = Duration::from_millis(300);
 
-/// Other hosts as ways to upstreams.
+/// Other hosts through which upstreams can be reached.
 #[derive(Debug, Default)]
 pub(crate) struct TransitHosts {
     /// Until when each is avoided.
--- a/crates/policy/tests/installation/reach.rs
+++ b/crates/policy/tests/installation/reach.rs
@@ -98,7 +98,7 @@
     }
 }
 
-/// Guards against ways through other hosts that are known only where notes come often.
+/// Guards against indirect paths that are known only where notes come often.
 #[test]
 fn many_hosts_without_a_path_serve_like_others() {
     for hosts in [66, 200] {
@@ -117,13 +117,13 @@
     let began = play(&mut world, &[0, 1], &some, false);
     assert_served(&world, began, &[0, 1], "some upstreams");
     let cut = world.tries(began, began + CUT, |host| host < 2);
-    assert!(world.through > 0, "no detour");
+    assert!(world.through > 0, "no indirect path");
     assert!(world.through * 2 < cut.all, "{} of {cut:?}", world.through);
 }
 
-/// Guards against a detour that is kept when the own paths stand again.
+/// Guards against indirect paths that are kept when the own paths are restored.
 #[test]
-fn hosts_leave_the_detour_within_a_second_after_a_cut() {
+fn hosts_use_their_own_paths_again_within_a_second_after_a_cut() {
     let mut world = acquainted(22, 7);
     let cut: Vec<usize> = (0..7).collect();
     play(&mut world, &cut, &World::all_replicas(), false);
--- a/crates/policy/tests/installation/service_world.rs
+++ b/crates/policy/tests/installation/service_world.rs
@@ -43,7 +43,7 @@
 
 const CONNECT: Duration = Duration::from_millis(1);
 
-/// Paths that do not stand for a time.
+/// Paths that are lost for a time.
 #[derive(Clone, Debug)]
 pub struct Cut {
     pub from: Time,
@@ -433,7 +433,7 @@
         }
     }
 
-    /// Opens the first path that stands; gives what was tried, and how long it took.
+    /// Opens the first path that connects; gives what was tried, and how long it took.
     fn open(
         &mut self,
         host: usize,
@@ -443,10 +443,10 @@
         let mut attempts: Vec<(Duration, Path, Duration, PathEnd)> = Vec::new();
         let mut start = Duration::ZERO;
         for path in paths {
-            let stands = |(_, _, end, outcome): &(_, _, Duration, _)| {
+            let connects = |(_, _, end, outcome): &(_, _, Duration, _)| {
                 *outcome == PathEnd::Connected && *end <= start
             };
-            if start >= OPEN_LIMIT || attempts.iter().any(stands) {
+            if start >= OPEN_LIMIT || attempts.iter().any(connects) {
                 break;
             }
             let (takes, outcome) = self.attempt(host, *path, upstream);
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -106,7 +106,7 @@
         }
     }
 
-    /// A connection to an upstream was wanted; one that stood at once is counted only.
+    /// A connection to an upstream was wanted; one that was made at once is counted only.
     pub(crate) fn paths_tried(&mut self, now: Time, upstream: &UpstreamId, tries: &[PathTry]) {
         for tried in tries {
             let path = match tried.path {
@@ -137,7 +137,7 @@
         }
     }
 
-    /// The own path to an upstream was found lost, or stands again.
+    /// The own path to an upstream was found lost, or restored.
     pub(crate) fn reach_noted(&mut self, now: Time, noted: &ReachNoted) {
         let change = if noted.is_open { "regained" } else { "lost" };
         counter!("rhubarbcove_own_paths_noted_total", "change" => change).increment(1);
--- a/crates/router/src/transit_service.rs
+++ b/crates/router/src/transit_service.rs
@@ -13,7 +13,7 @@
 const MAX_CONNECTIONS: usize = 512;
 
 /// Passes connections of other hosts on to upstreams that they do not reach. Only upstreams that
-/// the controller knows are connected to, so that it is no way into anything else.
+/// the controller knows are connected to, so that nothing else can be reached by it.
 ///
 /// Who asks keeps the request, its verdict and its accounts: bytes pass unchanged, and what
 /// happens to one side happens to the other.
--- a/crates/types/src/path_end.rs
+++ b/crates/types/src/path_end.rs
@@ -3,11 +3,11 @@
 /// How an attempt to open a path to an upstream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PathEnd {
-    /// A connection stands.
+    /// A connection was established.
     Connected,
     /// The other host takes no connection for this upstream.
     Declined,
-    /// No answer came in time, or before another path stood.
+    /// No answer came in time, or before another path was connected.
     NoAnswer,
     /// The address at the near end of the path refused the connection.
     Refused,
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -112,7 +112,7 @@
         sent.map_err(|(failure, _)| failure)
     }
 
-    /// Opens a connection over the first path that stands.
+    /// Opens a connection over the first path that connects.
     pub async fn open(&self, to: &Destination) -> Opening {
         self.drop_expired();
         let connect = |path| self.connect(to, path);
--- a/crates/upstream/src/opening_paths.rs
+++ b/crates/upstream/src/opening_paths.rs
@@ -1,4 +1,4 @@
-//! Opening a connection over the first path that stands.
+//! Opening a connection over the first path that connects.
 
 use super::*;
 
@@ -12,7 +12,7 @@
 }
 
 /// Tries paths one after the other, each after a head start of the one before or as soon as that
-/// fails; the first connection that stands is taken.
+/// fails; the first established connection is taken.
 ///
 /// What goes wrong if each is given its whole time: a host that has lost its paths silently, and
 /// does not know it yet, lets every request wait for that time.
