Keep the room that a slow caller makes for who wanted it

What callers saw: a second slow caller was cut off where one made room enough.

With 196,864 of 307,200 bytes held, closing one connection made room for the answer of 150 KiB, but callers that were behind were woken as well and took it first; so the next one was cut off. Change: what an answer waits for counts as held for callers that are behind, until it is granted or its caller leaves.

--- a/crates/router/src/unread_ledger.rs
+++ b/crates/router/src/unread_ledger.rs
@@ -49,6 +49,8 @@
     readers: HashMap<ReaderId, Unread>,
     /// Callers for which more is to come once any caller has read.
     short: HashSet<ReaderId>,
+    /// Who waits for the room that a slow caller makes, and for how many bytes.
+    wanted: Option<(ReaderId, u64)>,
 }
 
 impl UnreadLedger {
@@ -67,6 +69,7 @@
 
     pub(crate) fn close(&mut self, id: ReaderId) {
         self.short.remove(&id);
+        self.wanted.take_if(|(by, _)| *by == id);
         if let Some(unread) = self.readers.remove(&id) {
             self.held_bytes -= unread.bytes;
         }
@@ -98,7 +101,9 @@
         let held_after = self.held_bytes + bytes;
         let max = limits.max_unread_bytes.get();
         let is_full = self.held_bytes > 0 && held_after > max;
-        let is_short = held_after as f64 > max as f64 * BEHIND_SHARE;
+        let wanted = self.wanted.filter(|(by, _)| *by != id);
+        let reserved = wanted.map_or(0, |(_, bytes)| bytes);
+        let is_short = (held_after + reserved) as f64 > max as f64 * BEHIND_SHARE;
         let Some(unread) = self.readers.get_mut(&id) else {
             return Room::Later;
         };
@@ -113,6 +118,7 @@
             return if is_behind {
                 Room::Later
             } else {
+                self.wanted.get_or_insert((id, bytes));
                 self.make_room(now, id)
             };
         }
@@ -121,6 +127,7 @@
             unread.idle_since.get_or_insert(now);
         }
         self.held_bytes = held_after;
+        self.wanted.take_if(|(by, _)| *by == id);
         Room::Granted
     }
 
--- a/crates/router/tests/unit/unread_ledger.rs
+++ b/crates/router/tests/unit/unread_ledger.rs
@@ -109,3 +109,24 @@
     assert!(ledger.give_back(at(50), slow[0], 25 * KIB).is_empty());
     assert_eq!(ledger.held_bytes(), 50 * KIB);
 }
+
+/// Guards against callers that are behind and take the room that another one was cut off for.
+#[test]
+fn room_that_a_slow_caller_makes_is_for_who_wanted_it() {
+    let mut ledger = UnreadLedger::default();
+    let slow: Vec<ReaderId> = (0..3).map(|_| ledger.open()).collect();
+    for id in &slow {
+        assert_eq!(offer(&mut ledger, 10, *id, 20), Room::Granted);
+    }
+    let wants = ledger.open();
+    let collect = |ledger: &mut UnreadLedger| {
+        ledger.take(at(1_000), wants, 50 * KIB, Holding::Collected, &limits())
+    };
+    let Room::Without(cut) = collect(&mut ledger) else {
+        panic!("no room is made");
+    };
+    ledger.close(cut);
+    let behind = *slow.iter().find(|id| **id != cut).unwrap();
+    assert_eq!(offer(&mut ledger, 1_001, behind, 5), Room::Later);
+    assert_eq!(collect(&mut ledger), Room::Granted);
+}
