Log the software version of engines and the stream of a request

The version of a server row and the header Resumes are decoded in platform/ and reach the log line of a send as software_version, stream and taken_up. A stream is named by a hash of the caller's first attempt, so that lines of all hosts can be joined. No decision uses them yet.

--- a/crates/config/src/engine.rs
+++ b/crates/config/src/engine.rs
@@ -34,6 +34,9 @@
     pub resumes: bool,
     /// Requests that the engine can run at the same time.
     pub slots: u32,
+    /// Version of the engine's software; engines without one are assumed to be alike.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// Health check path of an upstream whose definition has none.
--- a/crates/config/src/service_replica.rs
+++ b/crates/config/src/service_replica.rs
@@ -15,4 +15,7 @@
     pub service: ServiceId,
     /// Requests that the replica can run at the same time.
     pub slots: u32,
+    /// Version of the replica's software; replicas without one are assumed to be alike.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software_version: Option<SoftwareVersion>,
 }
--- a/crates/config/src/upstream.rs
+++ b/crates/config/src/upstream.rs
@@ -42,4 +42,12 @@
             Self::Service(replica) => replica.slots,
         }
     }
+
+    /// Version of the upstream's software.
+    pub const fn software_version(&self) -> Option<&SoftwareVersion> {
+        match self {
+            Self::Engine(engine) => engine.software_version.as_ref(),
+            Self::Service(replica) => replica.software_version.as_ref(),
+        }
+    }
 }
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -190,6 +190,7 @@
             queue_bound: scenario.fleet.engine.queue_bound,
             resumes: true,
             slots: scenario.fleet.engine.slots,
+            software_version: None,
         };
         upstreams.insert(id.clone(), Upstream::Engine(engine));
     }
@@ -201,6 +202,7 @@
             health_path: HEALTH_PATH.to_string(),
             service: name.parse()?,
             slots: 32,
+            software_version: None,
         };
         upstreams.insert(id.clone(), Upstream::Service(replica));
     }
--- a/crates/policy/src/queueing/admission.rs
+++ b/crates/policy/src/queueing/admission.rs
@@ -317,6 +317,9 @@
             Repeatability::AtMostOncePerKey { key } => Some((key, arrival.fingerprint)),
             Repeatability::AsConfigured | Repeatability::AtMostOnce => None,
         };
+        let resumed_stream = arrival.routed.as_ref();
+        let resumed_stream = resumed_stream.and_then(|routed| routed.resumed_stream);
+        let stream = arrival.routed.as_ref().map(|routed| routed.stream);
         let (parts, public, time_limit) = match arrival.routed {
             Some(routed) => (routed.parts, routed.public, routed.time_limit),
             None => (Vec::new(), false, None),
@@ -356,6 +359,8 @@
             public,
             rank,
             resumable: resolved.class.resumable,
+            resumed_stream,
+            stream,
             target: arrival.target,
             team: resolved.team_id,
         };
--- a/crates/policy/src/requests/arrival.rs
+++ b/crates/policy/src/requests/arrival.rs
@@ -26,6 +26,10 @@
     pub parts: Vec<PromptPart>,
     /// Whether the route accepts requests without a bearer key.
     pub public: bool,
+    /// Stream that the caller takes up; `None` for a new request.
+    pub resumed_stream: Option<StreamId>,
+    /// Stream that the response belongs to: the resumed one, or one that begins with this request.
+    pub stream: StreamId,
     /// How long the caller waits for the response, if the caller said so.
     pub time_limit: Option<Duration>,
 }
--- a/crates/policy/src/requests/request.rs
+++ b/crates/policy/src/requests/request.rs
@@ -37,6 +37,10 @@
     pub(crate) rank: Rank,
     /// Whether an interrupted stream may be resumed on another upstream.
     pub(crate) resumable: bool,
+    /// Stream that the caller takes up with the request.
+    pub(crate) resumed_stream: Option<StreamId>,
+    /// Stream that the response belongs to, for a relayed request.
+    pub(crate) stream: Option<StreamId>,
     pub(crate) target: Target,
     pub(crate) team: TeamId,
 }
--- a/crates/policy/src/requests/send_inputs.rs
+++ b/crates/policy/src/requests/send_inputs.rs
@@ -22,6 +22,12 @@
     pub fingerprint: Fingerprint,
     /// Requests of this host in flight at the upstream, including this one.
     pub in_flight: u32,
+    /// Stream that the caller takes up with the request.
+    pub resumed_stream: Option<StreamId>,
+    /// Version of the upstream's software.
+    pub software_version: Option<SoftwareVersion>,
+    /// Stream that the response belongs to, for a relayed request.
+    pub stream: Option<StreamId>,
     /// Rate limit that the upstream has set for all hosts together.
     pub rate_limit: Option<Rate>,
     /// Age of the oldest load note used for the figures of other hosts.
--- a/crates/policy/tests/installation/fleet.rs
+++ b/crates/policy/tests/installation/fleet.rs
@@ -118,6 +118,7 @@
             health_path: "/health".to_string(),
             service: "shop".parse().unwrap(),
             slots: 64,
+            software_version: None,
         };
         (self::replica(number), Upstream::Service(replica))
     });
--- a/crates/policy/tests/installation/host_costs.rs
+++ b/crates/policy/tests/installation/host_costs.rs
@@ -78,6 +78,7 @@
             health_path,
             service: "shop".parse().unwrap(),
             slots: 6,
+            software_version: None,
         };
         let id = format!("shop-{number}").parse().unwrap();
         return (id, Upstream::Service(replica));
@@ -94,6 +95,7 @@
         queue_bound: 64,
         resumes: false,
         slots: 32,
+        software_version: None,
     };
     let id = format!("engine-{number}").parse().unwrap();
     (id, Upstream::Engine(engine))
--- a/crates/policy/tests/installation/service_world.rs
+++ b/crates/policy/tests/installation/service_world.rs
@@ -643,6 +643,7 @@
             health_path: "/health".to_string(),
             service: "shop".parse().unwrap(),
             slots: slots as u32,
+            software_version: None,
         };
         (replica(number), Upstream::Service(definition))
     });
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -53,6 +53,8 @@
     /// Whether the route accepts requests without a key.
     pub public: bool,
     pub parts: Vec<PromptPart>,
+    /// Stream that the caller takes up.
+    pub resumed_stream: Option<StreamId>,
     pub target: Target,
     pub time_limit: Duration,
 }
@@ -72,6 +74,7 @@
                     tokens: Tokens::new(*tokens),
                 })
                 .collect(),
+            resumed_stream: None,
             target: Target::Model("pool".parse().unwrap()),
             time_limit: TIME_LIMIT,
         }
@@ -84,6 +87,7 @@
             key: "shop-key",
             public: false,
             parts: Vec::new(),
+            resumed_stream: None,
             target: Target::Service("shop".parse().unwrap()),
             time_limit: TIME_LIMIT,
         }
@@ -216,6 +220,10 @@
             routed: Some(RoutedRequest {
                 parts: test_request.parts,
                 public: test_request.public,
+                resumed_stream: test_request.resumed_stream,
+                stream: test_request
+                    .resumed_stream
+                    .unwrap_or_else(|| StreamId::of_attempt(&request.to_string())),
                 time_limit: Some(test_request.time_limit),
             }),
             target: test_request.target,
@@ -309,6 +317,7 @@
             queue_bound: 64,
             resumes: false,
             slots: 128,
+            software_version: None,
         };
         let id = format!("engine-{number}").parse().unwrap();
         (id, Upstream::Engine(engine))
@@ -326,6 +335,7 @@
             health_path: "/health".to_string(),
             service: "shop".parse().unwrap(),
             slots: 6,
+            software_version: None,
         };
         let id = format!("shop-{number}").parse().unwrap();
         upstreams.insert(id, Upstream::Service(replica));
--- a/crates/ports/src/request_head.rs
+++ b/crates/ports/src/request_head.rs
@@ -15,6 +15,9 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Length of the prompt, for requests to an engine.
     pub prompt_tokens: Tokens,
+    /// Stream that the caller takes up after the last event that it received; `None` for a new
+    /// request.
+    pub resumed_stream: Option<StreamId>,
     /// Time for which the caller waits.
     pub time_limit: Option<Duration>,
 }
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -189,6 +189,10 @@
         routed: Some(RoutedRequest {
             parts: head.prompt_parts.clone(),
             public: route.public,
+            resumed_stream: head.resumed_stream,
+            stream: head
+                .resumed_stream
+                .unwrap_or_else(|| StreamId::of_attempt(&head.attempt)),
             time_limit: head.time_limit,
         }),
         target,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -47,6 +47,8 @@
 mod request_id;
 mod route_id;
 mod service_id;
+mod software_version;
+mod stream_id;
 mod team_id;
 mod tier;
 mod time;
@@ -65,6 +67,7 @@
     model_id::ModelId, parse_id_error::ParseIdError, parse_value_error::ParseValueError,
     path::Path, path_attempt::PathAttempt, path_outcome::PathOutcome, prompt_part::PromptPart,
     rate::Rate, rendezvous::rendezvous_weight, request_id::RequestId, route_id::RouteId,
-    service_id::ServiceId, team_id::TeamId, tier::Tier, time::Time, tokens::Tokens,
-    upstream_id::UpstreamId, upstream_notice::UpstreamNotice, verdict::Verdict,
+    service_id::ServiceId, software_version::SoftwareVersion, stream_id::StreamId, team_id::TeamId,
+    tier::Tier, time::Time, tokens::Tokens, upstream_id::UpstreamId,
+    upstream_notice::UpstreamNotice, verdict::Verdict,
 };
