Move a broken stream only to an engine of its software version

Callers saw streams that began at one version of an engine and went on at another.

A running request keeps the version of its upstream from the send, as the upstream may be gone when the stream breaks, and placement takes a bound on versions. Where no engine of the version is left, the stream ends broken, as it does where there is no other engine.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -91,6 +91,6 @@
     upstream_notices::{AnnouncementSchedule, Backoff, Departure, Departures},
     upstreams::{
         DirectoryView, EnginePartition, LongPromptDetector, PlacementRequest, Pool, UpstreamState,
-        placement, pool, prompt_cache,
+        VersionBound, placement, pool, prompt_cache,
     },
 };
--- a/crates/policy/src/prompt_transfers/prompt_tracking.rs
+++ b/crates/policy/src/prompt_transfers/prompt_tracking.rs
@@ -14,6 +14,7 @@
         let upstream = &request.stage.upstream;
         let placement_request = facts.placement(
             &request.failed_upstreams,
+            &facts.version_bound,
             None,
             facts.rank,
             self.stream_share(&facts.target),
--- a/crates/policy/src/queueing/admission.rs
+++ b/crates/policy/src/queueing/admission.rs
@@ -357,6 +357,7 @@
             parts,
             prefix: arrival.prefix,
             public,
+            version_bound: VersionBound::Any,
             rank,
             resumable: resolved.class.resumable,
             resumed_stream,
--- a/crates/policy/src/queueing/dispatch.rs
+++ b/crates/policy/src/queueing/dispatch.rs
@@ -124,6 +124,7 @@
         let facts = &request.facts;
         let placement_request = facts.placement(
             &request.tried,
+            &facts.version_bound,
             pace_ms,
             rank,
             self.stream_share(&facts.target),
@@ -214,6 +215,7 @@
         };
         let paths = self.paths_to(now, state);
         request.stage.is_direct = paths.first() == Some(&Path::Direct);
+        request.stage.software_version = state.definition.software_version().cloned();
         let running = &request.stage;
         let fetch = running.fetch.as_ref();
         actions.push(Action::Send {
@@ -234,7 +236,7 @@
                     in_flight: state.in_flight,
                     rate_limit: state.limit.rate(),
                     resumed_stream: request.facts.resumed_stream,
-                    software_version: state.definition.software_version().cloned(),
+                    software_version: running.software_version.clone(),
                     stream: request.facts.stream,
                     others_age: self.neighbors.oldest_note_age(now),
                     others_backlog: state.others_backlog_tokens,
--- a/crates/policy/src/requests/request.rs
+++ b/crates/policy/src/requests/request.rs
@@ -32,6 +32,8 @@
     /// is stored with the key.
     pub(crate) key: Option<(IdempotencyKey, Fingerprint)>,
     pub(crate) prefix: Option<PrefixHash>,
+    /// Software versions that may run the first attempt and its repetitions.
+    pub(crate) version_bound: VersionBound,
     /// Whether the request arrived on a route that needs no bearer key.
     pub(crate) public: bool,
     pub(crate) rank: Rank,
@@ -51,6 +53,7 @@
     pub(crate) fn placement<'a>(
         &'a self,
         avoid: &'a [UpstreamId],
+        version_bound: &'a VersionBound,
         pace_ms: Option<u64>,
         rank: Rank,
         stream_share: f64,
@@ -68,6 +71,7 @@
             rank,
             stream_share,
             target: &self.target,
+            version_bound,
         }
     }
 }
@@ -145,6 +149,8 @@
     /// Number of times that the stream has been resumed.
     pub(crate) resume_count: u32,
     pub(crate) sent: Time,
+    /// Software version of the upstream.
+    pub(crate) software_version: Option<SoftwareVersion>,
     /// Whether this attempt has produced tokens, so that it counts as a stream of the upstream.
     pub(crate) is_streaming: bool,
     /// Tokens received in this attempt and in the interrupted attempts that it resumes.
@@ -185,6 +191,7 @@
             priority,
             resume_count: 0,
             sent: now,
+            software_version: None,
             is_streaming: false,
             tokens: Tokens::default(),
             upstream,
--- a/crates/policy/src/requests/resuming.rs
+++ b/crates/policy/src/requests/resuming.rs
@@ -56,8 +56,8 @@
         actions.push(Action::Record(outcome));
     }
 
-    /// Resumes an interrupted stream on another upstream, if its class allows that. Returns the
-    /// request if it cannot be moved.
+    /// Resumes an interrupted stream on another upstream of the same software version, if its class
+    /// allows that. Returns the request if it cannot be moved.
     fn move_stream(
         &mut self,
         now: Time,
@@ -76,8 +76,10 @@
         }
         let mut avoid = request.tried.clone();
         avoid.push(request.stage.upstream.clone());
+        let begun_by = VersionBound::Only(request.stage.software_version.clone());
         let placement = facts.placement(
             &avoid,
+            &begun_by,
             None,
             facts.rank,
             self.stream_share(&facts.target),
--- a/crates/policy/src/upstreams/choice.rs
+++ b/crates/policy/src/upstreams/choice.rs
@@ -26,16 +26,18 @@
         if self.is_share_exhausted(request) {
             return None;
         }
-        let indexes = self.candidate_indexes(request.target, now)?;
+        let indexes = self.candidate_indexes(request, now)?;
         if let Some(state) = self.overdue_limit_check(indexes, request, now) {
             return Some(state.id.clone());
         }
-        let token_target_ms = request
-            .between_token_target_ms
-            .filter(|token_target_ms| self.any_meets_token_target(indexes, *token_target_ms, now));
+        let token_target_ms = request.between_token_target_ms.filter(|token_target_ms| {
+            let mut admitted = self.admitted(indexes, request);
+            admitted.any(|state| {
+                state.accepts_request(now) && state.meets_token_target(*token_target_ms)
+            })
+        });
         let fast_enough = || {
-            let states = indexes.iter().map(|index| &self.states[*index]);
-            states.filter(|state| {
+            self.admitted(indexes, request).filter(|state| {
                 token_target_ms
                     .is_none_or(|token_target_ms| state.meets_token_target(token_target_ms))
             })
@@ -60,16 +62,16 @@
 
     /// An upstream whose rate limit was named so long ago that it may no longer apply. The next
     /// request to the upstream shows whether it still names a limit.
-    fn overdue_limit_check(
-        &self,
-        indexes: &[usize],
-        request: &PlacementRequest<'_>,
+    fn overdue_limit_check<'a>(
+        &'a self,
+        indexes: &'a [usize],
+        request: &'a PlacementRequest<'_>,
         now: Time,
-    ) -> Option<&UpstreamState> {
+    ) -> Option<&'a UpstreamState> {
         if !self.has_limits {
             return None;
         }
-        let mut states = indexes.iter().map(|index| &self.states[*index]);
+        let mut states = self.admitted(indexes, request);
         states.find(|state| {
             state.limit.needs_recheck(now)
                 && state.accepts_request(now)
@@ -148,15 +150,14 @@
         upstreams.remote.is_empty() && upstreams.groups.iter().all(is_full)
     }
 
-    /// Upstreams of `target` in this host's failure domain. Upstreams of other domains are used
-    /// only while none of these accepts requests, because their slots are divided among the hosts
-    /// of their own domain.
-    fn candidate_indexes(&self, target: &Target, now: Time) -> Option<&[usize]> {
-        let upstreams = self.targets.get(target)?;
+    /// Upstreams of the request's target in this host's failure domain. Upstreams of other domains
+    /// are used only while none of these accepts the request, because their slots are divided
+    /// among the hosts of their own domain.
+    fn candidate_indexes(&self, request: &PlacementRequest<'_>, now: Time) -> Option<&[usize]> {
+        let upstreams = self.targets.get(request.target)?;
         let any_accepts = |indexes: &[usize]| {
-            indexes
-                .iter()
-                .any(|index| self.states[*index].accepts_request(now))
+            let mut admitted = self.admitted(indexes, request);
+            admitted.any(|state| state.accepts_request(now))
         };
         if !any_accepts(&upstreams.grouped) && any_accepts(&upstreams.remote) {
             return Some(&upstreams.remote);
@@ -171,11 +172,14 @@
             .filter(|state| request.has_not_failed_on(state))
     }
 
-    fn any_meets_token_target(&self, indexes: &[usize], token_target_ms: u64, now: Time) -> bool {
-        indexes
-            .iter()
-            .map(|index| &self.states[*index])
-            .any(|state| state.accepts_request(now) && state.meets_token_target(token_target_ms))
+    /// The upstreams at `indexes` whose software version may run the request.
+    fn admitted<'a>(
+        &'a self,
+        indexes: &'a [usize],
+        request: &'a PlacementRequest<'_>,
+    ) -> impl Iterator<Item = &'a UpstreamState> + Clone {
+        let states = indexes.iter().map(|index| &self.states[*index]);
+        states.filter(|state| request.version_bound.admits(state))
     }
 }
 
--- a/crates/policy/src/upstreams/mod.rs
+++ b/crates/policy/src/upstreams/mod.rs
@@ -30,6 +30,7 @@
 mod track_record;
 mod upstream_census;
 mod upstream_state;
+mod version_bound;
 mod working_set;
 
 pub use {
@@ -60,4 +61,5 @@
     track_record::{BaselineRecord, TrackRecord},
     upstream_census::ServiceDomain,
     upstream_state::UpstreamState,
+    version_bound::VersionBound,
 };
--- a/crates/policy/src/upstreams/placement_request.rs
+++ b/crates/policy/src/upstreams/placement_request.rs
@@ -27,6 +27,7 @@
     /// Share of the engines that is reserved for pause-sensitive streams.
     pub(crate) stream_share: f64,
     pub(crate) target: &'a Target,
+    pub(crate) version_bound: &'a VersionBound,
 }
 
 impl PlacementRequest<'_> {
