Let a stream that its caller takes up go on only at its version

Callers that took a stream up after a broken connection got events of another software version: the host treated the request as a new one.

A host reports the version of each resumable stream to two keepers when it sends the request, and again when a retry changes it. Keepers follow from the id by rendezvous hashing, in different failure domains. A host that does not know the version of a stream asks four of them, twice at most, and refuses the request after 120 ms without an answer that names it. The request may then run only at this version: it is set aside where these engines are full, so that it holds up no other request, and refused at once where none is left. If all upstreams of the target have had one version for as long as a stream may last, that version counts, so an ordinary installation of one version works as before.

New: refusals stream_version_unknown and stream_version_gone, the log line `request: takes a stream up`, the counter rhubarbcove_streams_taken_up_total and the gauge rhubarbcove_known_streams. A host of the previous release drops these datagrams.

Two messages of at most 40 bytes a stream, at 66 and at 985 hosts.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -46,6 +46,7 @@
 mod rpc;
 mod service_division;
 mod speed_vote;
+mod stream_note;
 mod table_row;
 mod tables_request;
 mod tables_response;
@@ -74,6 +75,7 @@
     reachability::Reachability,
     service_division::ServiceDivision,
     speed_vote::{MAX_VOTES, SpeedVote},
+    stream_note::{StreamMessage, StreamNote, StreamVersion},
     table_row::TableRow,
     tables_request::TablesRequest,
     tables_response::{TableUpdate, TablesResponse},
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -118,6 +118,8 @@
     NotePathChange(PathChange),
     /// Log a change of an engine's estimated speed.
     NoteSpeed(SpeedChange),
+    /// Log and count a stream that a caller takes up.
+    NoteTakenUp(TakenUpStream),
     /// Probe the health of an ejected upstream.
     Probe {
         /// Address of the upstream.
@@ -185,6 +187,13 @@
         /// Destinations.
         to: Vec<SocketAddr>,
     },
+    /// Send other hosts a message about the software version of a stream.
+    SendStreamNote {
+        /// The message.
+        note: StreamNote,
+        /// Destinations.
+        to: Vec<SocketAddr>,
+    },
     /// Send other hosts what upstreams report about themselves.
     SendUpstreamNote {
         /// The note.
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -46,6 +46,7 @@
     pub(crate) early_refusal: EarlyRefusal,
     /// Whether any upstream is brittle.
     pub(crate) has_brittle_upstreams: bool,
+    pub(crate) streams: Streams,
     pub(crate) target_queues: BTreeMap<Target, TargetQueues>,
     pub(crate) length_estimate: LengthEstimate,
     pub(crate) team_limits: TeamLimits,
@@ -96,6 +97,7 @@
             directory: None,
             early_refusal: EarlyRefusal::default(),
             has_brittle_upstreams: false,
+            streams: Streams::default(),
             target_queues: BTreeMap::new(),
             length_estimate: LengthEstimate::default(),
             team_limits: TeamLimits::default(),
@@ -197,7 +199,10 @@
                     .get_or_insert_default()
                     .note_reachable_again();
             }
-            Event::DirectoryLost => self.directory.get_or_insert_default().note_lost(),
+            Event::DirectoryLost => {
+                self.streams.listed.note_gap();
+                self.directory.get_or_insert_default().note_lost();
+            }
             Event::DirectoryRegained { at } => {
                 self.directory.get_or_insert_default().note_regained(at);
             }
@@ -257,6 +262,7 @@
                 } = &self.options;
                 self.neighbors
                     .note_listed(now, host, failure_domain, &peers, total_hosts);
+                self.streams.keepers.note_listed(host, &peers);
             }
             Event::ProbeAnswered { healthy, upstream } => {
                 if healthy {
@@ -271,7 +277,10 @@
                 longest_pause,
                 request,
                 tokens,
-            } => self.on_progress(now, request, attempt, longest_pause, tokens),
+            } => self.on_progress(now, request, attempt, longest_pause, tokens, actions),
+            Event::StreamNoteReceived { from, note } => {
+                self.on_stream_note(now, from, note, actions);
+            }
             Event::QueueLimitChanged(max_queued) => self.options.max_queued = max_queued,
             Event::RulesChanged(rules) => {
                 self.retry_budgets.update_rules(&rules);
@@ -316,7 +325,12 @@
 
     /// Whether no request is queued or running.
     pub fn is_idle(&self) -> bool {
-        self.requests.is_empty()
+        self.requests.is_empty() && self.streams.lookups.is_empty()
+    }
+
+    /// Number of streams whose software versions this host remembers.
+    pub fn known_streams(&self) -> usize {
+        self.streams.known.len()
     }
 
     /// Number of queued requests.
@@ -394,6 +408,7 @@
 
     /// Applies the upstreams listed by the directory.
     fn apply_directory(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.note_listed_versions(now);
         let Some(directory) = &self.directory else {
             return;
         };
@@ -527,18 +542,18 @@
         self.tick_limits(now, actions);
         self.tick_notices(now, actions);
         self.tick_reporting(now, actions);
+        self.tick_streams(now, actions);
         self.fetch_newer(now, actions);
     }
 
     fn refuse_overdue(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
-        let parked = match self.requests.get(&id) {
-            Some(Stage::Queued(request)) => request.stage.parked,
-            _ => return,
+        let Some(Stage::Queued(request)) = self.requests.get(&id) else {
+            return;
         };
-        let reason = if parked {
-            RefusalReason::StoreUnavailable
-        } else {
-            RefusalReason::DeadlinePassed
+        let reason = match (&request.facts.version_bound, request.stage.parked) {
+            (VersionBound::Only(_), true) => RefusalReason::UpstreamsFull,
+            (VersionBound::Any, true) => RefusalReason::StoreUnavailable,
+            (_, false) => RefusalReason::DeadlinePassed,
         };
         self.refuse_queued(now, id, reason, actions);
     }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -172,6 +172,13 @@
         /// Number of new tokens.
         tokens: Tokens,
     },
+    /// Another host sent a message about the software version of a stream.
+    StreamNoteReceived {
+        /// Address of the sender.
+        from: SocketAddr,
+        /// The message.
+        note: StreamNote,
+    },
     /// The maximum number of queued requests changed.
     QueueLimitChanged(usize),
     /// The rules of the installation changed.
--- a/crates/policy/src/hosts/neighbors.rs
+++ b/crates/policy/src/hosts/neighbors.rs
@@ -279,6 +279,12 @@
         self.hosts.get(host)?.last_received()
     }
 
+    /// Whether a host has sent notes, and none for so long that it is assumed to be down.
+    pub(crate) fn is_silent(&self, host: &HostId, now: Time) -> bool {
+        let last = self.last_received(host);
+        last.is_some_and(|received| now.since(received) > self.silence_timeout())
+    }
+
     /// Expected time between two notes of a host, estimated from the loads in this host's last
     /// note.
     pub(crate) fn expected_note_interval(&self) -> Duration {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,9 +7,9 @@
     peer::{
         ClearedRequest, Crash, CrashNote, Demand, DutyNote, Echo, EngineKey, ExpectedWait, Grant,
         Heartbeat, HeartbeatAnswer, LimitNote, LoadNote, ModelWork, PeerHost, PeerPhase,
-        PrefillTokenTime, PromptRead, Reachability, ServiceDivision, SpeedVote, TokenGrant,
-        TokenRequest, UpstreamLoad, UpstreamNote, UsageNote, VersionNote, WantedTokens,
-        WindowCounts,
+        PrefillTokenTime, PromptRead, Reachability, ServiceDivision, SpeedVote, StreamMessage,
+        StreamNote, StreamVersion, TokenGrant, TokenRequest, UpstreamLoad, UpstreamNote, UsageNote,
+        VersionNote, WantedTokens, WindowCounts,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom},
     serde::{Deserialize, Serialize},
@@ -40,6 +40,7 @@
 mod reach;
 mod relay_rules;
 mod requests;
+mod streams;
 mod table_transfers;
 mod upstream_limits;
 mod upstream_notices;
@@ -69,6 +70,7 @@
         RefusalReason, Repeatability, RoutedRequest, SendInputs, Settlement, StoredResponse,
         Target, WasteCause,
     },
+    streams::{StreamSource, TakenUpStream},
     table_transfers::{TableSourceSearch, TableTransferSlots},
     upstream_limits::LimitChange,
     upstream_notices::{LeavingDetected, NoticeSource},
@@ -86,7 +88,9 @@
     reach::{OwnPaths, TransitHosts},
     requests::{
         AttemptFailure, Claiming, Queued, Request, RequestFacts, RetryBudgets, Running, Stage,
+        push_refusal,
     },
+    streams::Streams,
     upstream_limits::{UpstreamLimit, UpstreamLimits},
     upstream_notices::{AnnouncementSchedule, Backoff, Departure, Departures},
     upstreams::{
--- a/crates/policy/src/queueing/admission.rs
+++ b/crates/policy/src/queueing/admission.rs
@@ -37,10 +37,24 @@
 
 impl Controller {
     pub(crate) fn on_arrived(&mut self, now: Time, arrival: Arrival, actions: &mut Vec<Action>) {
+        let routed = arrival.routed.as_ref();
+        match routed.and_then(|routed| routed.resumed_stream) {
+            Some(stream) => self.take_up_stream(now, stream, arrival, actions),
+            None => self.admit_or_refuse(now, arrival, VersionBound::Any, actions),
+        }
+    }
+
+    /// Admits a request that upstreams of some software versions may run, or refuses it.
+    pub(crate) fn admit_or_refuse(
+        &mut self,
+        now: Time,
+        arrival: Arrival,
+        bound: VersionBound,
+        actions: &mut Vec<Action>,
+    ) {
         let request = arrival.request;
-        if let Err(refusal) = self.admit(now, arrival, actions) {
-            actions.push(Action::Refuse { refusal, request });
-            actions.push(Action::Record(refusal_outcome(refusal, request)));
+        if let Err(refusal) = self.admit(now, arrival, bound, actions) {
+            push_refusal(request, refusal, actions);
         }
     }
 
@@ -48,22 +62,26 @@
         &mut self,
         now: Time,
         arrival: Arrival,
+        bound: VersionBound,
         actions: &mut Vec<Action>,
     ) -> Result<(), Refusal> {
         let resolved = self.resolve(&arrival, now)?;
         let rank = Rank::new(resolved.tier, resolved.plan);
         let fingerprint = arrival.fingerprint.for_team(&resolved.team_id);
-        let admitted = self
-            .check_barred(&fingerprint, now)
-            .and_then(|()| {
-                let ResolvedArrival {
-                    class_id,
-                    engine_priority,
-                    ..
-                } = &resolved;
-                self.check_congestion(now, &arrival.target, class_id, *engine_priority)
-            })
-            .and_then(|()| self.check_queue_wait(&arrival.target, rank, &resolved.class));
+        // The estimates are for a whole target, and say nothing about the upstreams of one version.
+        let is_bound = bound != VersionBound::Any;
+        let admitted = self.check_barred(&fingerprint, now).and_then(|()| {
+            if is_bound {
+                return Ok(());
+            }
+            let ResolvedArrival {
+                class_id,
+                engine_priority,
+                ..
+            } = &resolved;
+            self.check_congestion(now, &arrival.target, class_id, *engine_priority)?;
+            self.check_queue_wait(&arrival.target, rank, &resolved.class)
+        });
         if let Err(refusal) = admitted {
             self.team_limits.release(&resolved.team_id);
             actions.push(Action::Refuse {
@@ -74,10 +92,13 @@
             actions.push(Action::Record(outcome));
             return Ok(());
         }
-        let request = self.new_request(now, arrival, resolved, rank);
-        let admitted = self
-            .check_expected_end(now, &request)
-            .and_then(|()| self.make_room(now, rank, actions));
+        let request = self.new_request(now, arrival, resolved, rank, bound);
+        let expected_end = if is_bound {
+            Ok(())
+        } else {
+            self.check_expected_end(now, &request)
+        };
+        let admitted = expected_end.and_then(|()| self.make_room(now, rank, actions));
         match admitted {
             Ok(()) => self.enqueue(now, request),
             Err(refusal) => {
@@ -296,6 +317,7 @@
         arrival: Arrival,
         resolved: ResolvedArrival,
         rank: Rank,
+        version_bound: VersionBound,
     ) -> Request<Queued> {
         let output = self.length_estimate.estimate(
             &resolved.class_id,
@@ -357,7 +379,7 @@
             parts,
             prefix: arrival.prefix,
             public,
-            version_bound: VersionBound::Any,
+            version_bound,
             rank,
             resumable: resolved.class.resumable,
             resumed_stream,
@@ -427,28 +449,6 @@
     }
 }
 
-fn refusal_outcome(refusal: Refusal, request: RequestId) -> Outcome {
-    Outcome {
-        attempts: 0,
-        class: None,
-        end: refusal.reason.end(),
-        expected_duration: None,
-        first_token: None,
-        time_limit: None,
-        longest_pause: Duration::ZERO,
-        duration: Duration::ZERO,
-        met_target: false,
-        reason: Some(refusal.reason),
-        request,
-        team: None,
-        tier: None,
-        tokens: Tokens::default(),
-        upstream: None,
-        verdict: refusal.verdict,
-        wasted: None,
-    }
-}
-
 fn resolved_refusal_outcome(
     refusal: Refusal,
     request: RequestId,
@@ -458,6 +458,7 @@
         class: Some(resolved.class_id.clone()),
         team: Some(resolved.team_id.clone()),
         tier: Some(resolved.tier),
-        ..refusal_outcome(refusal, request)
+        reason: Some(refusal.reason),
+        ..Outcome::unresolved(request, refusal.reason.end(), refusal.verdict)
     }
 }
--- a/crates/policy/src/queueing/dispatch.rs
+++ b/crates/policy/src/queueing/dispatch.rs
@@ -53,10 +53,12 @@
             };
             let priority = request.facts.engine_priority;
             let pace_ms = self.required_pace_ms(now, request);
+            let is_bound = request.facts.version_bound != VersionBound::Any;
             match self.choose_upstream(now, item.request, pace_ms, rank) {
                 Some(upstream) => {
                     self.start_attempt(now, &item, upstream, priority, actions);
                 }
+                None if is_bound => self.set_aside(now, item.request, actions),
                 None if pace_ms.is_none() && rank.plan == Plan::Paid => return false,
                 None => return true,
             }
@@ -87,7 +89,7 @@
             };
             // Uses the most urgent rank for the choice of an upstream, so that minimum shares may
             // use the headroom.
-            let placement_rank = Rank::new(Tier::MOST_URGENT, Plan::Paid);
+            let placement_rank = Rank::MOST_URGENT;
             if let Some(upstream) = self.choose_upstream(now, item.request, None, placement_rank) {
                 self.start_attempt(now, &item, upstream, MINIMUM_SHARE_PRIORITY, actions);
             }
@@ -122,6 +124,11 @@
             return None;
         };
         let facts = &request.facts;
+        // A stream that is taken up has few upstreams to choose from, so it may use all their room.
+        let (pace_ms, rank) = match facts.version_bound {
+            VersionBound::Any => (pace_ms, rank),
+            VersionBound::Only(_) => (None, Rank::MOST_URGENT),
+        };
         let placement_request = facts.placement(
             &request.tried,
             &facts.version_bound,
@@ -204,7 +211,7 @@
 
     /// Adds the action that sends the current attempt of a running request.
     pub(crate) fn push_send(
-        &self,
+        &mut self,
         now: Time,
         request: &mut Request<Running>,
         resume: Option<AttemptId>,
@@ -253,6 +260,9 @@
             },
             request: request.id,
         });
+        if let Some(version) = request.stream_version() {
+            self.report_stream(now, version, actions);
+        }
     }
 }
 
--- a/crates/policy/src/queueing/rank.rs
+++ b/crates/policy/src/queueing/rank.rs
@@ -13,6 +13,9 @@
 }
 
 impl Rank {
+    /// The most urgent rank.
+    pub(crate) const MOST_URGENT: Self = Self::new(Tier::MOST_URGENT, Plan::Paid);
+
     /// Number of ranks.
     pub(crate) const COUNT: usize = 2 * Tier::COUNT;
 
--- a/crates/policy/src/requests/attempts.rs
+++ b/crates/policy/src/requests/attempts.rs
@@ -16,6 +16,7 @@
         attempt: AttemptId,
         longest_pause: Duration,
         tokens: Tokens,
+        actions: &mut Vec<Action>,
     ) {
         let Some(Stage::Running(request)) = self.requests.get_mut(&id) else {
             return;
@@ -41,6 +42,8 @@
         let is_rendezvous = request.stage.is_rendezvous;
         let is_direct = request.stage.is_direct;
         let read_parts = is_first_on_upstream.then(|| request.facts.parts.clone());
+        // A keeper that missed the report of a later attempt knows the version of an earlier one.
+        let retried_version = request.stream_version().filter(|_| request.attempts > 1);
         let team = request.take_uncounted_team();
         self.count_started(now, now, team);
         if let Some(parts) = read_parts {
@@ -61,6 +64,9 @@
             state.streams += u32::from(is_first_on_upstream);
             state.backoff.note_accepted(sent);
         }
+        if let Some(version) = retried_version.filter(|_| is_first_token) {
+            self.report_stream(now, version, actions);
+        }
         if !is_first_token {
             if let Some(state) = self.pool.get_mut(&upstream) {
                 state.note_tokens(tokens, span);
--- a/crates/policy/src/requests/mod.rs
+++ b/crates/policy/src/requests/mod.rs
@@ -41,6 +41,7 @@
 pub(crate) use {
     attempt_failure::AttemptFailure,
     claims::push_settlement,
+    refusing::push_refusal,
     request::{Claiming, Queued, Request, RequestFacts, Running, Stage},
     retry_budgets::RetryBudgets,
 };
--- a/crates/policy/src/requests/outcome.rs
+++ b/crates/policy/src/requests/outcome.rs
@@ -73,3 +73,28 @@
     /// Number of computed tokens that were wasted, and why.
     pub wasted: Option<(WasteCause, Tokens)>,
 }
+
+impl Outcome {
+    /// Outcome of a request whose team and class are not resolved.
+    pub(crate) fn unresolved(request: RequestId, end: OutcomeEnd, verdict: Verdict) -> Self {
+        Self {
+            attempts: 0,
+            class: None,
+            end,
+            expected_duration: None,
+            first_token: None,
+            time_limit: None,
+            longest_pause: Duration::ZERO,
+            duration: Duration::ZERO,
+            met_target: false,
+            reason: None,
+            request,
+            team: None,
+            tier: None,
+            tokens: Tokens::default(),
+            upstream: None,
+            verdict,
+            wasted: None,
+        }
+    }
+}
--- a/crates/policy/src/requests/refusal_reason.rs
+++ b/crates/policy/src/requests/refusal_reason.rs
@@ -30,6 +30,10 @@
     OutcomeUnknown,
     /// The queue is full of requests that are at least as urgent.
     QueueFull,
+    /// No upstream of the software version that began the stream accepts requests.
+    StreamVersionGone,
+    /// The software version that began the stream is not known.
+    StreamVersionUnknown,
     /// The platform's table, which stores the idempotency keys, did not respond in time.
     StoreUnavailable,
     /// The team has too many concurrent requests.
@@ -73,6 +77,8 @@
             Self::NotReady => "not_ready",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::QueueFull => "queue_full",
+            Self::StreamVersionGone => "stream_version_gone",
+            Self::StreamVersionUnknown => "stream_version_unknown",
             Self::StoreUnavailable => "store_unavailable",
             Self::TeamConcurrency => "team_concurrency_limit",
             Self::TeamRate => "team_rate_limit",
@@ -139,6 +145,8 @@
             Self::NotReady => "the host has no configuration yet",
             Self::OutcomeUnknown => "an earlier request with this idempotency key may have run",
             Self::QueueFull => "the queue is full",
+            Self::StreamVersionGone => "no upstream of the stream's software version is left",
+            Self::StreamVersionUnknown => "the software version of the stream is not known",
             Self::StoreUnavailable => "the idempotency key could not be claimed in time",
             Self::TeamConcurrency => "the team has too many requests at this moment",
             Self::TeamRate => "the team sends requests too fast",
--- a/crates/policy/src/requests/refusing.rs
+++ b/crates/policy/src/requests/refusing.rs
@@ -86,7 +86,9 @@
 
     pub(crate) fn on_caller_gone(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
         match self.requests.remove(&id) {
-            None => {}
+            None => {
+                self.drop_waiting_for_version(now, id, actions);
+            }
             Some(Stage::Queued(request)) => {
                 self.requests.insert(id, Stage::Queued(request));
                 if let Some(request) = self.remove_queued(now, id) {
@@ -136,3 +138,12 @@
         actions.push(Action::Record(outcome));
     }
 }
+
+/// Refuses a request whose team and class are not resolved.
+pub(crate) fn push_refusal(request: RequestId, refusal: Refusal, actions: &mut Vec<Action>) {
+    actions.push(Action::Refuse { refusal, request });
+    actions.push(Action::Record(Outcome {
+        reason: Some(refusal.reason),
+        ..Outcome::unresolved(request, refusal.reason.end(), refusal.verdict)
+    }));
+}
--- a/crates/policy/src/requests/request.rs
+++ b/crates/policy/src/requests/request.rs
@@ -112,8 +112,8 @@
 /// Stage of a request that waits for a slot at an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Queued {
-    /// Whether the request is parked because its claim failed. A parked request is not in its
-    /// queue.
+    /// Whether the request is parked because its claim failed or the upstreams of its software
+    /// version are full. A parked request is not in its queue.
     pub(crate) parked: bool,
 }
 
--- /dev/null
+++ b/crates/policy/src/streams/taking_up.rs
@@ -0,0 +1,192 @@
+//! Streams that callers take up: the version is looked up before the request is admitted.
+
+use super::*;
+
+/// Maximum number of streams whose versions are looked up at the same time.
+const MAX_LOOKUPS: usize = 1_024;
+
+/// `Retry-After` for a stream whose version is not known: another host may be able to find it.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+impl Controller {
+    /// Admits a request that takes a stream up, after asking other hosts for its version if this
+    /// host does not know it.
+    pub(crate) fn take_up_stream(
+        &mut self,
+        now: Time,
+        stream: StreamId,
+        arrival: Arrival,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(known) = self.streams.known.get(stream) {
+            let bound = VersionBound::Only(Some(known.software_version));
+            self.admit_taken_up(now, now, arrival, StreamSource::Known, bound, actions);
+            return;
+        }
+        if let Some(lookup) = self.streams.lookups.get_mut(&stream) {
+            lookup.arrivals.push((now, arrival));
+            return;
+        }
+        let keepers = &self.streams.keepers;
+        let to = keepers.to_ask(stream, |host| self.neighbors.is_silent(host, now));
+        let is_full = self.streams.lookups.len() >= MAX_LOOKUPS;
+        let to = if is_full { Vec::new() } else { to };
+        let mut lookup = VersionLookup::new(to.clone(), now);
+        let target = arrival.target.to_string();
+        lookup.arrivals.push((now, arrival));
+        if to.is_empty() {
+            self.conclude_lookup(now, stream, lookup, actions);
+            return;
+        }
+        self.streams.lookups.insert(stream, lookup);
+        let note = StreamNote::new(StreamMessage::Asked { stream, target });
+        actions.push(Action::SendStreamNote { note, to });
+    }
+
+    pub(crate) fn on_version_answered(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        stream: StreamId,
+        found: Option<StreamVersion>,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(lookup) = self.streams.lookups.get_mut(&stream) {
+            lookup.note_answer(from, found);
+            self.conclude_if_over(now, stream, actions);
+        }
+    }
+
+    /// Repeats questions, concludes lookups that take too long, and forgets old streams.
+    pub(crate) fn tick_streams(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let lifetime = self.stream_lifetime();
+        self.streams.known.expire(lifetime, now);
+        let pending: Vec<StreamId> = self.streams.lookups.keys().copied().collect();
+        for stream in pending {
+            self.conclude_if_over(now, stream, actions);
+            let Some(lookup) = self.streams.lookups.get_mut(&stream) else {
+                continue;
+            };
+            let target = lookup.arrivals.first();
+            let target = target.map(|(_, arrival)| arrival.target.to_string());
+            let to = lookup.take_repeated(now).to_vec();
+            if let (Some(target), false) = (target, to.is_empty()) {
+                let note = StreamNote::new(StreamMessage::Asked { stream, target });
+                actions.push(Action::SendStreamNote { note, to });
+            }
+        }
+    }
+
+    /// Drops a request that waits for the version of its stream; returns whether there was one.
+    pub(crate) fn drop_waiting_for_version(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        for lookup in self.streams.lookups.values_mut() {
+            let arrivals = &mut lookup.arrivals;
+            let position = arrivals
+                .iter()
+                .position(|(_, arrival)| arrival.request == request);
+            if let Some(position) = position {
+                let (arrived, _) = arrivals.swap_remove(position);
+                actions.push(Action::Record(Outcome {
+                    duration: now.since(arrived),
+                    ..Outcome::unresolved(request, OutcomeEnd::CallerGone, Verdict::NotRun)
+                }));
+                return true;
+            }
+        }
+        false
+    }
+
+    fn conclude_if_over(&mut self, now: Time, stream: StreamId, actions: &mut Vec<Action>) {
+        let lookups = &mut self.streams.lookups;
+        let is_over = lookups
+            .get(&stream)
+            .is_some_and(|lookup| lookup.is_over(now));
+        if let Some(lookup) = is_over.then(|| lookups.remove(&stream)).flatten() {
+            self.conclude_lookup(now, stream, lookup, actions);
+        }
+    }
+
+    fn conclude_lookup(
+        &mut self,
+        now: Time,
+        stream: StreamId,
+        lookup: VersionLookup,
+        actions: &mut Vec<Action>,
+    ) {
+        // A host that reaches no other host may also have missed a new version.
+        let may_assume = lookup.has_answer || self.streams.keepers.is_empty();
+        for (arrived, arrival) in lookup.arrivals {
+            let (source, bound) = match &lookup.found {
+                Some(found) => {
+                    self.streams.known.record(found.clone(), now);
+                    let version = Some(found.software_version.clone());
+                    (StreamSource::Asked, VersionBound::Only(version))
+                }
+                None => match self.sole_version(now, &arrival.target) {
+                    Some(version) if may_assume => {
+                        (StreamSource::SoleVersion, VersionBound::Only(version))
+                    }
+                    _ => {
+                        self.refuse_unknown_version(now, arrived, stream, &arrival, actions);
+                        continue;
+                    }
+                },
+            };
+            self.admit_taken_up(now, arrived, arrival, source, bound, actions);
+        }
+    }
+
+    fn admit_taken_up(
+        &mut self,
+        now: Time,
+        arrived: Time,
+        mut arrival: Arrival,
+        source: StreamSource,
+        bound: VersionBound,
+        actions: &mut Vec<Action>,
+    ) {
+        let waited = now.since(arrived);
+        if let Some(routed) = &mut arrival.routed {
+            routed.time_limit = routed.time_limit.map(|limit| limit.saturating_sub(waited));
+            let software_version = match &bound {
+                VersionBound::Any => None,
+                VersionBound::Only(version) => version.clone(),
+            };
+            actions.push(Action::NoteTakenUp(TakenUpStream {
+                request: arrival.request,
+                software_version,
+                source,
+                stream: routed.stream,
+                waited,
+            }));
+        }
+        self.admit_or_refuse(now, arrival, bound, actions);
+    }
+
+    fn refuse_unknown_version(
+        &mut self,
+        now: Time,
+        arrived: Time,
+        stream: StreamId,
+        arrival: &Arrival,
+        actions: &mut Vec<Action>,
+    ) {
+        actions.push(Action::NoteTakenUp(TakenUpStream {
+            request: arrival.request,
+            software_version: None,
+            source: StreamSource::Unknown,
+            stream,
+            waited: now.since(arrived),
+        }));
+        let refusal = Refusal {
+            retry_after: Some(UNKNOWN_RETRY_AFTER),
+            ..Refusal::not_run(RefusalReason::StreamVersionUnknown)
+        };
+        push_refusal(arrival.request, refusal, actions);
+    }
+}
--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -26,6 +26,8 @@
 mod service_world;
 mod speeds;
 mod stream_separation;
+mod stream_versions;
+mod stream_versions_simulation;
 mod support;
 mod unreachable;
 mod upstream_limits;
--- /dev/null
+++ b/crates/policy/tests/installation/stream_versions.rs
@@ -0,0 +1,301 @@
+//! Streams that callers take up at other hosts go on only at the software version that began them.
+
+use {
+    crate::{
+        stream_versions_simulation::{BegunStream, StreamInstallation, TakeUp, versioned_engines},
+        support::{TestRequest, refused, sent},
+    },
+    policy::{Event, RefusalReason},
+    std::{collections::BTreeSet, time::Duration},
+    types::{AdvertisedBackoff, prelude::*},
+};
+
+/// Hosts and failure domains of the simulated installations.
+const SIZES: [(usize, usize); 5] = [(6, 3), (9, 3), (66, 3), (381, 3), (985, 5)];
+
+/// Engines by version: from one engine of a version to half of all.
+const VERSIONS: [&[(&str, usize)]; 3] = [
+    &[("v1", 8), ("v1.1", 2)],
+    &[("v1", 5), ("v1.1", 5)],
+    &[("v1", 4), ("v1.1", 3), ("v1.2", 3)],
+];
+
+/// Streams of each scenario.
+const STREAMS: usize = 60;
+
+/// Share of the taken-up streams that must go on while two engines of their version serve.
+const MIN_SHARE: f64 = 0.9;
+
+/// Taken-up streams by what became of them.
+#[derive(Debug, Default)]
+struct Counts {
+    gone_on: usize,
+    joined: usize,
+    refused: usize,
+}
+
+impl Counts {
+    fn add(&mut self, begun: &BegunStream, taken_up: &TakeUp) {
+        match taken_up {
+            TakeUp::Sent(version) if *version == begun.version => self.gone_on += 1,
+            TakeUp::Sent(_) => self.joined += 1,
+            TakeUp::Refused(_) => self.refused += 1,
+        }
+    }
+
+    fn check(&self, context: &str) {
+        let all = self.gone_on + self.refused;
+        assert_eq!(self.joined, 0, "{context}: {self:?}");
+        assert!(
+            self.gone_on as f64 >= MIN_SHARE * all as f64,
+            "{context}: {self:?}"
+        );
+    }
+}
+
+/// Begins and takes up streams in all sizes of installations, with a fault between the two.
+fn check_with_fault(loss: f64, fault: impl Fn(&mut StreamInstallation, &BegunStream)) {
+    for (size, versions) in SIZES.into_iter().zip(VERSIONS.into_iter().cycle()) {
+        let (hosts, domains) = size;
+        let mut installation = StreamInstallation::start(hosts, domains, versions, 1);
+        installation.loss = loss;
+        let mut counts = Counts::default();
+        for _ in 0..STREAMS {
+            let host = installation.host_in_domain(0);
+            let begun = installation.begin(host);
+            fault(&mut installation, &begun);
+            let to = loop {
+                let to = installation.host_in_domain(0);
+                if !installation.down.contains(&to) && to != begun.host {
+                    break to;
+                }
+            };
+            let taken_up = installation.take_up(to, begun.stream);
+            counts.add(&begun, &taken_up);
+            installation.down.clear();
+        }
+        counts.check(&format!("{hosts} hosts"));
+    }
+}
+
+#[test]
+fn a_stream_goes_on_after_its_host_is_killed() {
+    check_with_fault(0.0, |installation, begun| {
+        installation.down.insert(begun.host);
+    });
+}
+
+#[test]
+fn a_stream_goes_on_where_messages_are_lost() {
+    check_with_fault(0.03, |installation, begun| {
+        installation.down.insert(begun.host);
+    });
+}
+
+/// Guards against keepers of a stream that are all in the failure domain of its host.
+#[test]
+fn a_stream_goes_on_in_another_domain_when_its_own_is_lost() {
+    for (hosts, domains) in SIZES.into_iter().filter(|(hosts, _)| *hosts < 384) {
+        let mut installation = StreamInstallation::start(hosts, domains, VERSIONS[1], 2);
+        let mut counts = Counts::default();
+        for _ in 0..STREAMS {
+            let begun_at = installation.host_in_domain(0);
+            let begun = installation.begin(begun_at);
+            installation.down = installation.hosts_of_domain(0).collect();
+            let to = installation.host_in_domain(1);
+            let taken_up = installation.take_up(to, begun.stream);
+            counts.add(&begun, &taken_up);
+            installation.down.clear();
+        }
+        counts.check(&format!("{hosts} hosts"));
+    }
+}
+
+/// Guards against a version that is assumed after all hosts that knew it were restarted.
+#[test]
+fn no_stream_is_joined_after_hosts_were_restarted() {
+    for share in [2, 1] {
+        let mut installation = StreamInstallation::start(9, 3, VERSIONS[1], 3);
+        let mut counts = Counts::default();
+        for _ in 0..STREAMS {
+            let begun_at = installation.random_host();
+            let begun = installation.begin(begun_at);
+            let restarted: BTreeSet<usize> = (0..9).filter(|host| host % share == 0).collect();
+            restarted
+                .iter()
+                .for_each(|host| installation.restart(*host));
+            let to = installation.random_host();
+            let taken_up = installation.take_up(to, begun.stream);
+            counts.add(&begun, &taken_up);
+        }
+        assert_eq!(counts.joined, 0, "{counts:?}");
+        let all_restarted = share == 1;
+        assert_eq!(counts.gone_on == 0, all_restarted, "{counts:?}");
+    }
+}
+
+/// Guards against the version of an attempt that failed before the first event.
+#[test]
+fn the_version_of_the_last_attempt_counts() {
+    let mut installation = StreamInstallation::start(9, 3, VERSIONS[1], 4);
+    installation.loss = 0.03;
+    let mut counts = Counts::default();
+    let mut changed = 0;
+    for _ in 0..STREAMS {
+        let host = installation.random_host();
+        let mut begun = installation.begin(host);
+        let (cause, verdict) = (FailureCause::Busy, Verdict::NotRun);
+        let host_of = &mut installation.hosts[host];
+        let actions = host_of.fail(&begun.order, begun.request, cause, verdict, false);
+        // The retry budget may be used up.
+        let Some(order) = sent(&actions) else {
+            continue;
+        };
+        installation.deliver_from(host);
+        let first_version = std::mem::replace(&mut begun.version, installation.version_of(&order));
+        changed += usize::from(first_version != begun.version);
+        installation.hosts[host].handle(Event::Progressed {
+            attempt: order.attempt,
+            longest_pause: Duration::ZERO,
+            request: begun.request,
+            tokens: Tokens::new(1),
+        });
+        installation.deliver_from(host);
+        installation.down.insert(host);
+        let taken_up = installation.take_up((host + 1) % 9, begun.stream);
+        counts.add(&begun, &taken_up);
+        installation.down.clear();
+    }
+    assert!(changed > 5, "only {changed} streams changed their version");
+    counts.check("retried");
+}
+
+#[test]
+fn a_stream_may_be_taken_up_several_times() {
+    let mut installation = StreamInstallation::start(66, 3, VERSIONS[2], 5);
+    for _ in 0..STREAMS {
+        let host = installation.random_host();
+        let begun = installation.begin(host);
+        installation.down.insert(host);
+        for _ in 0..4 {
+            let to = loop {
+                let to = installation.random_host();
+                if !installation.down.contains(&to) {
+                    break to;
+                }
+            };
+            let expected = TakeUp::Sent(begun.version.clone());
+            assert_eq!(installation.take_up(to, begun.stream), expected);
+            installation.down.insert(to);
+        }
+        installation.down.clear();
+    }
+}
+
+/// Guards against a release during which the versions that hosts assume change.
+#[test]
+fn no_stream_is_joined_while_a_release_passes_through() {
+    let mut installation = StreamInstallation::start(9, 3, &[("v1", 6)], 6);
+    installation.advance(30_000);
+    let mut begun = Vec::new();
+    let mut counts = Counts::default();
+    for replaced in 0..=6 {
+        let versions = [("v1", 6 - replaced), ("v1.1", replaced)];
+        installation.list_engines(&versioned_engines(&versions));
+        for stream in std::mem::take(&mut begun) {
+            let stream: BegunStream = stream;
+            installation.down.insert(stream.host);
+            let to = (stream.host + 1) % 9;
+            let taken_up = installation.take_up(to, stream.stream);
+            let is_served = versions
+                .iter()
+                .any(|(version, count)| *version == stream.version && *count > 0);
+            if is_served {
+                counts.add(&stream, &taken_up);
+            } else {
+                let gone = TakeUp::Refused(RefusalReason::StreamVersionGone);
+                assert_eq!(taken_up, gone);
+            }
+            installation.down.clear();
+        }
+        for host in 0..9 {
+            begun.push(installation.begin(host));
+        }
+        installation.advance(500);
+    }
+    counts.check("release");
+}
+
+#[test]
+fn a_stream_of_unknown_version_is_refused_unless_there_is_only_one_version() {
+    let mut installation = StreamInstallation::start(9, 3, &[("v1", 4)], 7);
+    let mut streams = 0;
+    let mut take_up = |installation: &mut StreamInstallation| {
+        streams += 1;
+        let unknown = StreamId::of_attempt(&format!("begun by nobody, {streams}"));
+        installation.take_up(streams % 9, unknown)
+    };
+    let refusal = TakeUp::Refused(RefusalReason::StreamVersionUnknown);
+    let only_version = TakeUp::Sent("v1".to_string());
+    assert_eq!(take_up(&mut installation), refusal, "just started");
+    installation.advance(30_000);
+    assert_eq!(take_up(&mut installation), only_version);
+    installation.list_engines(&versioned_engines(&[("v1", 4), ("v1.1", 1)]));
+    assert_eq!(take_up(&mut installation), refusal, "two versions");
+    installation.list_engines(&versioned_engines(&[("v1", 4)]));
+    assert_eq!(take_up(&mut installation), refusal, "v1.1 just left");
+    installation.advance(30_000);
+    assert_eq!(take_up(&mut installation), only_version);
+    installation.down = (0..9).collect();
+    assert_eq!(take_up(&mut installation), refusal, "cut off");
+}
+
+/// Guards against requests that wait behind a stream whose engines are full or gone.
+#[test]
+fn a_stream_whose_engines_are_full_holds_up_no_other_request() {
+    let mut installation = StreamInstallation::start(9, 3, &[("v1", 1), ("v1.1", 3)], 8);
+    let begun = loop {
+        let begun = installation.begin(0);
+        if begun.version == "v1" {
+            break begun;
+        }
+    };
+    let asked_at = installation.hosts[0].now;
+    installation.hosts[0].handle(Event::NoticeAnswered {
+        notice: UpstreamNotice {
+            backoff: AdvertisedBackoff::Valid(Duration::from_secs(2)),
+            ..UpstreamNotice::default()
+        },
+        sent: asked_at,
+        upstream: begun.order.upstream.clone(),
+    });
+    let prompt = TestRequest {
+        resumed_stream: Some(begun.stream),
+        ..TestRequest::prompt("draft", "first-key", &[(1, 500), (2, 100)])
+    };
+    let (_, actions) = installation.hosts[0].ask(prompt);
+    assert!(sent(&actions).is_none() && refused(&actions).is_none());
+    assert_eq!(installation.begin(0).version, "v1.1");
+    installation.list_engines(&versioned_engines(&[("v1.1", 4)]));
+    installation.hosts[0].advance(50);
+    let actions = std::mem::take(&mut installation.hosts[0].actions);
+    let refusal = refused(&actions).unwrap();
+    assert_eq!(refusal.reason, RefusalReason::StreamVersionGone);
+    assert!(refusal.retry_after.is_some());
+}
+
+/// Guards against messages about streams whose number grows with the installation.
+#[test]
+fn the_cost_of_a_stream_does_not_depend_on_the_size() {
+    let costs = [(66, 3), (985, 5)].map(|(hosts, domains)| {
+        let mut installation = StreamInstallation::start(hosts, domains, VERSIONS[1], 9);
+        for _ in 0..STREAMS {
+            let host = installation.random_host();
+            installation.begin(host);
+        }
+        assert_eq!(installation.messages, 2 * STREAMS);
+        installation.message_bytes / installation.messages
+    });
+    assert!(costs.iter().all(|bytes| *bytes <= 40), "{costs:?}");
+    assert_eq!(costs[0], costs[1]);
+}
--- a/crates/policy/tests/installation/support.rs
+++ b/crates/policy/tests/installation/support.rs
@@ -223,7 +223,7 @@
                 resumed_stream: test_request.resumed_stream,
                 stream: test_request
                     .resumed_stream
-                    .unwrap_or_else(|| StreamId::of_attempt(&request.to_string())),
+                    .unwrap_or_else(|| self.stream_of(request)),
                 time_limit: Some(test_request.time_limit),
             }),
             target: test_request.target,
@@ -231,6 +231,11 @@
         (request, actions)
     }
 
+    /// The stream that begins with a request of this host.
+    pub fn stream_of(&self, request: RequestId) -> StreamId {
+        StreamId::of_attempt(&format!("{}/{request}", self.controller.host()))
+    }
+
     /// Reports that an attempt failed.
     pub fn fail(
         &mut self,
--- a/crates/policy/tests/properties/model.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -291,6 +291,8 @@
             | Action::RequestTokens { .. }
             | Action::GrantTokens { .. }
             | Action::SendUpstreamNote { .. }
+            | Action::NoteTakenUp(_)
+            | Action::SendStreamNote { .. }
             | Action::SendCrashNote { .. }
             | Action::FetchConfiguration { .. }
             | Action::Probe { .. }
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -39,6 +39,7 @@
         }
         Action::NotePathChange(noted) => format!("note that {} paths are lost", noted.lost),
         Action::NoteSpeed(noted) => format!("{} works at {:.2}", noted.upstream, noted.factor),
+        Action::NoteTakenUp(noted) => format!("take up {}: {}", noted.request, noted.source),
         Action::Probe { upstream, .. } => format!("probe {upstream}"),
         Action::ReadConfiguration => "read the configuration".to_string(),
         Action::Record(outcome) => render_outcome(outcome),
@@ -68,6 +69,7 @@
         Action::SendDutyNote { note, to } => {
             format!("tell {} hosts of holder {}", to.len(), note.host)
         }
+        Action::SendStreamNote { to, .. } => format!("tell {} hosts of a stream", to.len()),
         Action::SendUpstreamNote { note, to } => {
             let (leaving, limits) = (note.leaving.len(), note.limits.len());
             format!(
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -115,6 +115,8 @@
         | RefusalReason::NotReady
         | RefusalReason::QueueFull
         | RefusalReason::StoreUnavailable
+        | RefusalReason::StreamVersionGone
+        | RefusalReason::StreamVersionUnknown
         | RefusalReason::UpstreamBackoff
         | RefusalReason::UpstreamLimited
         | RefusalReason::UpstreamsFull => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -296,6 +296,12 @@
                 let now = self.thread.clock.now();
                 self.decision_log.log_speed_change(now, &noted);
             }
+            Action::NoteTakenUp(noted) => {
+                let now = self.thread.clock.now();
+                if let Some(pending) = self.requests.get(&noted.request) {
+                    self.decision_log.log_taken_up(now, &pending.id, &noted);
+                }
+            }
             Action::Probe {
                 address,
                 path,
@@ -344,6 +350,11 @@
                     sender.send_duty_note(&note, &to);
                 }
             }
+            Action::SendStreamNote { note, to } => {
+                if let Some(sender) = &self.thread.notes {
+                    sender.send_stream_note(&note, &to);
+                }
+            }
             Action::SendUpstreamNote { note, to } => {
                 if let Some(sender) = &self.thread.notes {
                     sender.send_upstream_note(&note, &to);
@@ -500,6 +511,7 @@
     fn publish_status(&mut self) {
         let controller = &self.thread.controller;
         gauge!("rhubarbcove_queued").set(controller.queued() as f64);
+        gauge!("rhubarbcove_known_streams").set(controller.known_streams() as f64);
         let now = self.thread.clock.now();
         if let Some(age) = controller.config_age(now) {
             gauge!("rhubarbcove_configuration_age_seconds").set(age.as_secs_f64());
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -108,6 +108,23 @@
         }
     }
 
+    /// Counts and logs a stream that a caller takes up, and how its software version was found.
+    pub(crate) fn log_taken_up(&mut self, now: Time, id: &str, noted: &TakenUpStream) {
+        let source = noted.source.as_str();
+        counter!("rhubarbcove_streams_taken_up_total", "version" => source).increment(1);
+        if !self.budget.take(LineKind::Important, now) {
+            return;
+        }
+        let software_version = noted.software_version.as_ref();
+        info!(self.logger, "request: takes a stream up";
+            "id" => id,
+            "stream" => %noted.stream,
+            "version" => source,
+            "software_version" => software_version.map(ToString::to_string),
+            "waited_ms" => millis(noted.waited),
+        );
+    }
+
     /// Counts the connection attempts to an upstream and logs them if any of them failed.
     pub(crate) fn log_path_attempts(
         &mut self,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -34,16 +34,17 @@
     },
     peer::{
         Coverage, Crash, CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LoadNote, MessageError,
-        PeerClient, PeerHandler, PeerHost, PeerServer, ServiceDivision, TableRow, TableUpdate,
-        TablesRequest, TablesResponse, TokenGrant, TokenRequest, UpstreamNote, UsageNote,
-        VersionNote,
+        PeerClient, PeerHandler, PeerHost, PeerServer, ServiceDivision, StreamNote, TableRow,
+        TableUpdate, TablesRequest, TablesResponse, TokenGrant, TokenRequest, UpstreamNote,
+        UsageNote, VersionNote,
     },
     policy::{
         Action, AdmissionChange, Arrival, AttemptEnd, BrittlenessChange, ClaimRequest, ClaimResult,
         Controller, ControllerOptions, CrashDetected, CrashSource, Event, FetchEnd, HostPhase,
         LeavingDetected, LimitChange, Outcome, OutcomeEnd, PathChange, PrefixHash, Refusal,
         RefusalReason, RelayRules, Repeatability, RoutedRequest, SendOrder, Settlement, SlotRules,
-        SpeedChange, StoredResponse, TableTransferSlots, Target, WasteCause, WorkingSet,
+        SpeedChange, StoredResponse, TableTransferSlots, TakenUpStream, Target, WasteCause,
+        WorkingSet,
     },
     ports::{
         Clock, Directory, DirectoryChannels, DirectoryUpdate, DutyReport, ForwardingContext,
--- a/crates/router/src/note_sender.rs
+++ b/crates/router/src/note_sender.rs
@@ -42,6 +42,12 @@
         self.send_to_all("upstreams", &note.to_datagram(&self.token), to);
     }
 
+    /// Sends a message about the software version of a stream. A lost report leaves the stream's
+    /// other keeper, and a lost question is repeated.
+    pub(crate) fn send_stream_note(&self, note: &StreamNote, to: &[SocketAddr]) {
+        self.send_to_all("stream", &note.to_datagram(&self.token), to);
+    }
+
     /// Requests tokens from the host that keeps an upstream's rate limit. A lost request is
     /// repeated.
     pub(crate) fn send_token_request(&self, request: &TokenRequest, to: SocketAddr) {
--- a/crates/router/src/note_thread.rs
+++ b/crates/router/src/note_thread.rs
@@ -69,6 +69,12 @@
     if let Ok(note) = LoadNote::from_datagram(datagram, token) {
         return Ok(ReceivedNote::Event(Event::LoadNoteReceived { from, note }));
     }
+    if let Ok(note) = StreamNote::from_datagram(datagram, token) {
+        return Ok(ReceivedNote::Event(Event::StreamNoteReceived {
+            from,
+            note,
+        }));
+    }
     if let Ok(ask) = TokenRequest::from_datagram(datagram, token) {
         return Ok(ReceivedNote::Event(Event::TokensRequested { ask, from }));
     }
--- a/crates/types/src/stream_id.rs
+++ b/crates/types/src/stream_id.rs
@@ -13,6 +13,11 @@
         let first = digest[..8].iter();
         Self(first.fold(0, |id, byte| id << 8 | u64::from(*byte)))
     }
+
+    /// The hash.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
 }
 
 impl Display for StreamId {
