Fetch prompt parts only from engines of the same software version

The users say that what two versions write does not fit together; that a fetched part spoils an answer has not been seen.

--- a/crates/policy/src/prompt_transfers/source_choice.rs
+++ b/crates/policy/src/prompt_transfers/source_choice.rs
@@ -36,7 +36,7 @@
     /// The parts of a prompt that an engine should fetch; `None` if prefilling them takes no
     /// longer.
     ///
-    /// The source is the engine that is known to have prefilled most of the prompt, or the
+    /// The source is an engine of the same software version. It is the engine that is known to have prefilled most of the prompt, or the
     /// rendezvous engine if it may have cached more. If the rendezvous engine lacks the parts, the
     /// destination prefills them, as without the fetch.
     pub(crate) fn plan_fetch(
@@ -51,7 +51,9 @@
         let others = sources.filter(|source| source.id != destination.id);
         let rendezvous = Self::rendezvous_engine(others.clone(), request.parts)?;
         let shared = prompt_cache::total_tokens(placement::shared_parts(request.parts));
-        let fetches = others.filter_map(|source| {
+        let version = destination.definition.software_version();
+        let alike = others.filter(|source| source.definition.software_version() == version);
+        let fetches = alike.filter_map(|source| {
             let confirmed_tokens = source.cache.fetchable_tokens(request.parts);
             let possible_tokens = if source.id == rendezvous.id {
                 shared
--- a/crates/policy/src/upstreams/placement.rs
+++ b/crates/policy/src/upstreams/placement.rs
@@ -74,8 +74,8 @@
             .clone()
             .filter(|state| request.has_not_failed_on(state));
         let copies = self.copies_of(request, now);
-        cheapest_engine(untried, request, copies, now)
-            .or_else(|| cheapest_engine(states, request, copies, now))
+        cheapest_engine(untried, request, &copies, now)
+            .or_else(|| cheapest_engine(states, request, &copies, now))
     }
 }
 
@@ -84,7 +84,7 @@
 fn cheapest_engine<'a>(
     states: impl Iterator<Item = &'a UpstreamState> + Clone,
     request: &PlacementRequest<'_>,
-    copies: PromptCopies,
+    copies: &PromptCopies<'_>,
     now: Time,
 ) -> Option<&'a UpstreamState> {
     let cost_model = CostModel::new(states.clone(), request, copies, now);
@@ -181,7 +181,7 @@
     /// Hash of the parts that the prompt shares with others.
     shared_chain_hash: u64,
     /// What engines have already prefilled of the prompt.
-    copies: PromptCopies,
+    copies: &'w PromptCopies<'w>,
     /// Time until the first token is due.
     time_left_ms: f64,
     /// Engine on which all hosts place the prompt unless another one costs less.
@@ -206,7 +206,7 @@
     fn new(
         states: impl Iterator<Item = &'a UpstreamState> + Clone,
         request: &PlacementRequest<'w>,
-        copies: PromptCopies,
+        copies: &'w PromptCopies<'w>,
         now: Time,
     ) -> Self {
         let chain_hash = shared_chain_hash(request.parts);
--- a/crates/policy/tests/installation/prompt_transfers.rs
+++ b/crates/policy/tests/installation/prompt_transfers.rs
@@ -2,8 +2,9 @@
 //! delay which engine has read what. The time is virtual, and no network is used.
 
 use {
-    crate::support::{
-        Host, TestRequest, address, engines, engines_in_domains, exchange_notes, sent,
+    crate::{
+        stream_versions_simulation::versioned_engines,
+        support::{Host, TestRequest, address, engines, engines_in_domains, exchange_notes, sent},
     },
     config::{Engine, Upstream},
     peer::{LoadNote, UpstreamLoad},
@@ -468,6 +469,16 @@
     assert_eq!(home_order.fetch_from, Some(order.address));
 }
 
+/// Guards against an engine that uses what an engine of another software version has written.
+#[test]
+fn nothing_is_fetched_from_another_software_version() {
+    let all_different = versioned_engines(&[("v1", 1), ("v1.1", 1), ("v1.2", 1)]);
+    let mut scenario = Scenario::new(with_links(all_different));
+    let (_, order) = scenario.ask_with_busy_home();
+    assert_ne!(order.upstream, scenario.home.upstream);
+    assert_eq!(order.fetch_from, None);
+}
+
 /// Guards against an unexpectedly late first token when the source has evicted the shared part:
 /// the estimates must not rely on the fetch.
 #[test]
