Give up on an upstream that sends interim responses without end

The HTTP library skips interim responses without a limit, so such an upstream kept a connection and the host's processor busy until the time limit of the request: 80 MB were read in 1.5 s for one lookup.

After 16 interim responses the attempt fails as one that may have run, and its connection is closed. Ten tests send endless bytes as a header, as headers, as no answer at all, as interim responses, as a body, as the body of a refusal, as an event, as a chunk header, as trailers and to a health check. The router accepts at most 24 MB, closes the connection, and answers within the time limit plus 0.5 s. interim_answers_without_end failed before (79,815,650 bytes accepted); the nine others passed before, too.

--- a/crates/upstream/src/connection_pool.rs
+++ b/crates/upstream/src/connection_pool.rs
@@ -128,11 +128,19 @@
 
     async fn try_send(
         mut sender: UpstreamSender,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         head_timeout: Duration,
     ) -> Result<(Response<Incoming>, UpstreamSender), (CallFailure, Option<Request<Full<Bytes>>>)>
     {
-        match timeout(head_timeout, sender.sender.try_send_request(request)).await {
+        let limit = InterimLimit::attach(&mut request);
+        let sending = timeout(head_timeout, sender.sender.try_send_request(request));
+        let sent = tokio::select! {
+            sent = sending => sent,
+            () = limit.exceeded() => {
+                return Err((CallFailure::may_have_run(FailureCause::Truncated), None));
+            }
+        };
+        match sent {
             Ok(Ok(response)) => Ok((response, sender)),
             Ok(Err(mut error)) => match error.take_message() {
                 Some(unsent) => {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -10,6 +10,7 @@
         HeaderMap, Method, Request, Response, StatusCode,
         body::Incoming,
         client::conn::http1::{SendRequest, handshake},
+        ext::on_informational,
     },
     hyper_util::rt::TokioIo,
     metrics::{Gauge, counter, gauge},
@@ -18,10 +19,13 @@
         fmt::{self, Display, Formatter},
         net::SocketAddr,
         pin::Pin,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU32, Ordering},
+        },
         time::{Duration, Instant},
     },
-    tokio::{net::TcpStream, task::JoinSet, time::timeout},
+    tokio::{net::TcpStream, sync::Notify, task::JoinSet, time::timeout},
     types::{Listening, prelude::*},
 };
 
@@ -30,6 +34,7 @@
 mod connection_pool;
 mod destination;
 mod engine;
+mod interim_limit;
 mod listening;
 mod open_result;
 mod path_race;
@@ -59,6 +64,7 @@
 
 use {
     connection_pool::{CONNECT_TIMEOUT, open_stream},
+    interim_limit::InterimLimit,
     path_race::open_first,
     transit::connect_through,
 };
