Bound when a stream's version is assumed to be the only one

Only a host that knows all upstreams assumes a version now.

Beside hosts of the previous release, which answer no questions, a host refused all streams that it did not know, though it receives their load notes. Fresh notes now show as well as an answer that it is in touch.

--- a/crates/policy/src/streams/taking_up.rs
+++ b/crates/policy/src/streams/taking_up.rs
@@ -118,8 +118,11 @@
         lookup: VersionLookup,
         actions: &mut Vec<Action>,
     ) {
-        // A host that reaches no other host may also have missed a new version.
-        let may_assume = lookup.has_answer || self.streams.keepers.is_empty();
+        // A host that reaches no other host may also have missed a new version. Hosts of the
+        // previous release send notes, but no answers.
+        let may_assume = lookup.has_answer
+            || self.streams.keepers.is_empty()
+            || !self.neighbors.hosts_with_fresh_notes(now).is_empty();
         for (arrived, arrival) in lookup.arrivals {
             let (source, bound) = match &lookup.found {
                 Some(found) => {
--- a/crates/policy/src/streams/version_reports.rs
+++ b/crates/policy/src/streams/version_reports.rs
@@ -67,7 +67,8 @@
         target: &Target,
     ) -> Option<Option<SoftwareVersion>> {
         let directory = self.directory.as_ref();
-        if !directory.is_none_or(DirectoryView::is_reachable) {
+        let knows_all_upstreams = self.pool.common_ids.is_none();
+        if !knows_all_upstreams || !directory.is_none_or(DirectoryView::is_reachable) {
             return None;
         }
         let mut upstreams = self.pool.upstreams_of(target);
--- a/crates/policy/tests/installation/stream_versions.rs
+++ b/crates/policy/tests/installation/stream_versions.rs
@@ -248,6 +248,28 @@
     assert_eq!(take_up(&mut installation), only_version);
     installation.down = (0..9).collect();
     assert_eq!(take_up(&mut installation), refusal, "cut off");
+    installation.down.clear();
+    let listed = versioned_engines(&[("v1", 4)]);
+    for host in &mut installation.hosts {
+        host.handle(Event::DirectoryRead {
+            common: Some(listed.keys().take(2).cloned().collect()),
+            leaving: BTreeSet::new(),
+            upstreams: listed.clone(),
+        });
+    }
+    assert_eq!(take_up(&mut installation), refusal, "others may exist");
+}
+
+/// Guards against refusals while hosts of the previous release, which answer no questions, are
+/// upgraded.
+#[test]
+fn the_only_version_is_assumed_beside_hosts_that_do_not_answer() {
+    let mut installation = StreamInstallation::start(9, 3, &[("v1", 4)], 10);
+    installation.advance_with_notes(30_000);
+    installation.down = (0..9).collect();
+    let unknown = StreamId::of_attempt("begun by nobody");
+    let only_version = TakeUp::Sent("v1".to_string());
+    assert_eq!(installation.take_up(0, unknown), only_version);
 }
 
 /// Guards against requests that wait behind a stream whose engines are full or gone.
--- a/crates/policy/tests/installation/stream_versions_simulation.rs
+++ b/crates/policy/tests/installation/stream_versions_simulation.rs
@@ -2,7 +2,7 @@
 //! engines of several software versions serve. Messages about streams arrive at once or are lost.
 
 use {
-    crate::support::{Host, TestRequest, address, engines, refused, sent},
+    crate::support::{Host, TestRequest, address, engines, exchange_notes, refused, sent},
     config::Upstream,
     peer::{PeerHost, StreamNote},
     policy::{Action, Event, RefusalReason, SendOrder},
@@ -144,6 +144,15 @@
         }
     }
 
+    /// Lets time pass, and delivers the load notes of the end of this time.
+    pub fn advance_with_notes(&mut self, ms: u64) {
+        self.advance(ms);
+        for host in &mut self.hosts {
+            host.advance(1_000);
+        }
+        exchange_notes(&mut self.hosts);
+    }
+
     /// Replaces a host by one that has just started.
     pub fn restart(&mut self, host: usize) {
         let now = self.hosts[host].now;
