Compute the lifetime of streams once per configuration

The lifetime is kept now and set when a configuration comes into force. Before that no version is assumed to be the only one: with a lifetime of zero a host that had read the directory, but no configuration, would have answered so at once.

Reports and questions about streams no longer make a host look at its queues; only answers can admit a request.

--- a/crates/peer/src/stream_note.rs
+++ b/crates/peer/src/stream_note.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Whether the message answers a question.
+    pub const fn is_answer(&self) -> bool {
+        matches!(self.content, StreamMessage::Answered { .. })
+    }
+
     /// Encodes the message as an authenticated datagram.
     pub fn to_datagram(&self, token: &str) -> Vec<u8> {
         datagram::encode(datagram::Kind::Stream, token, self)
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -165,6 +165,7 @@
             | Event::Progressed { .. }
             | Event::TimeOfDay { .. }
             | Event::TransitRequested { .. } => AffectedTargets::None,
+            Event::StreamNoteReceived { note, .. } if !note.is_answer() => AffectedTargets::None,
             _ => AffectedTargets::All,
         }
     }
@@ -390,6 +391,7 @@
         let classes = numbered.document.classes.values();
         self.shortest_pause_ms = classes.filter_map(|class| class.pause_target_ms).min();
         self.urgency = Urgency::new(&numbered.document);
+        self.update_stream_lifetime(&numbered.document);
         self.pool.room_rules.trial_share = numbered.document.trial.max_slot_share;
         if self.directory.is_none() {
             let domain = &self.options.failure_domain;
--- a/crates/policy/src/streams/mod.rs
+++ b/crates/policy/src/streams/mod.rs
@@ -33,6 +33,8 @@
 pub(crate) struct Streams {
     pub(crate) keepers: StreamKeepers,
     pub(crate) known: KnownStreams,
+    /// Time within which a caller may take up a stream after it was sent.
+    pub(crate) lifetime: Duration,
     pub(crate) listed: ListedVersions,
     /// Streams whose version is being asked for.
     pub(crate) lookups: BTreeMap<StreamId, VersionLookup>,
--- a/crates/policy/src/streams/taking_up.rs
+++ b/crates/policy/src/streams/taking_up.rs
@@ -59,8 +59,7 @@
 
     /// Repeats questions, concludes lookups that take too long, and forgets old streams.
     pub(crate) fn tick_streams(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let lifetime = self.stream_lifetime();
-        self.streams.known.expire(lifetime, now);
+        self.streams.known.expire(self.streams.lifetime, now);
         let pending: Vec<StreamId> = self.streams.lookups.keys().copied().collect();
         for stream in pending {
             self.conclude_if_over(now, stream, actions);
--- a/crates/policy/src/streams/version_reports.rs
+++ b/crates/policy/src/streams/version_reports.rs
@@ -68,12 +68,13 @@
     ) -> Option<Option<SoftwareVersion>> {
         let directory = self.directory.as_ref();
         let knows_all_upstreams = self.pool.common_ids.is_none();
-        if !knows_all_upstreams || !directory.is_none_or(DirectoryView::is_reachable) {
+        let is_current = directory.is_none_or(DirectoryView::is_reachable);
+        let lifetime = self.streams.lifetime;
+        if !knows_all_upstreams || !is_current || lifetime.is_zero() {
             return None;
         }
         let mut upstreams = self.pool.upstreams_of(target);
         let version = upstreams.next()?.definition.software_version();
-        let lifetime = self.stream_lifetime();
         let is_sole = upstreams.all(|state| state.definition.software_version() == version)
             && self
                 .streams
@@ -84,24 +85,22 @@
 
     /// Records the versions of the upstreams before the list of them changes.
     pub(crate) fn note_listed_versions(&mut self, now: Time) {
-        let lifetime = self.stream_lifetime();
+        let lifetime = self.streams.lifetime;
         let upstreams = self.pool.states.iter();
         self.streams.listed.note_listed(upstreams, now);
-        self.streams.listed.expire(lifetime, now);
+        // The lifetime is not known before the configuration is.
+        if !lifetime.is_zero() {
+            self.streams.listed.expire(lifetime, now);
+        }
     }
 
-    /// Time within which a caller may take up a stream after it was sent.
-    pub(crate) fn stream_lifetime(&self) -> Duration {
-        let document = self
-            .configuration
-            .as_ref()
-            .map(|numbered| &numbered.document);
-        let classes = document
-            .into_iter()
-            .flat_map(|document| document.classes.values());
-        let resumable = classes.filter(|class| class.resumable);
+    /// Sets the time within which a caller may take up a stream from the deadlines in the
+    /// configuration.
+    pub(crate) fn update_stream_lifetime(&mut self, document: &Document) {
+        let resumable = document.classes.values().filter(|class| class.resumable);
         let longest_ms = resumable.map(|class| class.deadline_ms).max();
-        Duration::from_millis(longest_ms.unwrap_or_default()) * LIFETIME_DEADLINES
+        let longest = Duration::from_millis(longest_ms.unwrap_or_default());
+        self.streams.lifetime = longest * LIFETIME_DEADLINES;
     }
 }
 
