--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -3,9 +3,14 @@
 #![allow(missing_docs, clippy::unwrap_used)]
 
 use {
-    peer::{Heartbeat, HeartbeatAnswer, MAX_TARGETS, MessageError, PROTOCOL},
+    peer::{
+        CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LoadNote, MAX_TARGETS, MessageError,
+        PROTOCOL, StreamMessage, StreamNote, StreamVersion, TokenGrant, TokenRequest, UpstreamNote,
+        UsageNote, VersionNote,
+    },
     quickcheck::{Gen, QuickCheck},
     serde_json::{Value, json},
+    types::StreamId,
 };
 
 fn heartbeat() -> Value {
@@ -69,3 +74,47 @@
         .tests(2_000)
         .quickcheck(does_not_panic as fn(usize, u8, usize) -> bool);
 }
+
+fn stream_note() -> StreamNote {
+    StreamNote::new(StreamMessage::Sent(StreamVersion {
+        attempt: 1,
+        software_version: "v1.1".parse().unwrap(),
+        stream: StreamId::of_attempt("a1"),
+    }))
+}
+
+/// Guards against a host of the previous release that takes a message about a stream for another
+/// one.
+#[test]
+fn a_stream_message_is_decoded_as_no_other_message() {
+    let bytes = stream_note().to_datagram("token");
+    assert_eq!(
+        StreamNote::from_datagram(&bytes, "token"),
+        Ok(stream_note())
+    );
+    assert!(StreamNote::from_datagram(&bytes, "other").is_err());
+    assert!(CrashNote::from_datagram(&bytes, "token").is_err());
+    assert!(DutyNote::from_datagram(&bytes, "token").is_err());
+    assert!(LoadNote::from_datagram(&bytes, "token").is_err());
+    assert!(TokenGrant::from_datagram(&bytes, "token").is_err());
+    assert!(TokenRequest::from_datagram(&bytes, "token").is_err());
+    assert!(UpstreamNote::from_datagram(&bytes, "token").is_err());
+    assert!(UsageNote::from_datagram(&bytes, "token").is_err());
+    assert!(VersionNote::from_datagram(&bytes, "token").is_err());
+}
+
+#[test]
+fn no_changed_stream_message_is_used() {
+    fn is_rejected(position: usize, byte: u8, cut: usize) -> bool {
+        let mut bytes = stream_note().to_datagram("token");
+        let length = bytes.len();
+        let changed = std::mem::replace(&mut bytes[position % length], byte) != byte;
+        bytes.truncate(length - cut % length);
+        let is_whole = !changed && bytes.len() == length;
+        is_whole || StreamNote::from_datagram(&bytes, "token").is_err()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(1_000, 5))
+        .tests(2_000)
+        .quickcheck(is_rejected as fn(usize, u8, usize) -> bool);
+}
--- a/crates/policy/src/prompt_transfers/source_choice.rs
+++ b/crates/policy/src/prompt_transfers/source_choice.rs
@@ -36,9 +36,9 @@
     /// The parts of a prompt that an engine should fetch; `None` if prefilling them takes no
     /// longer.
     ///
-    /// The source is an engine of the same software version. It is the engine that is known to have prefilled most of the prompt, or the
-    /// rendezvous engine if it may have cached more. If the rendezvous engine lacks the parts, the
-    /// destination prefills them, as without the fetch.
+    /// The source is an engine of the same software version: the one that is known to have prefilled
+    /// most of the prompt, or the rendezvous engine if it may have cached more. If the rendezvous
+    /// engine lacks the parts, the destination prefills them, as without the fetch.
     pub(crate) fn plan_fetch(
         &self,
         destination: &UpstreamId,
