--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -83,8 +83,7 @@
     }))
 }
 
-/// Guards against a host of the previous release that takes a message about a stream for another
-/// one.
+/// Guards against a host of the previous release that decodes such a message as another one.
 #[test]
 fn a_stream_message_is_decoded_as_no_other_message() {
     let bytes = stream_note().to_datagram("token");
--- a/crates/policy/tests/installation/stream_versions.rs
+++ b/crates/policy/tests/installation/stream_versions.rs
@@ -260,8 +260,7 @@
     assert_eq!(take_up(&mut installation), refusal, "others may exist");
 }
 
-/// Guards against refusals while hosts of the previous release, which answer no questions, are
-/// upgraded.
+/// Guards against refusals beside hosts of the previous release, which answer no questions.
 #[test]
 fn the_only_version_is_assumed_beside_hosts_that_do_not_answer() {
     let mut installation = StreamInstallation::start(9, 3, &[("v1", 4)], 10);
