Log the prompt parts of requests and whether a crash says little

Change: 'request: sent' names the ids of the shared parts, and 'crashes: upstream ended under a request' says whether the crash is weak.

--- a/crates/policy/src/crashes/crash_handling.rs
+++ b/crates/policy/src/crashes/crash_handling.rs
@@ -161,6 +161,7 @@
             barred_for,
             crashes,
             fingerprint: crash.fingerprint,
+            is_weak: crash.is_weak,
             source,
             upstream: crash.upstream.clone(),
         }));
--- a/crates/policy/src/crashes/observed_crash.rs
+++ b/crates/policy/src/crashes/observed_crash.rs
@@ -53,6 +53,9 @@
     pub crashes: usize,
     /// Fingerprint of the request, which includes its team.
     pub fingerprint: Fingerprint,
+    /// Whether the crash says little about the request, because its response had begun or an
+    /// identical request had recently completed.
+    pub is_weak: bool,
     /// Source of the report.
     pub source: CrashSource,
     /// The upstream that ended.
--- a/crates/policy/src/queueing/dispatch.rs
+++ b/crates/policy/src/queueing/dispatch.rs
@@ -248,6 +248,7 @@
                     others_age: self.neighbors.oldest_note_age(now),
                     others_backlog: state.others_backlog_tokens,
                     others_in_flight: state.others_in_flight,
+                    shared_parts: placement::shared_parts(&request.facts.parts).to_vec(),
                     shared_parts_hash: placement::shared_chain_hash(&request.facts.parts),
                     prefill_tokens: running.prefill,
                     waited: now.since(request.facts.arrived),
--- a/crates/policy/src/requests/send_inputs.rs
+++ b/crates/policy/src/requests/send_inputs.rs
@@ -36,6 +36,8 @@
     pub others_backlog: u64,
     /// Requests of other hosts in flight at the upstream.
     pub others_in_flight: u32,
+    /// Prompt parts that are shared with other requests, in order.
+    pub shared_parts: Vec<PromptPart>,
     /// Hash of the prompt parts that are shared with other requests; 0 if there are none.
     pub shared_parts_hash: u64,
     /// Prompt tokens that the engine is expected to prefill for this request because they are not
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -66,6 +66,7 @@
             "due_in_ms" => millis(order.deadline.since(now)),
             "fingerprint" => inputs.fingerprint.short_hex(),
             "prompt" => format!("{:x}", inputs.shared_parts_hash),
+            "parts" => format_parts(&inputs.shared_parts),
             "expected_wait_ms" => millis(inputs.expected_wait),
             "fetch_source" => inputs.fetch_source.as_ref().map(ToString::to_string),
             "fetch_tokens" => inputs.fetch_tokens.get(),
@@ -255,6 +256,7 @@
             "fingerprint" => noted.fingerprint.short_hex(),
             "upstream" => %noted.upstream,
             "crashes" => noted.crashes,
+            "weak" => noted.is_weak,
             "barred_for_s" => noted.barred_for.map(|left| left.as_secs()),
             "from" => from,
         );
@@ -490,6 +492,12 @@
     difference.map(ToString::to_string).collect()
 }
 
+/// The ids of prompt parts, in the form in which callers send them.
+fn format_parts(parts: &[PromptPart]) -> String {
+    let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 fn millis(span: Duration) -> u64 {
     span.as_millis() as u64
 }
