Count crashes of upstreams by prompt parts, too

Cause: crashes were counted by identical requests only.

Change: a crash is counted under each subject of a request: the request itself and its shared prompt parts, per target, whatever the team. Whoever knows of a crash under a part announces the next completion with it, unless another host has done so. Parts follow the requests in the same datagram, where hosts of the previous release ignore them, and have rows of their own in the store, written from the third crash on. Refusals of a barred part say prompt_part_crashes_upstreams.

Two tests counted all announced or stored crashes; they count those of requests and of parts now, each exactly.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -58,7 +58,7 @@
 
 pub use {
     coverage::Coverage,
-    crash_note::{ClearedRequest, Crash, CrashNote, MAX_CRASHES},
+    crash_note::{Cleared, Crash, CrashNote, MAX_CRASHES},
     demand::Demand,
     duty_note::DutyNote,
     engine_key::EngineKey,
--- a/crates/policy/src/crashes/crash_announcements.rs
+++ b/crates/policy/src/crashes/crash_announcements.rs
@@ -10,15 +10,18 @@
 /// Bytes per second that the announcements may use, a sixth of a host's 10 Mbit/s link.
 const MAX_BYTES_PER_S: f64 = 200_000.0;
 
+/// Maximum number of subjects whose completion is announced.
+const MAX_ANNOUNCED: usize = 4_096;
+
 /// Bytes of a note without crashes, including its headers, and bytes of one crash.
 const NOTE_BYTES: f64 = 90.0;
 const CRASH_BYTES: f64 = 95.0;
 
-/// An announced update about a request.
+/// An announced update about a subject.
 #[derive(Debug)]
 enum Update {
-    /// The request completed, at the given time.
-    Cleared(Fingerprint, Time),
+    /// A request with the subject completed, at the given time.
+    Cleared(CrashSubject, Time),
     Crash(ObservedCrash),
 }
 
@@ -39,24 +42,42 @@
 /// a host that bars a harmless request never sees the request complete, because it lets none
 /// through, while all other hosts do. That single host would keep refusing the request with
 /// `crashes_upstreams`.
+///
+/// Of a prompt part, a host also announces a completion after a crash that another host announced.
+/// Parts are shared with harmless requests, and the host that observed the crash may serve none of
+/// those for a long time.
 #[derive(Debug, Default)]
 pub(crate) struct CrashAnnouncements {
     next_note: Time,
-    /// Requests whose crashes were announced, with the time of the latest announced crash.
-    announced: HashMap<Fingerprint, Time>,
+    /// Subjects with announced crashes, with the time at which the latest one became known.
+    announced: HashMap<CrashSubject, Time>,
     pending: VecDeque<Announcement>,
 }
 
 impl CrashAnnouncements {
     pub(crate) fn add(&mut self, crash: ObservedCrash, now: Time) {
-        self.announced.insert(crash.fingerprint, now);
+        self.announced.insert(crash.subject, now);
         self.push(Update::Crash(crash), now);
     }
 
-    /// Announces the completion of a request if a crash of the request was announced before.
-    pub(crate) fn note_completion(&mut self, fingerprint: &Fingerprint, now: Time) {
-        if self.announced.remove(fingerprint).is_some() {
-            self.push(Update::Cleared(*fingerprint, now), now);
+    /// Notes that another host announced a crash or that it is in the store.
+    pub(crate) fn note_others(&mut self, subject: CrashSubject, now: Time) {
+        if matches!(subject, CrashSubject::PromptPart(_)) && self.announced.len() < MAX_ANNOUNCED {
+            self.announced.insert(subject, now);
+        }
+    }
+
+    /// Notes that another host announced a completion, which is not announced once more.
+    pub(crate) fn note_cleared_by_other(&mut self, subject: &CrashSubject) {
+        if matches!(subject, CrashSubject::PromptPart(_)) {
+            self.announced.remove(subject);
+        }
+    }
+
+    /// Announces the completion of a request if a crash of the subject was announced before.
+    pub(crate) fn note_completion(&mut self, subject: &CrashSubject, now: Time) {
+        if self.announced.remove(subject).is_some() {
+            self.push(Update::Cleared(*subject, now), now);
         }
     }
 
@@ -95,9 +116,9 @@
                 continue;
             }
             match &announcement.update {
-                Update::Cleared(fingerprint, at) => note.cleared.push(ClearedRequest {
+                Update::Cleared(subject, at) => note.cleared.push(Cleared {
                     age_ms: now.since(*at).as_millis() as u32,
-                    fingerprint: *fingerprint,
+                    subject: *subject,
                 }),
                 Update::Crash(crash) => note.crashes.push(crash.to_note(now)),
             }
--- a/crates/policy/src/crashes/crash_handling.rs
+++ b/crates/policy/src/crashes/crash_handling.rs
@@ -5,6 +5,10 @@
 /// Time between two removals of expired records.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time from the first tokens of a response after which an upstream that crashes does not crash
+/// because of the prompt.
+const HARMLESS_AFTER: Duration = Duration::from_millis(500);
+
 /// Time after which the directory entry of an ended upstream has expired: three heartbeats of 1.2
 /// s, and as long again until this host learns of it.
 const ENTRY_EXPIRY: Duration = Duration::from_secs(7);
@@ -27,18 +31,43 @@
         if state.is_leaving(now) || state.brittleness.has_rejected(now) {
             return;
         }
-        let fingerprint = request.facts.fingerprint;
-        let broken = ObservedCrash {
-            at: now,
-            fingerprint,
-            is_weak: request.stage.is_streaming
-                || self.crashes.completions.last(&fingerprint).is_some(),
-            upstream: upstream.clone(),
-        };
-        match self.crashes.suspects.note_connection_broken(broken) {
-            Some(crash) => self.record_own_crashes(now, vec![crash], actions),
-            None => self.check_listening(now, upstream, actions),
+        let crashes: Vec<ObservedCrash> = self
+            .suspected_subjects(now, request)
+            .map(|(subject, is_weak)| ObservedCrash {
+                at: now,
+                is_weak,
+                subject,
+                upstream: upstream.clone(),
+            })
+            .collect();
+        if self.crashes.suspects.has_ended(upstream) {
+            self.record_own_crashes(now, crashes, actions);
+            return;
         }
+        self.crashes
+            .suspects
+            .note_connection_broken(upstream, crashes);
+        self.check_listening(now, upstream, actions);
+    }
+
+    /// The subjects of a request whose connection broke that may have crashed its upstream, and
+    /// whether a crash would say little about each. A response that has lasted for some time shows
+    /// that the prompt parts are harmless.
+    fn suspected_subjects(
+        &self,
+        now: Time,
+        request: &Request<Running>,
+    ) -> impl Iterator<Item = (CrashSubject, bool)> {
+        let began = request.stage.began;
+        let has_lasted = began.is_some_and(|began| now.since(began) >= HARMLESS_AFTER);
+        let subjects = request.facts.crash_subjects.iter();
+        subjects.filter_map(move |subject| match subject {
+            CrashSubject::PromptPart(_) => (!has_lasted).then_some((*subject, false)),
+            CrashSubject::Request(_) => {
+                let has_completed = self.crashes.completions.last(subject).is_some();
+                Some((*subject, request.stage.is_streaming || has_completed))
+            }
+        })
     }
 
     /// Handles the end of an upstream.
@@ -73,13 +102,15 @@
     ) {
         for cleared in &note.cleared {
             let age = Duration::from_millis(u64::from(cleared.age_ms));
-            self.crashes
-                .clear_completed(&cleared.fingerprint, now - age);
+            let announcements = &mut self.crashes.announcements;
+            announcements.note_cleared_by_other(&cleared.subject);
+            self.crashes.clear_completed(&cleared.subject, now - age);
         }
         for advertised in &note.crashes {
             // The crash also explains the connections of this host to the same upstream that broke.
             self.note_upstream_ended(now, &advertised.upstream, actions);
             let crash = ObservedCrash::advertised(advertised, now);
+            self.crashes.announcements.note_others(crash.subject, now);
             let source = CrashSource::Host(note.host.clone());
             self.record_crash(now, &crash, source, actions);
         }
@@ -98,6 +129,7 @@
                 continue;
             }
             self.note_upstream_ended(now, &crash.upstream, actions);
+            self.crashes.announcements.note_others(crash.subject, now);
             self.record_crash(now, &crash, CrashSource::Store, actions);
         }
     }
@@ -155,45 +187,45 @@
         let Some(crashes) = self.crashes.note(crash, &source) else {
             return false;
         };
-        self.store_crashes(now, &crash.fingerprint, actions);
-        let barred_for = self.crashes.barred_for(&crash.fingerprint, now);
+        self.store_crashes(now, &crash.subject, actions);
+        let barred_for = self.crashes.record.barred_for(&crash.subject, now);
         actions.push(Action::NoteCrash(CrashDetected {
             barred_for,
             crashes,
-            fingerprint: crash.fingerprint,
             is_weak: crash.is_weak,
             source,
+            subject: crash.subject,
             upstream: crash.upstream.clone(),
         }));
         if barred_for.is_some() {
-            self.refuse_barred(now, &crash.fingerprint, actions);
+            self.refuse_barred(now, &crash.subject, actions);
         }
         true
     }
 
-    /// Stores this host's own crashes of a request, on hosts that have a store.
-    fn store_crashes(&mut self, now: Time, fingerprint: &Fingerprint, actions: &mut Vec<Action>) {
+    /// Stores this host's own crashes of a subject, on hosts that have a store.
+    fn store_crashes(&mut self, now: Time, subject: &CrashSubject, actions: &mut Vec<Action>) {
         if self.options.relay.is_none() {
             return;
         }
         let stores_first = self.neighbors.exchanges_with_subset();
         let record = &mut self.crashes.record;
-        let unstored = record.take_unstored(fingerprint, stores_first);
+        let unstored = record.take_unstored(subject, stores_first);
         if !unstored.is_empty() {
             let crashes = unstored.iter().map(|crash| crash.to_note(now));
             actions.push(Action::StoreCrashes(crashes.collect()));
         }
     }
 
-    /// Refuses the queued requests with this fingerprint, which is now barred.
-    fn refuse_barred(&mut self, now: Time, fingerprint: &Fingerprint, actions: &mut Vec<Action>) {
+    /// Refuses the queued requests with this subject, which is now barred.
+    fn refuse_barred(&mut self, now: Time, subject: &CrashSubject, actions: &mut Vec<Action>) {
         let queued = self.requests.iter().filter_map(|(id, stage)| match stage {
-            Stage::Queued(request) if request.facts.fingerprint == *fingerprint => Some(*id),
+            Stage::Queued(request) if request.facts.crash_subjects.contains(subject) => Some(*id),
             _ => None,
         });
         let queued: Vec<RequestId> = queued.collect();
         for id in queued {
-            self.refuse_queued(now, id, RefusalReason::CrashesUpstreams, actions);
+            self.refuse_queued(now, id, refusal_reason(subject), actions);
         }
     }
 
@@ -211,17 +243,39 @@
 
     /// Whether the request must not be sent to another upstream.
     pub(crate) fn is_barred(&self, now: Time, facts: &RequestFacts) -> bool {
-        self.crashes.barred_for(&facts.fingerprint, now).is_some()
+        self.crashes.barred(&facts.crash_subjects, now).is_some()
     }
 
     /// Refuses a barred request before it is queued or sent to an upstream.
-    pub(crate) fn check_barred(&self, fingerprint: &Fingerprint, now: Time) -> Result<(), Refusal> {
-        match self.crashes.barred_for(fingerprint, now) {
+    pub(crate) fn check_barred(&self, subjects: &[CrashSubject], now: Time) -> Result<(), Refusal> {
+        match self.crashes.barred(subjects, now) {
             None => Ok(()),
-            Some(left) => Err(Refusal {
+            Some((left, subject)) => Err(Refusal {
                 retry_after: Some(left),
-                ..Refusal::not_run(RefusalReason::CrashesUpstreams)
+                ..Refusal::not_run(refusal_reason(&subject))
             }),
         }
     }
 }
+
+/// The features of a request by which crashes are counted. The last part of a prompt belongs to a
+/// single request or session.
+pub(crate) fn crash_subjects(
+    target: &Target,
+    parts: &[PromptPart],
+    fingerprint: Fingerprint,
+) -> Vec<CrashSubject> {
+    let target = target.to_string();
+    let shared = placement::shared_parts(parts).iter();
+    let shared = shared.map(|part| CrashSubject::PromptPart(PromptPartKey::new(&target, part.id)));
+    iter::once(CrashSubject::Request(fingerprint))
+        .chain(shared)
+        .collect()
+}
+
+const fn refusal_reason(subject: &CrashSubject) -> RefusalReason {
+    match subject {
+        CrashSubject::PromptPart(_) => RefusalReason::PromptPartCrashesUpstreams,
+        CrashSubject::Request(_) => RefusalReason::CrashesUpstreams,
+    }
+}
--- a/crates/policy/src/crashes/observed_crash.rs
+++ b/crates/policy/src/crashes/observed_crash.rs
@@ -4,10 +4,11 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct ObservedCrash {
     pub(crate) at: Time,
-    pub(crate) fingerprint: Fingerprint,
     /// Whether the crash says little about the request, because its response had begun or an
     /// identical request had recently completed.
     pub(crate) is_weak: bool,
+    /// The feature of the request that the crash is counted under.
+    pub(crate) subject: CrashSubject,
     pub(crate) upstream: UpstreamId,
 }
 
@@ -16,8 +17,8 @@
     pub(crate) fn advertised(crash: &peer::Crash, now: Time) -> Self {
         Self {
             at: now - Duration::from_millis(u64::from(crash.age_ms)),
-            fingerprint: crash.fingerprint,
             is_weak: crash.is_weak,
+            subject: crash.subject,
             upstream: crash.upstream.clone(),
         }
     }
@@ -26,8 +27,8 @@
         let age_ms = now.since(self.at).as_millis();
         peer::Crash {
             age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
-            fingerprint: self.fingerprint,
             is_weak: self.is_weak,
+            subject: self.subject,
             upstream: self.upstream.clone(),
         }
     }
@@ -47,17 +48,17 @@
 /// A crash that was unknown before, for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CrashDetected {
-    /// Time for which the request is barred from all upstreams; `None` if it is not barred.
+    /// Time for which such requests are barred from all upstreams; `None` if they are not barred.
     pub barred_for: Option<Duration>,
-    /// Number of upstreams known to have ended while they ran this request.
+    /// Number of upstreams known to have ended while they ran such requests.
     pub crashes: usize,
-    /// Fingerprint of the request, which includes its team.
-    pub fingerprint: Fingerprint,
     /// Whether the crash says little about the request, because its response had begun or an
     /// identical request had recently completed.
     pub is_weak: bool,
     /// Source of the report.
     pub source: CrashSource,
+    /// Feature of the request that the crash is counted under.
+    pub subject: CrashSubject,
     /// The upstream that ended.
     pub upstream: UpstreamId,
 }
--- a/crates/policy/src/crashes/suspected_crashes.rs
+++ b/crates/policy/src/crashes/suspected_crashes.rs
@@ -25,17 +25,19 @@
 }
 
 impl SuspectedCrashes {
-    /// Notes a broken connection, and returns it as a crash if the upstream is known to have ended.
+    /// Whether the upstream is known to have ended.
+    pub(crate) fn has_ended(&self, upstream: &UpstreamId) -> bool {
+        self.ended.contains_key(upstream)
+    }
+
+    /// Notes a broken connection. The crashes count once the upstream is known to have ended.
     pub(crate) fn note_connection_broken(
         &mut self,
-        broken: ObservedCrash,
-    ) -> Option<ObservedCrash> {
-        if self.ended.contains_key(&broken.upstream) {
-            return Some(broken);
-        }
-        let upstream = broken.upstream.clone();
-        self.broken.entry(upstream).or_default().push(broken);
-        None
+        upstream: &UpstreamId,
+        crashes: Vec<ObservedCrash>,
+    ) {
+        let broken = self.broken.entry(upstream.clone()).or_default();
+        broken.extend(crashes);
     }
 
     /// Whether to check now if an upstream listens. The rate of checks is limited because many
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,7 @@
 use {
     config::{Class, Document, Plan, Scheduling, Team, Upstream, VersionedDocument},
     peer::{
-        ClearedRequest, Crash, CrashNote, Demand, DutyNote, Echo, EngineKey, ExpectedWait, Grant,
+        Cleared, Crash, CrashNote, Demand, DutyNote, Echo, EngineKey, ExpectedWait, Grant,
         Heartbeat, HeartbeatAnswer, LimitNote, LoadNote, ModelWork, PeerHost, PeerPhase,
         PrefillTokenTime, PromptRead, Reachability, ServiceDivision, SpeedVote, StreamMessage,
         StreamNote, StreamVersion, TokenGrant, TokenRequest, UpstreamLoad, UpstreamNote, UsageNote,
@@ -17,6 +17,7 @@
         cmp::{Ordering, Reverse},
         collections::{BTreeMap, BTreeSet, VecDeque},
         fmt::{self, Display, Formatter},
+        iter,
         net::SocketAddr,
         ops::{Bound, Range},
         sync::Arc,
@@ -79,7 +80,7 @@
 
 use {
     brittleness::Brittleness,
-    crashes::Crashes,
+    crashes::{Crashes, crash_subjects},
     duties::Reporting,
     hosts::{GroupCapacity, Neighbors, NewerConfiguration, Peering, Share},
     overload::{CongestionControl, EarlyRefusal},
--- a/crates/policy/src/queueing/admission.rs
+++ b/crates/policy/src/queueing/admission.rs
@@ -70,7 +70,12 @@
         let fingerprint = arrival.fingerprint.for_team(&resolved.team_id);
         // The estimates are for a whole target, and say nothing about the upstreams of one version.
         let is_bound = bound != VersionBound::Any;
-        let admitted = self.check_barred(&fingerprint, now).and_then(|()| {
+        let parts = arrival
+            .routed
+            .as_ref()
+            .map_or(&[][..], |routed| &routed.parts);
+        let subjects = crash_subjects(&arrival.target, parts, fingerprint);
+        let admitted = self.check_barred(&subjects, now).and_then(|()| {
             if is_bound {
                 return Ok(());
             }
@@ -92,7 +97,7 @@
             actions.push(Action::Record(outcome));
             return Ok(());
         }
-        let request = self.new_request(now, arrival, resolved, rank, bound);
+        let request = self.new_request(now, arrival, resolved, subjects, bound);
         let expected_end = if is_bound {
             Ok(())
         } else {
@@ -316,7 +321,7 @@
         now: Time,
         arrival: Arrival,
         resolved: ResolvedArrival,
-        rank: Rank,
+        crash_subjects: Vec<CrashSubject>,
         version_bound: VersionBound,
     ) -> Request<Queued> {
         let output = self.length_estimate.estimate(
@@ -365,6 +370,7 @@
             arrived: now,
             between_token_target_ms: resolved.class.between_token_target_ms,
             class: resolved.class_id,
+            crash_subjects,
             deadline: now + time_limit.unwrap_or(max_duration).min(max_duration),
             due,
             engine_priority: resolved.engine_priority,
@@ -380,7 +386,7 @@
             prefix: arrival.prefix,
             public,
             version_bound,
-            rank,
+            rank: Rank::new(resolved.tier, resolved.plan),
             resumable: resolved.class.resumable,
             resumed_stream,
             stream,
--- a/crates/policy/src/requests/attempts.rs
+++ b/crates/policy/src/requests/attempts.rs
@@ -39,6 +39,7 @@
         let prefill = std::mem::take(&mut request.stage.prefill);
         // Also true when a stream that was moved continues on another upstream.
         let is_first_on_upstream = !std::mem::replace(&mut request.stage.is_streaming, true);
+        request.stage.began.get_or_insert(now);
         let is_rendezvous = request.stage.is_rendezvous;
         let is_direct = request.stage.is_direct;
         let read_parts = is_first_on_upstream.then(|| request.facts.parts.clone());
@@ -147,7 +148,7 @@
         let facts = &request.facts;
         self.crashes
             .note_alive(&request.stage.upstream, request.stage.sent);
-        self.crashes.note_completion(&facts.fingerprint, now);
+        self.crashes.note_completion(&facts.crash_subjects, now);
         if let Some(queues) = self.target_queues.get_mut(&facts.target) {
             let span = now.since(request.stage.sent);
             queues.service_rate.note_answer(request.item.cost, span);
--- a/crates/policy/src/requests/refusal_reason.rs
+++ b/crates/policy/src/requests/refusal_reason.rs
@@ -12,6 +12,8 @@
     ConfigurationStale,
     /// Identical requests crashed the upstreams that ran them.
     CrashesUpstreams,
+    /// Requests with one of the prompt's parts crashed the upstreams that ran them.
+    PromptPartCrashesUpstreams,
     /// The request was queued until its deadline passed.
     DeadlinePassed,
     /// The request is not expected to start before the deadline of its class.
@@ -76,6 +78,7 @@
             Self::NoUpstream => "no_upstream",
             Self::NotReady => "not_ready",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::PromptPartCrashesUpstreams => "prompt_part_crashes_upstreams",
             Self::QueueFull => "queue_full",
             Self::StreamVersionGone => "stream_version_gone",
             Self::StreamVersionUnknown => "stream_version_unknown",
@@ -114,6 +117,7 @@
                 | Self::InProgress
                 | Self::KeyReused
                 | Self::OutcomeUnknown
+                | Self::PromptPartCrashesUpstreams
                 | Self::TeamConcurrency
                 | Self::TeamRate
                 | Self::UnknownClass
@@ -144,6 +148,9 @@
             Self::NoUpstream => "no upstream of the service takes requests",
             Self::NotReady => "the host has no configuration yet",
             Self::OutcomeUnknown => "an earlier request with this idempotency key may have run",
+            Self::PromptPartCrashesUpstreams => {
+                "requests with a part of this prompt crashed the upstreams that ran them"
+            }
             Self::QueueFull => "the queue is full",
             Self::StreamVersionGone => "no upstream of the stream's software version is left",
             Self::StreamVersionUnknown => "the software version of the stream is not known",
--- a/crates/policy/src/requests/refusing.rs
+++ b/crates/policy/src/requests/refusing.rs
@@ -27,7 +27,7 @@
         self.finish_refused(now, &request, refusal, actions);
     }
 
-    /// Refuses a request that has been removed from its queue. If its fingerprint is barred for
+    /// Refuses a request that has been removed from its queue. If one of its features is barred for
     /// crashing upstreams, the caller is advised to retry after the bar ends.
     pub(crate) fn refuse(
         &mut self,
@@ -36,9 +36,11 @@
         reason: RefusalReason,
         actions: &mut Vec<Action>,
     ) {
-        let barred_for = self.crashes.barred_for(&request.facts.fingerprint, now);
-        let retry_after =
-            barred_for.unwrap_or_else(|| self.jittered_retry_after(FAILED_RETRY_AFTER));
+        let barred = self.crashes.barred(&request.facts.crash_subjects, now);
+        let retry_after = match barred {
+            Some((left, _)) => left,
+            None => self.jittered_retry_after(FAILED_RETRY_AFTER),
+        };
         self.refuse_with_retry_after(now, &request, reason, retry_after, actions);
     }
 
--- a/crates/policy/src/requests/request.rs
+++ b/crates/policy/src/requests/request.rs
@@ -6,6 +6,8 @@
     pub(crate) arrived: Time,
     pub(crate) between_token_target_ms: u64,
     pub(crate) class: ClassId,
+    /// Features by which crashes of upstreams are counted.
+    pub(crate) crash_subjects: Vec<CrashSubject>,
     /// Time after which no attempt may start.
     pub(crate) deadline: Time,
     /// Time by which the first token is due.
@@ -133,6 +135,8 @@
     pub(crate) attempt: AttemptId,
     /// Parts of the prompt that the engine fetches from another engine.
     pub(crate) fetch: Option<PromptFetch>,
+    /// When this attempt produced its first tokens.
+    pub(crate) began: Option<Time>,
     /// Whether the attempt has been abandoned and its end has not been reported yet.
     pub(crate) is_abandoned: bool,
     /// Whether the request was, as far as known, sent directly and not through another host.
@@ -182,6 +186,7 @@
     fn new(upstream: UpstreamId, attempt: AttemptId, priority: u8, now: Time) -> Self {
         Self {
             attempt,
+            began: None,
             fetch: None,
             is_abandoned: false,
             is_direct: false,
@@ -277,6 +282,7 @@
         self.tried.push(previous);
         self.attempts += 1;
         self.stage.attempt = attempt;
+        self.stage.began = None;
         self.stage.is_abandoned = false;
         self.stage.last_progress = now;
         self.stage.resume_count += 1;
--- a/crates/policy/tests/installation/crashes.rs
+++ b/crates/policy/tests/installation/crashes.rs
@@ -380,8 +380,12 @@
             cleared: Vec::new(),
             crashes: vec![peer::Crash {
                 age_ms: 0,
-                fingerprint: Fingerprint::of_request("POST", "/", &number.to_be_bytes()),
                 is_weak: false,
+                subject: CrashSubject::Request(Fingerprint::of_request(
+                    "POST",
+                    "/",
+                    &number.to_be_bytes(),
+                )),
                 upstream: format!("other-{}", number / 100).parse().unwrap(),
             }],
             host: "host-1".parse().unwrap(),
@@ -438,8 +442,12 @@
     stop_listening(&mut host, &asked[0].1.upstream);
     host.advance(15_000);
     let notes = crash_announcements(&host.actions);
-    let crashes: usize = notes.iter().map(|(note, _)| note.crashes.len()).sum();
-    assert_eq!(crashes, 3 * asked.len());
+    let crashes = notes.iter().flat_map(|(note, _)| &note.crashes);
+    let (of_parts, of_requests): (Vec<_>, Vec<_>) =
+        crashes.partition(|crash| is_of_part(&crash.subject));
+    assert_eq!(of_requests.len(), 3 * asked.len());
+    // All these prompts have the same shared part.
+    assert_eq!(of_parts.len(), 3);
     let sent = notes.iter().map(|(note, to)| {
         assert_eq!(to.len(), 380);
         note.to_datagram("token").len() * to.len()
@@ -503,9 +511,11 @@
         cleared: Vec::new(),
         crashes: vec![peer::Crash {
             age_ms: 900,
-            fingerprint: Fingerprint::of_request("POST", "question", b"popular")
-                .for_team(&"first".parse().unwrap()),
             is_weak: false,
+            subject: CrashSubject::Request(
+                Fingerprint::of_request("POST", "question", b"popular")
+                    .for_team(&"first".parse().unwrap()),
+            ),
             upstream: format!("other-{number}").parse().unwrap(),
         }],
         host: "host-1".parse().unwrap(),
@@ -555,9 +565,23 @@
     assert_eq!(refusal(&mut started, request_with_body("popular")), None);
 }
 
+fn is_of_part(subject: &CrashSubject) -> bool {
+    matches!(subject, CrashSubject::PromptPart(_))
+}
+
+/// Returns the stored crashes of whole requests, for each store call.
 fn stored_crashes(actions: &[Action]) -> Vec<Vec<peer::Crash>> {
+    stored(actions, |subject| !is_of_part(subject))
+}
+
+/// Returns the stored crashes of prompt parts, for each store call.
+fn stored_part_crashes(actions: &[Action]) -> Vec<Vec<peer::Crash>> {
+    stored(actions, is_of_part)
+}
+
+fn stored(actions: &[Action], of: fn(&CrashSubject) -> bool) -> Vec<Vec<peer::Crash>> {
     let stored = actions.iter().filter_map(|action| match action {
-        Action::StoreCrashes(crashes) => Some(crashes.clone()),
+        Action::StoreCrashes(crashes) if of(&crashes[0].subject) => Some(crashes.clone()),
         _ => None,
     });
     stored.collect()
@@ -571,7 +595,10 @@
     let mut host = Host::new(0);
     host.read_directory(engines(20), &[]);
     let first = crash(&mut host, fatal_request());
-    crash(&mut host, request_with_body("harmless"));
+    crash(
+        &mut host,
+        TestRequest::prompt("question", "first-key", &[(3, 500), (4, 100)]),
+    );
     assert!(stored_crashes(&host.actions).is_empty());
     let second = crash(&mut host, fatal_request());
     let names = |crashes: &[peer::Crash]| -> BTreeSet<UpstreamId> {
@@ -579,11 +606,19 @@
     };
     let all = stored_crashes(&host.actions);
     assert_eq!(all.len(), 1);
-    assert_eq!(names(&all[0]), BTreeSet::from([first, second]));
+    assert_eq!(
+        names(&all[0]),
+        BTreeSet::from([first.clone(), second.clone()])
+    );
+    assert!(stored_part_crashes(&host.actions).is_empty());
     let third = crash(&mut host, fatal_request());
     let all = stored_crashes(&host.actions);
     assert_eq!(all.len(), 2);
-    assert_eq!(names(&all[1]), BTreeSet::from([third]));
+    assert_eq!(names(&all[1]), BTreeSet::from([third.clone()]));
+    // Those of a prompt part are stored from the third on.
+    let of_part = stored_part_crashes(&host.actions);
+    assert_eq!(of_part.len(), 1);
+    assert_eq!(names(&of_part[0]), BTreeSet::from([first, second, third]));
 }
 
 /// Guards against hosts of another failure domain that keep sending a barred request: the domains
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -113,6 +113,7 @@
         | RefusalReason::NoTimeLeft
         | RefusalReason::NoUpstream
         | RefusalReason::NotReady
+        | RefusalReason::PromptPartCrashesUpstreams
         | RefusalReason::QueueFull
         | RefusalReason::StoreUnavailable
         | RefusalReason::StreamVersionGone
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -238,7 +238,7 @@
     }
 
     /// Counts an upstream that crashed while serving a request. Logs the crash if this host
-    /// observed it or if it is not the first crash for the fingerprint.
+    /// observed it or if it is not the first crash for its subject.
     pub(crate) fn log_crash(&mut self, now: Time, noted: &CrashDetected) {
         let (source, from) = match &noted.source {
             CrashSource::Host(host) => ("advertised", Some(host.to_string())),
@@ -246,14 +246,14 @@
             CrashSource::Store => ("store", None),
         };
         counter!("rhubarbcove_crashes_noted_total", "source" => source).increment(1);
-        // The first crash for a fingerprint is logged by the host that observed it. If every host
+        // The first crash for a subject is logged by the host that observed it. If every host
         // logged it, such lines would dominate the log of a large fleet.
         let is_logged = noted.source == CrashSource::Own || noted.crashes > 1;
         if !is_logged || !self.budget.take(LineKind::Important, now) {
             return;
         }
         warn!(self.logger, "crashes: upstream ended under a request";
-            "fingerprint" => noted.fingerprint.short_hex(),
+            "subject" => noted.subject.label(),
             "upstream" => %noted.upstream,
             "crashes" => noted.crashes,
             "weak" => noted.is_weak,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -24,6 +24,7 @@
 mod class_id;
 mod collections;
 mod config_version;
+mod crash_subject;
 mod failure_cause;
 mod failure_domain_id;
 mod fencing_number;
@@ -42,6 +43,7 @@
 mod path_outcome;
 pub mod prelude;
 mod prompt_part;
+mod prompt_part_key;
 mod rate;
 mod rendezvous;
 mod request_id;
@@ -61,13 +63,14 @@
     advertised_backoff::AdvertisedBackoff, advertised_limit::AdvertisedLimit,
     attempt_id::AttemptId, bandwidth::Bandwidth, byte_size::ByteSize, class_id::ClassId,
     collections::HashMap, collections::HashSet, config_version::ConfigVersion,
-    failure_cause::FailureCause, failure_domain_id::FailureDomainId, fencing_number::FencingNumber,
-    fingerprint::Fingerprint, host_id::HostId, idempotency_key::IdempotencyKey,
-    incarnation::Incarnation, key_hash::KeyHash, listening::Listening, load_report::LoadReport,
-    model_id::ModelId, parse_id_error::ParseIdError, parse_value_error::ParseValueError,
-    path::Path, path_attempt::PathAttempt, path_outcome::PathOutcome, prompt_part::PromptPart,
-    rate::Rate, rendezvous::rendezvous_weight, request_id::RequestId, route_id::RouteId,
-    service_id::ServiceId, software_version::SoftwareVersion, stream_id::StreamId, team_id::TeamId,
-    tier::Tier, time::Time, tokens::Tokens, upstream_id::UpstreamId,
-    upstream_notice::UpstreamNotice, verdict::Verdict,
+    crash_subject::CrashSubject, failure_cause::FailureCause, failure_domain_id::FailureDomainId,
+    fencing_number::FencingNumber, fingerprint::Fingerprint, host_id::HostId,
+    idempotency_key::IdempotencyKey, incarnation::Incarnation, key_hash::KeyHash,
+    listening::Listening, load_report::LoadReport, model_id::ModelId, parse_id_error::ParseIdError,
+    parse_value_error::ParseValueError, path::Path, path_attempt::PathAttempt,
+    path_outcome::PathOutcome, prompt_part::PromptPart, prompt_part_key::PromptPartKey, rate::Rate,
+    rendezvous::rendezvous_weight, request_id::RequestId, route_id::RouteId, service_id::ServiceId,
+    software_version::SoftwareVersion, stream_id::StreamId, team_id::TeamId, tier::Tier,
+    time::Time, tokens::Tokens, upstream_id::UpstreamId, upstream_notice::UpstreamNotice,
+    verdict::Verdict,
 };
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -2,8 +2,8 @@
 
 pub use crate::{
     AdvertisedBackoff, AdvertisedLimit, AttemptId, Bandwidth, ByteSize, ClassId, ConfigVersion,
-    FailureCause, FailureDomainId, FencingNumber, Fingerprint, HashMap, HashSet, HostId,
-    IdempotencyKey, Incarnation, KeyHash, LoadReport, ModelId, Path, PathAttempt, PathOutcome,
-    PromptPart, Rate, RequestId, RouteId, ServiceId, SoftwareVersion, StreamId, TeamId, Tier, Time,
-    Tokens, UpstreamId, UpstreamNotice, Verdict, rendezvous_weight,
+    CrashSubject, FailureCause, FailureDomainId, FencingNumber, Fingerprint, HashMap, HashSet,
+    HostId, IdempotencyKey, Incarnation, KeyHash, LoadReport, ModelId, Path, PathAttempt,
+    PathOutcome, PromptPart, PromptPartKey, Rate, RequestId, RouteId, ServiceId, SoftwareVersion,
+    StreamId, TeamId, Tier, Time, Tokens, UpstreamId, UpstreamNotice, Verdict, rendezvous_weight,
 };
