Abandon attempts that wait at upstreams once they are barred

Cause: when a request or a prompt part is barred, those queued at the host are refused, but those that wait at an upstream for their first token go on and crash one upstream each.

Change: these attempts are abandoned, as those on a lost path are; their failure says nothing about the upstream. Responses that have begun go on: they clear a part that was barred by mistake.

--- a/crates/policy/src/crashes/crash_handling.rs
+++ b/crates/policy/src/crashes/crash_handling.rs
@@ -199,6 +199,7 @@
         }));
         if barred_for.is_some() {
             self.refuse_barred(now, &crash.subject, actions);
+            self.abandon_barred(&crash.subject, actions);
         }
         true
     }
@@ -229,6 +230,30 @@
         }
     }
 
+    /// Abandons the attempts with this subject, which is now barred, whose responses have not begun.
+    /// Each would crash the upstream at which it waits.
+    fn abandon_barred(&mut self, subject: &CrashSubject, actions: &mut Vec<Action>) {
+        for stage in self.requests.values_mut() {
+            let Stage::Running(request) = stage else {
+                continue;
+            };
+            let is_waiting = request.stage.began.is_none() && !request.stage.is_abandoned;
+            if is_waiting && request.facts.crash_subjects.contains(subject) {
+                actions.push(Action::Abandon {
+                    attempt: request.stage.attempt,
+                    request: request.id,
+                });
+                request.stage.is_abandoned = true;
+            }
+        }
+    }
+
+    /// Whether an attempt failed because this host abandoned it as barred, which says nothing about
+    /// its upstream.
+    pub(crate) fn was_abandoned_as_barred(&self, now: Time, request: &Request<Running>) -> bool {
+        request.stage.is_abandoned && self.is_barred(now, &request.facts)
+    }
+
     fn announce_crashes(&mut self, now: Time, actions: &mut Vec<Action>) {
         let to: Vec<SocketAddr> = self.neighbors.addresses(&self.options.host).collect();
         let note = self
--- a/crates/policy/src/requests/attempts.rs
+++ b/crates/policy/src/requests/attempts.rs
@@ -177,7 +177,8 @@
         self.note_unfinished(now, &request);
         let is_path_failure =
             failure.cause.is_connection_loss() && self.is_path_lost(&request.stage);
-        if !is_path_failure {
+        let says_nothing = is_path_failure || self.was_abandoned_as_barred(now, &request);
+        if !says_nothing {
             self.record_attempt_failure(now, &request, failure.cause);
         }
         if failure.cause == FailureCause::Busy {
@@ -193,7 +194,7 @@
                 self.note_upstream_ended(now, &request.stage.upstream, actions);
             }
             FailureCause::Reset | FailureCause::Silent | FailureCause::Truncated
-                if !is_path_failure =>
+                if !says_nothing =>
             {
                 self.note_connection_broken(now, &request, actions);
             }
--- a/crates/policy/tests/installation/crashes.rs
+++ b/crates/policy/tests/installation/crashes.rs
@@ -652,3 +652,45 @@
     late.handle(Event::CrashesListed(old.collect()));
     assert_eq!(refusal(&mut late, fatal_request()), None);
 }
+
+/// A prompt with a part that crashes upstreams; all its other parts differ from those of other
+/// prompts.
+fn prompt_with_fatal_part(number: u64) -> TestRequest {
+    let parts = [(1_000 + number, 500), (7, 400), (2_000 + number, 100)];
+    TestRequest::prompt("question", "first-key", &parts)
+}
+
+/// Guards against prompts that crash one upstream each although their part is barred: they wait at
+/// upstreams when the third crash becomes known, and only those queued at the host are refused.
+#[test]
+fn attempts_that_wait_at_upstreams_are_abandoned_once_barred() {
+    let mut host = Host::new(0);
+    host.read_directory(engines(20), &[]);
+    let (waiting, waiting_order) = send(&mut host, prompt_with_fatal_part(0));
+    let (begun, begun_order) = send(&mut host, prompt_with_fatal_part(1));
+    host.handle(Event::Progressed {
+        attempt: begun_order.attempt,
+        longest_pause: Duration::ZERO,
+        request: begun,
+        tokens: Tokens::new(5),
+    });
+    let mut observer = Host::new(1);
+    observer.read_directory(engines(20), &[]);
+    for number in 2..5 {
+        crash(&mut observer, prompt_with_fatal_part(number));
+    }
+    observer.advance(2_000);
+    let mut after = Vec::new();
+    for (note, _) in crash_announcements(&observer.actions) {
+        after.extend(host.handle(Event::CrashesReceived(note)));
+    }
+    let abandoned = after.iter().filter_map(|action| match action {
+        Action::Abandon { request, .. } => Some(*request),
+        _ => None,
+    });
+    assert_eq!(abandoned.collect::<Vec<_>>(), [waiting]);
+    let (cause, verdict) = (FailureCause::Silent, Verdict::MayHaveRun);
+    let ended = host.fail(&waiting_order, waiting, cause, verdict, false);
+    assert_eq!(refused(&ended).unwrap().verdict, Verdict::MayHaveRun);
+    assert_eq!(listening_checks(&ended), []);
+}
