Simulate prompt parts that crash engines at many hosts

Cause: the test with real hosts has four of them and no lost datagrams, and cannot show hosts that serve few harmless requests.

Change: hosts and engines in virtual time, with the datagrams, the store and the listening checks. Requests with a fatal part come at any host, harmless ones share its team and all its other parts; engines are back after four seconds.

--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -8,6 +8,8 @@
 mod crashes;
 mod early_refusal;
 mod engine_simulation;
+mod fatal_parts;
+mod fatal_parts_simulation;
 mod faulty_replicas;
 mod fleet;
 mod host_costs;
