Close connections unread beyond what a host can serve

Cause: a platform may hand most new connections of a failure domain or of an area to one host for some seconds. A host accepted up to 10,000 connections whatever descriptors it had, so that none were left for upstreams, and read requests although it lacked processor time, so that all were late.

Change: connections from callers may take half of the descriptors that the installation grants (limits.max_descriptors, filled in by the template), and while a caller thread's timer is late by more than 150 ms three times in a row, new connections are closed unread, so that their callers can safely try another host. Both are counted in rhubarbcove_connections_closed_unread_total.

Result: the new tests pass: connections_beyond_the_descriptors_are_closed_unread (real host, the fourth of three connections), only_a_lasting_delay_is_an_overload, and a_host_that_receives_most_requests_serves_them (virtual time, 6 and 24 hosts, 0.7 and all requests at one host and then at another: at least 0.9 of the share served before). The last one passes without the change, too: no division among hosts stands in the way.

--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -17,6 +17,9 @@
     pub max_buffered_bytes: ByteSize,
     /// Maximum number of open connections from callers.
     pub max_connections: usize,
+    /// File descriptors that the host may use.
+    #[serde(deserialize_with = "whole_number::floored")]
+    pub max_descriptors: usize,
     /// Largest head of a request. The default is the limit of the HTTP library.
     pub max_head_bytes: ByteSize,
     /// Maximum number of queued requests.
@@ -36,6 +39,18 @@
     pub upstream_idle_timeout_ms: u64,
 }
 
+/// File descriptors for all but requests: files, the store, the operators and the other hosts.
+const RESERVED_DESCRIPTORS: usize = 400;
+
+impl Limits {
+    /// Number of connections from callers that the host keeps open at most. Each may need a
+    /// connection to an upstream, too.
+    pub fn max_caller_connections(&self) -> usize {
+        let descriptors = self.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        self.max_connections.min(descriptors / 2)
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -45,6 +60,7 @@
             max_body_bytes: ByteSize::new(4 * 1024 * 1024),
             max_buffered_bytes: ByteSize::new(64 * 1024 * 1024),
             max_connections: 10_000,
+            max_descriptors: 20_400,
             max_head_bytes: ByteSize::new(400 * 1024),
             max_queued: 4_000,
             max_unread_bytes: ByteSize::new(16 * 1024 * 1024),
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -147,6 +147,12 @@
                 limits.upstream_idle_timeout_ms,
             ),
         ];
+        if limits.max_caller_connections() == 0 && limits.max_connections > 0 {
+            return Err(SettingsError::OutOfRange {
+                expected: "402 or more".to_string(),
+                field: "limits.max_descriptors".to_string(),
+            });
+        }
         match fields.iter().find(|(_, value)| *value == 0) {
             Some((field, _)) => Err(SettingsError::OutOfRange {
                 expected: "1 or more".to_string(),
--- a/crates/config/tests/template.rs
+++ b/crates/config/tests/template.rs
@@ -20,6 +20,7 @@
     ("bounds.usage-window-s", "5.5"),
     ("cloud-api.address", "10.200.1.8:80"),
     ("ip", "10.1.0.40"),
+    ("limits.max-fds", "4100.5"),
     ("listen.front", "10.1.0.40:8227"),
     ("listen.ready-address", "10.1.0.40:8220"),
     ("node-name", "front-1"),
@@ -48,6 +49,7 @@
 #[test]
 fn fractional_bounds_are_rounded_to_the_strict_side() {
     let settings = Settings::from_toml(&fill(TEMPLATE)).unwrap();
+    assert_eq!(settings.limits.max_descriptors, 4_100);
     let relay = toml::to_string(&settings.relay).unwrap();
     assert_eq!(
         relay,
--- a/crates/policy/tests/installation/engine_simulation.rs
+++ b/crates/policy/tests/installation/engine_simulation.rs
@@ -112,6 +112,8 @@
     /// Hosts that neither send nor receive load notes.
     pub hosts_without_notes: BTreeSet<usize>,
     pub hosts: Vec<Host>,
+    /// Host that receives more requests than the others, and the share that it receives.
+    pub preferred_host: Option<(usize, f64)>,
     /// Number of engines that process nothing and refuse new requests.
     pub stopped_engines: usize,
     /// Whether each caller waits for a random part of the time limit, from half to all of it.
@@ -141,6 +143,7 @@
                 .map(|id| (id, Engine::default()))
                 .collect(),
             hosts: Vec::new(),
+            preferred_host: None,
             stopped_engines: 0,
             random_time_limits: false,
             next_number: 0,
@@ -250,7 +253,12 @@
     }
 
     fn ask(&mut self, caller: Caller) {
-        let host = self.rng.random_range(0..self.hosts.len());
+        let preferred = self.preferred_host;
+        let preferred = preferred.filter(|(_, share)| self.rng.random_bool(*share));
+        let host = match preferred {
+            Some((host, _)) => host,
+            None => self.rng.random_range(0..self.hosts.len()),
+        };
         let class = &CLASSES[caller.class];
         let document = 1_000 * (1 + caller.class as u64) + caller.document;
         let parts = [
--- a/crates/router/src/caller_thread.rs
+++ b/crates/router/src/caller_thread.rs
@@ -35,13 +35,21 @@
         let listener = TcpListener::from_std(self.listener.try_clone()?)?;
         let graceful = GracefulShutdown::new();
         let mut connections = JoinSet::new();
+        let mut delay = LoopDelay::default();
+        let mut ticks = interval(LoopDelay::INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
+                due = ticks.tick() => {
+                    delay.note_tick(due.elapsed());
+                    continue;
+                }
                 Some(_) = connections.join_next() => continue,
                 () = self.shutdown.started() => break,
             };
             match accepted {
+                Ok(_) if delay.is_overloaded() => count_closed_unread("processor"),
                 Ok((stream, _)) => self.serve_connection(stream, &graceful, &mut connections),
                 Err(error) => {
                     warn!(self.logger, "callers: accept failed"; "error" => %error);
@@ -62,8 +70,10 @@
     ) {
         let open = self.connections.fetch_add(1, Ordering::Relaxed);
         let guard = ConnectionGuard(Arc::clone(&self.connections));
-        if open >= self.service.limits().settings_limits().max_connections {
+        let limits = self.service.limits().settings_limits();
+        if open >= limits.max_caller_connections() {
             // Closes the connection without a response, because any response would cost resources.
+            count_closed_unread("connections");
             return;
         }
         let _ = stream.set_nodelay(true);
@@ -129,3 +139,8 @@
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Counts a connection that is closed before anything is read from it.
+fn count_closed_unread(reason: &'static str) {
+    counter!("rhubarbcove_connections_closed_unread_total", "reason" => reason).increment(1);
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -80,7 +80,7 @@
         net::{TcpListener, TcpStream},
         sync::{Notify, mpsc, oneshot, watch},
         task::JoinSet,
-        time::{sleep, timeout},
+        time::{MissedTickBehavior, interval, sleep, timeout},
     },
     types::prelude::*,
     upstream::{
@@ -126,6 +126,7 @@
 mod last_activity;
 mod log_budget;
 mod logs;
+mod loop_delay;
 mod note_sender;
 mod note_thread;
 mod operator_service;
@@ -202,6 +203,7 @@
     jitter::jittered,
     last_activity::LastActivity,
     log_budget::{LineKind, LogBudget},
+    loop_delay::LoopDelay,
     note_sender::NoteSender,
     note_thread::NoteThread,
     operator_service::OperatorService,
