Count crashes less for parts that ever completed, and test both releases

Cause: a part that many prompts share counted as fully as an unknown one once it had not completed for thirty seconds.

Change: as for requests, a completion on record halves what later crashes count, whatever its age. Tests show that hosts of the previous release read the requests of a crash note and ignore its parts, that a note without parts has the bytes of before, and that rows of parts are not taken for those of requests.

--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -4,13 +4,14 @@
 
 use {
     peer::{
-        CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LoadNote, MAX_TARGETS, MessageError,
-        PROTOCOL, StreamMessage, StreamNote, StreamVersion, TokenGrant, TokenRequest, UpstreamNote,
-        UsageNote, VersionNote,
+        Cleared, Crash, CrashNote, DutyNote, Heartbeat, HeartbeatAnswer, LoadNote, MAX_TARGETS,
+        MessageError, PROTOCOL, StreamMessage, StreamNote, StreamVersion, TokenGrant, TokenRequest,
+        UpstreamNote, UsageNote, VersionNote,
     },
     quickcheck::{Gen, QuickCheck},
+    serde::{Deserialize, Serialize},
     serde_json::{Value, json},
-    types::StreamId,
+    types::{CrashSubject, Fingerprint, HostId, PromptPartKey, StreamId, UpstreamId},
 };
 
 fn heartbeat() -> Value {
@@ -117,3 +118,54 @@
         .tests(2_000)
         .quickcheck(is_rejected as fn(usize, u8, usize) -> bool);
 }
+
+/// A crash note as the previous release reads and writes it.
+#[derive(Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct PreviousCrashNote {
+    cleared: Vec<(u32, Fingerprint)>,
+    crashes: Vec<(u32, Fingerprint, bool, UpstreamId)>,
+    host: HostId,
+    protocol: u32,
+}
+
+/// Guards against hosts of two releases that don't understand each other's crash notes.
+#[test]
+fn the_previous_release_reads_the_requests_of_a_crash_note() {
+    let fingerprint = Fingerprint::of_request("POST", "/", b"fatal");
+    let crash = |subject| Crash {
+        age_ms: 7,
+        is_weak: false,
+        subject,
+        upstream: "e-1@5".parse().unwrap(),
+    };
+    let part = CrashSubject::PromptPart(PromptPartKey::new("model m", 0x5c));
+    let note = CrashNote {
+        cleared: vec![Cleared {
+            age_ms: 9,
+            subject: part,
+        }],
+        crashes: vec![crash(CrashSubject::Request(fingerprint)), crash(part)],
+        host: "front-1".parse().unwrap(),
+        protocol: PROTOCOL,
+    };
+    let tag_len = 16;
+    let datagram = note.to_datagram("token");
+    assert_eq!(CrashNote::from_datagram(&datagram, "token").unwrap(), note);
+    let (previous, _): (PreviousCrashNote, &[u8]) =
+        postcard::take_from_bytes(&datagram[tag_len..]).unwrap();
+    let upstream = "e-1@5".parse().unwrap();
+    assert_eq!(previous.crashes, [(7, fingerprint, false, upstream)]);
+    assert!(previous.cleared.is_empty());
+    let without_parts = CrashNote {
+        cleared: Vec::new(),
+        crashes: vec![crash(CrashSubject::Request(fingerprint))],
+        ..note
+    };
+    let datagram = without_parts.to_datagram("token");
+    let bytes = postcard::to_allocvec(&previous).unwrap();
+    assert_eq!(datagram[tag_len..], bytes);
+    assert_eq!(
+        CrashNote::from_datagram(&datagram, "token").unwrap(),
+        without_parts
+    );
+}
--- a/crates/policy/src/crashes/mod.rs
+++ b/crates/policy/src/crashes/mod.rs
@@ -29,10 +29,6 @@
 /// request. Most parts that harmless requests share are cleared this way, without any message.
 const PART_TRUST: Duration = Duration::from_secs(2);
 
-/// Time after a completion for which crashes count less against the prompt parts of the completed
-/// request. A part that has long been harmless can crash the next release of the upstreams.
-const PART_CREDIT: Duration = Duration::from_secs(30);
-
 /// State of the crash detection on this host.
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
@@ -75,9 +71,8 @@
         if trusted_until.is_some_and(|until| until > crash.at) {
             return None;
         }
-        let has_credit = completed.is_some_and(|at| !is_part || crash.at.since(at) < PART_CREDIT);
         let crash = ObservedCrash {
-            is_weak: crash.is_weak || has_credit,
+            is_weak: crash.is_weak || completed.is_some(),
             ..crash.clone()
         };
         self.record.note(&crash, *source == CrashSource::Own)
