Announce crashes under parts that completed before as weak

Cause: a host that knows a part as harmless counted a crash under it half, but announced it in full; hosts without completions of the part counted all.

Change: the crash is weak from its observation on, as for requests.

--- a/crates/policy/src/crashes/crash_handling.rs
+++ b/crates/policy/src/crashes/crash_handling.rs
@@ -61,11 +61,13 @@
         let began = request.stage.began;
         let has_lasted = began.is_some_and(|began| now.since(began) >= HARMLESS_AFTER);
         let subjects = request.facts.crash_subjects.iter();
-        subjects.filter_map(move |subject| match subject {
-            CrashSubject::PromptPart(_) => (!has_lasted).then_some((*subject, false)),
-            CrashSubject::Request(_) => {
-                let has_completed = self.crashes.completions.last(subject).is_some();
-                Some((*subject, request.stage.is_streaming || has_completed))
+        subjects.filter_map(move |subject| {
+            let has_completed = self.crashes.last_completion(subject).is_some();
+            match subject {
+                CrashSubject::PromptPart(_) => (!has_lasted).then_some((*subject, has_completed)),
+                CrashSubject::Request(_) => {
+                    Some((*subject, request.stage.is_streaming || has_completed))
+                }
             }
         })
     }
