Give each host of a review script ports of its own

In a trial with three scripts side by side, two hosts of one run drew the same free port, so the script ended with 2 (it could not run). Ports are now counted up within a range below that of outgoing connections, from a place of each run's own.

--- a/review/standins/src/host.rs
+++ b/review/standins/src/host.rs
@@ -6,9 +6,10 @@
     std::{
         fs::File,
         io::Write,
-        net::{SocketAddr, TcpListener},
+        net::{SocketAddr, TcpListener, UdpSocket},
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
+        sync::atomic::{AtomicU32, Ordering},
         time::{Duration, Instant},
     },
 };
@@ -169,7 +170,23 @@
     }
 }
 
+/// Ports for the hosts, below those that systems usually give to outgoing connections.
+const PORTS: std::ops::Range<u32> = 20_000..32_000;
+
+/// Number of addresses that were looked at.
+static LOOKED_AT: AtomicU32 = AtomicU32::new(0);
+
+/// An address that no other host of this run gets, and at which nobody listens. Runs begin at
+/// different ports.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    loop {
+        let count = PORTS.end - PORTS.start;
+        let first = std::process::id().wrapping_mul(97) % count;
+        let offset = first + LOOKED_AT.fetch_add(1, Ordering::Relaxed);
+        let port = (PORTS.start + offset % count) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
