Compare positions of the store with their era

Cause: a feed kept its revision across the restore. The store gives revisions out again, so once it had passed that revision its answers to the feed did not contain the configuration, and each empty answer confirmed the old one.

Change: a position in the store is its era and a revision, in one ordered type. Hosts tell the position of the documents that they send each other; without an era, as hosts of the release before send them, the position counts as older than any other.

--- a/crates/peer/src/http_api.rs
+++ b/crates/peer/src/http_api.rs
@@ -30,6 +30,10 @@
 /// Milliseconds since the sender's configuration was last known to be the newest.
 pub const CONFIGURATION_AGE_HEADER: &str = "rhubarbcove-age-ms";
 
+/// Era of the installation's store in which the revisions of a message were given out. Hosts of the
+/// previous release neither send nor read it.
+pub const STORE_ERA_HEADER: &str = "rhubarbcove-store-era";
+
 /// Present if the sender has lost its connection to the installation's store.
 pub const STORE_LOST_HEADER: &str = "rhubarbcove-store-lost";
 
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -66,6 +66,14 @@
         /// Time for which this host had no data from the store.
         unreachable_for: Duration,
     },
+    /// The store was restored from an older copy: it has lost changes, and gives out their
+    /// revisions again.
+    StoreRestored {
+        /// Newest position that was known before.
+        before: StorePosition,
+        /// First known position of the new era.
+        now: StorePosition,
+    },
     /// The store sent an unusable response, which is ignored.
     UnusableAnswer {
         /// What is wrong with the response.
--- a/crates/ports/src/source_document.rs
+++ b/crates/ports/src/source_document.rs
@@ -12,9 +12,9 @@
 pub struct SourceDocument {
     /// The document in gzip format. A document of 1.7 MB with 7,000 routes takes 0.13 MB.
     pub packed: Bytes,
-    /// Revision of the installation's store at which the document was written. Changes are
-    /// requested from this revision on.
-    pub revision: u64,
+    /// Position in the installation's store at which the document was written. Changes are
+    /// requested from this position on.
+    pub position: StorePosition,
     /// Version of the configuration.
     pub version: ConfigVersion,
 }
@@ -22,12 +22,16 @@
 impl SourceDocument {
     /// Compresses a document. The fastest level is used: the next levels save a fifth of the bytes
     /// but take twice the processor time, and small hosts have only 0.12 of a core.
-    pub fn pack(document: &[u8], revision: u64, version: ConfigVersion) -> std::io::Result<Self> {
+    pub fn pack(
+        document: &[u8],
+        position: StorePosition,
+        version: ConfigVersion,
+    ) -> std::io::Result<Self> {
         let mut packer = GzEncoder::new(Vec::new(), Compression::fast());
         packer.write_all(document)?;
         Ok(Self {
             packed: packer.finish()?.into(),
-            revision,
+            position,
             version,
         })
     }
--- a/crates/router/src/configuration_fetcher.rs
+++ b/crates/router/src/configuration_fetcher.rs
@@ -70,6 +70,10 @@
         let missing_header = || eyre!("the host's answer lacks a header");
         let version = header(http_api::VERSION_HEADER).ok_or_else(missing_header)?;
         let revision = header(http_api::REVISION_HEADER).ok_or_else(missing_header)?;
+        // Without an era the position is older than any that is told with one, so the store is
+        // read from the start.
+        let era = header(http_api::STORE_ERA_HEADER).unwrap_or_default();
+        let era = StoreEra::new(u32::try_from(era)?);
         let bytes = ByteSize::new(packed.len() as u64);
         Ok(FetchAnswer::Configuration(ReceivedConfiguration {
             // The age counts from the time of the request, so that an answer that took long
@@ -78,7 +82,7 @@
                 .map(|age_ms| requested_at - Duration::from_millis(age_ms)),
             document: Arc::new(SourceDocument {
                 packed,
-                revision,
+                position: StorePosition::new(era, revision),
                 version: ConfigVersion::new(version),
             }),
             read_stats: ReadStats { bytes, duration },
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -179,6 +179,12 @@
                 self.lock_received_tables().note_store_regained(at);
                 Event::DirectoryRegained { at }
             }
+            DirectoryUpdate::StoreRestored { before, now } => {
+                warn!(logger, "directory: store restored from an older copy";
+                    "era" => %now.era, "era_before" => %before.era,
+                    "revision" => now.revision, "revision_before" => before.revision);
+                return None;
+            }
             DirectoryUpdate::UnusableAnswer { error } => {
                 warn!(logger, "directory: answer not used"; "error" => error);
                 return None;
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -5,8 +5,8 @@
     super::*,
     peer::http_api::{
         CONFIGURATION_AGE_HEADER, DOCUMENT_PATH, LISTEN_ADDRESS_HEADER, REFERRAL_HEADER,
-        REVISION_HEADER, STORE_LOST_HEADER, STORE_REGAINED_HEADER, TABLES_COPY_PATH, TABLES_PATH,
-        TRANSIT_PATH, VERSION_HEADER, bearer,
+        REVISION_HEADER, STORE_ERA_HEADER, STORE_LOST_HEADER, STORE_REGAINED_HEADER,
+        TABLES_COPY_PATH, TABLES_PATH, TRANSIT_PATH, VERSION_HEADER, bearer,
     },
 };
 
@@ -177,7 +177,9 @@
     ) -> Response<AnswerBody> {
         let mut response = text_answer(StatusCode::OK, "application/gzip", compressed);
         let headers = response.headers_mut();
-        headers.insert(REVISION_HEADER, configuration.document.revision.into());
+        let position = configuration.document.position;
+        headers.insert(REVISION_HEADER, position.revision.into());
+        headers.insert(STORE_ERA_HEADER, position.era.get().into());
         self.insert_version_and_age(configuration, headers);
         response
     }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -50,6 +50,8 @@
 mod route_id;
 mod service_id;
 mod software_version;
+mod store_era;
+mod store_position;
 mod stream_id;
 mod team_id;
 mod tier;
@@ -70,7 +72,7 @@
     parse_value_error::ParseValueError, path::Path, path_attempt::PathAttempt,
     path_outcome::PathOutcome, prompt_part::PromptPart, prompt_part_key::PromptPartKey, rate::Rate,
     rendezvous::rendezvous_weight, request_id::RequestId, route_id::RouteId, service_id::ServiceId,
-    software_version::SoftwareVersion, stream_id::StreamId, team_id::TeamId, tier::Tier,
-    time::Time, tokens::Tokens, upstream_id::UpstreamId, upstream_notice::UpstreamNotice,
-    verdict::Verdict,
+    software_version::SoftwareVersion, store_era::StoreEra, store_position::StorePosition,
+    stream_id::StreamId, team_id::TeamId, tier::Tier, time::Time, tokens::Tokens,
+    upstream_id::UpstreamId, upstream_notice::UpstreamNotice, verdict::Verdict,
 };
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -5,5 +5,6 @@
     CrashSubject, FailureCause, FailureDomainId, FencingNumber, Fingerprint, HashMap, HashSet,
     HostId, IdempotencyKey, Incarnation, KeyHash, LoadReport, ModelId, Path, PathAttempt,
     PathOutcome, PromptPart, PromptPartKey, Rate, RequestId, RouteId, ServiceId, SoftwareVersion,
-    StreamId, TeamId, Tier, Time, Tokens, UpstreamId, UpstreamNotice, Verdict, rendezvous_weight,
+    StoreEra, StorePosition, StreamId, TeamId, Tier, Time, Tokens, UpstreamId, UpstreamNotice,
+    Verdict, rendezvous_weight,
 };
