Pass tables on between hosts with the era of their revisions

Cause: a host's copy of a table for others drops updates of a lower revision, so it dropped the whole table of the new era and all changes until the lost versions had been given out again; the asking hosts compared their positions of the era before with those of the new one. The list of hosts did the same.

Change: updates, copies, the list of hosts and requests between hosts carry the era. A copy is replaced by a whole table of a later era and drops updates of an earlier one. A host that knows an earlier era gets all rows, and one that has not heard of the asking host's era gives no answer. The era is in a header, as hosts of the release before read the path of a request by position; they get all rows after a restore, and their tables are not used by a host that noticed one.

--- a/crates/peer/src/tables_request.rs
+++ b/crates/peer/src/tables_request.rs
@@ -5,6 +5,10 @@
 pub struct TablesRequest {
     /// The division that the requesting host knows, and the level that it wants.
     pub coverage: Coverage,
+    /// Era of the store in which both revisions were given out; `None` if the requesting host is of
+    /// the previous release. The era is sent in a header, because hosts of that release reject a
+    /// path with further parts.
+    pub era: Option<StoreEra>,
     /// Revision up to which the requesting host knows the host table; 0 if it does not know the
     /// table.
     pub hosts_revision: u64,
@@ -37,6 +41,7 @@
                 division: parse_number(division)?,
                 level: parse_number(level)?,
             },
+            era: None,
             hosts_revision: parse_number(hosts)?,
             upstreams_revision: parse_number(upstreams)?,
         })
--- a/crates/ports/src/shared_table_update.rs
+++ b/crates/ports/src/shared_table_update.rs
@@ -17,6 +17,8 @@
     pub coverage: Coverage,
     /// How the upstreams are divided; empty if that was announced before.
     pub divided: Vec<ServiceDivision>,
+    /// Era of the store in which the revisions of the update were given out.
+    pub era: StoreEra,
     /// Number of hosts in the whole installation; 0 if it is not known.
     pub hosts_in_all: u32,
     /// The changed rows, or the whole table.
@@ -29,10 +31,16 @@
 
 impl SharedTableUpdate {
     /// Creates an update of a table that is not divided, without the number of hosts.
-    pub fn new(table: SharedTable, update: TableUpdate, source: TableSource) -> Self {
+    pub fn new(
+        table: SharedTable,
+        era: StoreEra,
+        update: TableUpdate,
+        source: TableSource,
+    ) -> Self {
         Self {
             coverage: Coverage::default(),
             divided: Vec::new(),
+            era,
             hosts_in_all: 0,
             update,
             source,
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -58,10 +58,11 @@
             return self.answer_document(newer_than);
         }
         let recipient = listen_address(request.headers());
-        if let Some(tables_request) = parse_tables_request(path, TABLES_PATH) {
+        let era = store_era(request.headers());
+        if let Some(tables_request) = parse_tables_request(path, TABLES_PATH, era) {
             return self.answer_tables(&tables_request, recipient);
         }
-        match parse_tables_request(path, TABLES_COPY_PATH) {
+        match parse_tables_request(path, TABLES_COPY_PATH, era) {
             Some(tables_request) => self.answer_tables_copy(&tables_request, recipient),
             None => text_answer(StatusCode::NOT_FOUND, "text/plain", "no such path\n"),
         }
@@ -148,7 +149,10 @@
             number,
             transfers: Arc::clone(&self.table_transfers),
         });
-        let response = lock(&self.received_tables).response_to(tables_request);
+        let (era, response) = {
+            let received = lock(&self.received_tables);
+            (received.era(), received.response_to(tables_request))
+        };
         let encoded = response.map(|response| lock(&self.encoded_tables).encode(response));
         let Some(Ok(bytes)) = encoded else {
             return unavailable();
@@ -157,16 +161,22 @@
             Some(slot) => Bytes::from_owner(TableTransfer { bytes, _slot: slot }),
             None => bytes,
         };
-        text_answer(StatusCode::OK, "application/octet-stream", body)
+        let mut response = text_answer(StatusCode::OK, "application/octet-stream", body);
+        let headers = response.headers_mut();
+        headers.insert(STORE_ERA_HEADER, era.get().into());
+        response
     }
 
     fn referral(&self) -> Response<AnswerBody> {
         let mut response = text_answer(StatusCode::TOO_MANY_REQUESTS, "text/plain", "busy\n");
         let recipients = lock(&self.table_transfers).recipients();
         let recipients: Vec<String> = recipients.iter().map(SocketAddr::to_string).collect();
+        let headers = response.headers_mut();
         if let Ok(value) = recipients.join(",").parse() {
-            response.headers_mut().insert(REFERRAL_HEADER, value);
+            headers.insert(REFERRAL_HEADER, value);
         }
+        let era = lock(&self.received_tables).era();
+        headers.insert(STORE_ERA_HEADER, era.get().into());
         response
     }
 
@@ -259,8 +269,15 @@
 }
 
 /// Parses a request for the tables from a path that starts with `prefix`.
-fn parse_tables_request(path: &str, prefix: &str) -> Option<TablesRequest> {
-    path.strip_prefix(prefix)?.parse().ok()
+fn parse_tables_request(path: &str, prefix: &str, era: Option<StoreEra>) -> Option<TablesRequest> {
+    let request: TablesRequest = path.strip_prefix(prefix)?.parse().ok()?;
+    Some(TablesRequest { era, ..request })
+}
+
+/// Era of the revisions in a request; `None` if the host is of the previous release.
+fn store_era(headers: &HeaderMap) -> Option<StoreEra> {
+    let era = header_number(headers, STORE_ERA_HEADER)?;
+    u32::try_from(era).ok().map(StoreEra::new)
 }
 
 /// Counts the running transfers of the configuration to other hosts.
--- a/crates/router/src/received_tables.rs
+++ b/crates/router/src/received_tables.rs
@@ -44,14 +44,14 @@
     pub(crate) fn apply(&mut self, now: Time, update: SharedTableUpdate) {
         match update.table {
             SharedTable::Hosts => {
-                self.hosts.apply(update.update);
+                self.hosts.apply(update.era, update.update);
                 self.hosts_in_all = update.hosts_in_all;
             }
             SharedTable::Upstreams => {
                 if update.source == TableSource::Store {
                     self.store_read_at = Some(now);
                 }
-                self.upstreams.apply(update.update);
+                self.upstreams.apply(update.era, update.update);
                 if update.coverage.level < self.coverage.level {
                     self.upstreams.remove_above_level(update.coverage.level);
                 }
@@ -83,7 +83,7 @@
             } else {
                 Vec::new()
             },
-            hosts: self.host_changes_after(request.hosts_revision),
+            hosts: self.host_changes_for(request),
             hosts_in_all: self.hosts_in_all,
             upstreams,
         })
@@ -96,31 +96,52 @@
         let (known_to, upstream_rows) = self
             .upstreams
             .count_changes_after(revision, coverage.level)?;
-        let host_rows = self.hosts.count_changes_after(request.hosts_revision, 0);
+        let revision_of_hosts = self.known_hosts_revision(request);
+        let host_rows = self.hosts.count_changes_after(revision_of_hosts, 0);
         let host_rows = host_rows.map_or(0, |(_, rows)| rows);
         (known_to > revision).then_some(upstream_rows + host_rows)
     }
 
-    /// Changes of the host table after a revision. They are empty until the host table has been
-    /// read, as changes of upstreams must not wait for that.
-    fn host_changes_after(&self, revision: u64) -> TableUpdate {
+    /// Era of the store in which the revisions of a response are given out.
+    pub(crate) const fn era(&self) -> StoreEra {
+        self.upstreams.era()
+    }
+
+    /// Changes of the host table for a host. They are empty until the host table has been read in
+    /// the era of the response, as changes of upstreams must not wait for that.
+    fn host_changes_for(&self, request: &TablesRequest) -> TableUpdate {
+        let revision = self.known_hosts_revision(request);
         let update = self.hosts.changes_after(revision, 0);
+        let update = update.filter(|_| self.hosts.era() == self.era());
         update.unwrap_or_else(|| TableUpdate {
-            revision,
+            revision: self
+                .upstreams
+                .comparable_revision(request.era, request.hosts_revision),
             rows: Vec::new(),
             whole: false,
         })
     }
 
+    /// Revision up to which the requesting host knows the host table.
+    fn known_hosts_revision(&self, request: &TablesRequest) -> u64 {
+        self.hosts
+            .comparable_revision(request.era, request.hosts_revision)
+    }
+
     /// Part of the upstream table to send, and the revision after which changes are sent. A host
-    /// that knows another division needs all rows, so its revision is 0.
+    /// that knows another division needs all rows, so its revision is 0. `None` if this host does not
+    /// hold that part, or not in the era that the requesting host knows.
     fn coverage_and_revision_for(&self, request: &TablesRequest) -> Option<(Coverage, u64)> {
+        if request.era > Some(self.era()) {
+            return None;
+        }
         let coverage = self.coverage.at_level(request.coverage.level)?;
         let same_division = coverage.division == request.coverage.division;
         Some((
             coverage,
             if same_division {
-                request.upstreams_revision
+                self.upstreams
+                    .comparable_revision(request.era, request.upstreams_revision)
             } else {
                 0
             },
--- a/crates/router/src/table_copy.rs
+++ b/crates/router/src/table_copy.rs
@@ -11,6 +11,10 @@
     /// scan of all rows.
     by_revision: BTreeSet<(u64, String)>,
     covered: Option<RevisionRange>,
+    /// Era of the store in which the revisions were given out.
+    era: StoreEra,
+    /// Whether the store was restored from an older copy since the table was first read.
+    was_restored: bool,
     /// Rows by key, including the removed rows that are kept.
     rows: BTreeMap<String, TableRow>,
 }
@@ -26,8 +30,22 @@
 
 impl TableCopy {
     /// Applies an update. Changes to a table that was never read completely are dropped, as the
-    /// rest of the table is unknown. An update that is older than the copy is dropped, too.
-    pub(crate) fn apply(&mut self, update: TableUpdate) {
+    /// rest of the table is unknown. An update that is older than the copy is dropped, too. A whole
+    /// table of a later era replaces the copy, because its revisions can't be compared.
+    pub(crate) fn apply(&mut self, era: StoreEra, update: TableUpdate) {
+        if era < self.era {
+            return;
+        }
+        if era > self.era && update.whole {
+            let was_known_in_era = self.era != StoreEra::default() && self.is_known();
+            *self = Self {
+                era,
+                was_restored: self.was_restored || was_known_in_era,
+                ..Self::default()
+            };
+        } else if era > self.era {
+            return;
+        }
         let before = self.covered.map(|covered| covered.to);
         if before.is_some_and(|before| update.revision < before) {
             return;
@@ -53,6 +71,19 @@
         });
     }
 
+    /// Era of the store in which the revisions of the copy were given out.
+    pub(crate) const fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Revision of a requesting host after which changes are sent to it; 0 if its table is of an
+    /// earlier era, so that it needs all rows. A host of the previous release does not tell the era;
+    /// it is taken to be the same unless the store was restored.
+    pub(crate) fn comparable_revision(&self, era: Option<StoreEra>, revision: u64) -> u64 {
+        let is_same_era = era.map_or(!self.was_restored, |era| era == self.era);
+        if is_same_era { revision } else { 0 }
+    }
+
     /// Number of rows that are held, including removed ones.
     pub(crate) fn row_count(&self) -> usize {
         self.rows.len()
--- a/crates/router/tests/unit/received_tables.rs
+++ b/crates/router/tests/unit/received_tables.rs
@@ -1,6 +1,8 @@
 use super::*;
 
 const DIVISION: u32 = 77;
+const ERA: StoreEra = StoreEra::new(1);
+const NEXT_ERA: StoreEra = StoreEra::new(2);
 
 fn row(key: &str, revision: u64, level: u8) -> TableRow {
     TableRow {
@@ -16,6 +18,7 @@
     SharedTableUpdate {
         coverage: Coverage::all(division),
         divided: Vec::new(),
+        era: ERA,
         hosts_in_all: 0,
         update,
         source: TableSource::Store,
@@ -50,6 +53,7 @@
 fn tables_request(upstreams: u64, division: u32, level: u8) -> TablesRequest {
     TablesRequest {
         coverage: Coverage { division, level },
+        era: Some(ERA),
         hosts_revision: 9,
         upstreams_revision: upstreams,
     }
@@ -147,6 +151,7 @@
     let upstreams = SharedTableUpdate {
         coverage: response.coverage,
         divided: Vec::new(),
+        era: ERA,
         hosts_in_all: 0,
         update: response.upstreams,
         source: TableSource::Host,
@@ -227,3 +232,71 @@
         .hosts;
     assert_eq!((hosts.revision, hosts.whole), (9, false));
 }
+
+/// The tables of a host that has read them again after the store was restored.
+fn host_after_a_restore() -> ReceivedTables {
+    let mut received = host_with_all_rows();
+    for table in [SharedTable::Upstreams, SharedTable::Hosts] {
+        let rows = vec![row("a", 1, 0), row("d", 4, 0)];
+        let update = SharedTableUpdate {
+            era: NEXT_ERA,
+            ..table_update(table, DIVISION, update(5, true, rows))
+        };
+        received.apply(Time::from_ms(2_000), update);
+    }
+    received
+}
+
+/// Guards against dropping the table of a new era, whose revisions are lower, and against sending
+/// changes after a revision of the era before.
+#[test]
+fn hosts_that_know_an_earlier_era_get_all_rows() {
+    let received = host_after_a_restore();
+    for revision in [1, 5, 9, 30] {
+        let request = tables_request(revision, DIVISION, 2);
+        assert_eq!(describe_response(&received, &request), "77/2 all: a d");
+        assert!(received.response_to(&request).unwrap().hosts.whole);
+    }
+    let of_era = |era| TablesRequest {
+        era,
+        ..tables_request(5, DIVISION, 2)
+    };
+    assert_eq!(
+        describe_response(&received, &of_era(Some(NEXT_ERA))),
+        "77/2 changes: "
+    );
+    // A host of the previous release does not tell its era.
+    assert_eq!(describe_response(&received, &of_era(None)), "77/2 all: a d");
+}
+
+/// Guards against an answer of the era before that arrives late, and against a host that takes the
+/// tables of one that has not heard of the new era for current ones.
+#[test]
+fn tables_of_an_earlier_era_are_neither_applied_nor_sent() {
+    let mut received = host_after_a_restore();
+    let late = update(20, true, vec![row("late", 20, 0)]);
+    let late = table_update(SharedTable::Upstreams, DIVISION, late);
+    received.apply(Time::from_ms(3_000), late);
+    let request = TablesRequest {
+        era: Some(NEXT_ERA),
+        ..tables_request(0, DIVISION, 2)
+    };
+    assert_eq!(describe_response(&received, &request), "77/2 all: a d");
+    assert_eq!(
+        describe_response(&host_with_all_rows(), &request),
+        "unknown"
+    );
+}
+
+/// Guards against sending all rows to each host of the previous release again and again.
+#[test]
+fn hosts_of_the_previous_release_get_changes_while_there_was_no_restore() {
+    let request = TablesRequest {
+        era: None,
+        ..tables_request(9, DIVISION, 2)
+    };
+    assert_eq!(
+        describe_response(&host_with_all_rows(), &request),
+        "77/2 changes: "
+    );
+}
--- a/crates/router/tests/unit/table_copy.rs
+++ b/crates/router/tests/unit/table_copy.rs
@@ -1,5 +1,7 @@
 use super::*;
 
+const ERA: StoreEra = StoreEra::new(1);
+
 fn row(key: &str, revision: u64) -> TableRow {
     TableRow {
         key: key.to_string(),
@@ -43,14 +45,14 @@
 #[test]
 fn changes_are_sent_for_a_covered_revision_and_all_rows_otherwise() {
     let mut copy = TableCopy::default();
-    copy.apply(update(3, false, vec![row("a", 3)]));
+    copy.apply(ERA, update(3, false, vec![row("a", 3)]));
     assert_eq!(
         describe_changes(&copy, 0),
         "unknown",
         "the table was never read completely"
     );
-    copy.apply(update(10, true, vec![row("a", 4), row("b", 9)]));
-    copy.apply(update(12, false, vec![row("a", 11), removed("b", 12)]));
+    copy.apply(ERA, update(10, true, vec![row("a", 4), row("b", 9)]));
+    copy.apply(ERA, update(12, false, vec![row("a", 11), removed("b", 12)]));
     assert_eq!(describe_changes(&copy, 0), "all up to 12: a@11");
     assert_eq!(describe_changes(&copy, 10), "changes up to 12: a@11 -b");
     assert_eq!(describe_changes(&copy, 11), "changes up to 12: -b");
@@ -63,8 +65,8 @@
 #[test]
 fn a_complete_read_reports_missing_rows_as_removed() {
     let mut copy = TableCopy::default();
-    copy.apply(update(10, true, vec![row("a", 4), row("b", 9)]));
-    copy.apply(update(20, true, vec![row("a", 4), row("c", 15)]));
+    copy.apply(ERA, update(10, true, vec![row("a", 4), row("b", 9)]));
+    copy.apply(ERA, update(20, true, vec![row("a", 4), row("c", 15)]));
     assert_eq!(describe_changes(&copy, 10), "changes up to 20: -b c@15");
 }
 
@@ -74,28 +76,31 @@
 #[test]
 fn a_change_with_an_old_revision_gets_the_revision_of_its_update() {
     let mut copy = TableCopy::default();
-    copy.apply(update(10, true, vec![row("a", 4), row("b", 9)]));
-    copy.apply(update(12, false, vec![removed("b", 0), removed("a", 4)]));
+    copy.apply(ERA, update(10, true, vec![row("a", 4), row("b", 9)]));
+    copy.apply(
+        ERA,
+        update(12, false, vec![removed("b", 0), removed("a", 4)]),
+    );
     assert_eq!(describe_changes(&copy, 10), "changes up to 12: -a -b");
 }
 
 #[test]
 fn an_outdated_update_changes_nothing() {
     let mut copy = TableCopy::default();
-    copy.apply(update(10, true, vec![row("a", 9)]));
-    copy.apply(update(8, true, vec![row("a", 7)]));
-    copy.apply(update(9, false, vec![removed("a", 9)]));
+    copy.apply(ERA, update(10, true, vec![row("a", 9)]));
+    copy.apply(ERA, update(8, true, vec![row("a", 7)]));
+    copy.apply(ERA, update(9, false, vec![removed("a", 9)]));
     assert_eq!(describe_changes(&copy, 0), "all up to 10: a@9");
 }
 
 #[test]
 fn the_oldest_removed_rows_are_dropped() {
     let mut copy = TableCopy::default();
-    copy.apply(update(1, true, Vec::new()));
+    copy.apply(ERA, update(1, true, Vec::new()));
     let removals = MAX_REMOVED_ROWS as u64 + 10;
     for revision in 2..2 + removals {
         let gone = removed(&format!("s-{revision}"), revision);
-        copy.apply(update(revision, false, vec![gone]));
+        copy.apply(ERA, update(revision, false, vec![gone]));
     }
     assert_eq!(copy.rows.len(), MAX_REMOVED_ROWS);
     assert!(
