--- a/crates/policy/src/duties/lease.rs
+++ b/crates/policy/src/duties/lease.rs
@@ -40,9 +40,9 @@
 /// whole term and a margin from when it first saw the holder's last write. Both use their own
 /// clocks, which include the time that the machine was suspended.
 ///
-/// A store that is restored from an older copy may have lost the holder's writes. The holder goes on
-/// for the term that it has. What the copy says of other holders, or that there is none, lets no host
-/// act before a whole term has passed in the new era.
+/// A store that is restored from an older copy may have lost the holder's writes. The holder goes
+/// on for the term that it has. What the copy says of other holders, or that there is none, lets no
+/// host act before a whole term has passed in the new era.
 #[derive(Debug)]
 pub struct Lease {
     /// Newest known era of the store.
@@ -304,8 +304,8 @@
     /// Time until the lease may be taken; `None` if it may be taken now.
     ///
     /// A released lease may be taken immediately, except by its previous holders: two holders must
-    /// not act alternately within one term. A missing lease is waited for, as the store may have been
-    /// restored from a copy that lacks it.
+    /// not act alternately within one term. A missing lease is waited for, as the store may have
+    /// been restored from a copy that lacks it.
     fn time_until_free(
         &self,
         now: Time,
--- a/crates/policy/src/duties/lease_record.rs
+++ b/crates/policy/src/duties/lease_record.rs
@@ -14,9 +14,9 @@
         self.0
     }
 
-    /// Token of the holder that replaces the lease at a position of the store. The era is in the upper
-    /// bits and the revision in the lower ones, because a store that was restored from an older copy
-    /// may have lost the record with the last token.
+    /// Token of the holder that replaces the lease at a position of the store. The era is in the
+    /// upper bits and the revision in the lower ones, because a store that was restored from an
+    /// older copy may have lost the record with the last token.
     #[must_use]
     pub fn next(self, replaced: StorePosition) -> Self {
         let era = u64::from(replaced.era.get()) << ERA_SHIFT;
--- a/crates/router/src/received_tables.rs
+++ b/crates/router/src/received_tables.rs
@@ -129,8 +129,8 @@
     }
 
     /// Part of the upstream table to send, and the revision after which changes are sent. A host
-    /// that knows another division needs all rows, so its revision is 0. `None` if this host does not
-    /// hold that part, or not in the era that the requesting host knows.
+    /// that knows another division needs all rows, so its revision is 0. `None` if this host does
+    /// not hold that part, or not in the era that the requesting host knows.
     fn coverage_and_revision_for(&self, request: &TablesRequest) -> Option<(Coverage, u64)> {
         if request.era > Some(self.era()) {
             return None;
--- a/crates/router/src/table_copy.rs
+++ b/crates/router/src/table_copy.rs
@@ -77,8 +77,8 @@
     }
 
     /// Revision of a requesting host after which changes are sent to it; 0 if its table is of an
-    /// earlier era, so that it needs all rows. A host of the previous release does not tell the era;
-    /// it is taken to be the same unless the store was restored.
+    /// earlier era, so that it needs all rows. A host of the previous release does not tell the
+    /// era; it is taken to be the same unless the store was restored.
     pub(crate) fn comparable_revision(&self, era: Option<StoreEra>, revision: u64) -> u64 {
         let is_same_era = era.map_or(!self.was_restored, |era| era == self.era);
         if is_same_era { revision } else { 0 }
