Log what a rejected response names, and what its connection carried

The log gave a failed attempt's cause and verdict. It couldn't tell a truthful refusal from the late copy of an earlier one, nor a response of another request from one without a signature: all were 'busy' or 'truncated'.

A response that doesn't answer its request now has a line of its own with its status, its class, whose attempt it names, and the number, age and earlier requests of its connection, and a counter by class and named attempt. No decision changes.

--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -28,6 +28,8 @@
 mod forwarding_context;
 mod head_error;
 mod header_number;
+mod mismatch;
+mod named_attempt;
 mod protocol;
 mod read_stats;
 mod received_configuration;
@@ -45,6 +47,8 @@
     forwarding_context::ForwardingContext,
     head_error::HeadError,
     header_number::header_number,
+    mismatch::Mismatch,
+    named_attempt::NamedAttempt,
     protocol::Protocol,
     read_stats::ReadStats,
     received_configuration::ReceivedConfiguration,
--- a/crates/ports/src/protocol.rs
+++ b/crates/ports/src/protocol.rs
@@ -17,6 +17,9 @@
     /// Reads what an upstream reports about itself in a response.
     fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> UpstreamNotice;
 
+    /// Which attempt a response names.
+    fn named_attempt(&self, head: &RequestHead, headers: &HeaderMap) -> NamedAttempt;
+
     /// Classifies an upstream's response by its head.
     fn classify_response(
         &self,
--- a/crates/ports/src/response_class.rs
+++ b/crates/ports/src/response_class.rs
@@ -6,7 +6,7 @@
     /// The upstream failed. The response is returned unchanged.
     Failed,
     /// The response belongs to another request or comes from another upstream.
-    Mismatched,
+    Mismatched(Mismatch),
     /// The upstream says that it did not run the request and will not run it.
     NotRun(FailureCause),
     /// The request succeeded, provided that the whole body arrives.
@@ -20,10 +20,21 @@
     pub fn is_of_upstream(self) -> bool {
         !matches!(
             self,
-            Self::Mismatched | Self::NotRun(FailureCause::WrongInstance)
+            Self::Mismatched(_) | Self::NotRun(FailureCause::WrongInstance)
         )
     }
 
+    /// The text that is written in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Failed => "failed",
+            Self::Mismatched(mismatch) => mismatch.as_str(),
+            Self::NotRun(_) => "not-run",
+            Self::Success => "success",
+            Self::UnconfirmedNotRun => "unconfirmed-not-run",
+        }
+    }
+
     /// Classifies a response by its status alone, without any confirmation by the upstream.
     pub fn from_status(status: StatusCode) -> Self {
         if status.is_success() {
--- a/crates/router/src/controller_message.rs
+++ b/crates/router/src/controller_message.rs
@@ -20,6 +20,8 @@
         /// Machine-readable code of the reason.
         reason: String,
     },
+    /// An upstream's response did not answer the request; for the log. Carries the upstream.
+    ResponseRejected(RequestId, UpstreamId, RejectedResponse),
     /// Stop once no request is left.
     Stop,
 }
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -166,6 +166,13 @@
                 let context = self.decision_context(now);
                 self.decision_log.log_rejected(now, &id, &reason, &context);
             }
+            ControllerMessage::ResponseRejected(request, upstream, response) => {
+                if let Some(pending) = self.requests.get(&request) {
+                    let now = self.thread.clock.now();
+                    self.decision_log
+                        .log_rejected_response(now, &pending.id, &upstream, &response);
+                }
+            }
             ControllerMessage::Stop => {
                 self.stopping = true;
                 self.stop_deadline = self
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -109,6 +109,33 @@
         }
     }
 
+    /// Counts and logs a response that did not answer its request.
+    pub(crate) fn log_rejected_response(
+        &mut self,
+        now: Time,
+        id: &str,
+        upstream: &UpstreamId,
+        response: &RejectedResponse,
+    ) {
+        let class = response.class.as_str();
+        let attempt = response.named.as_str();
+        counter!("rhubarbcove_responses_rejected_total", "class" => class, "attempt" => attempt)
+            .increment(1);
+        if !self.budget.take(LineKind::Important, now) {
+            return;
+        }
+        warn!(self.logger, "request: response rejected";
+            "id" => id,
+            "upstream" => %upstream,
+            "status" => response.status.as_u16(),
+            "class" => class,
+            "named_attempt" => attempt,
+            "connection" => %response.connection,
+            "requests_before" => response.requests_before,
+            "connection_age_ms" => millis(response.connection_age),
+        );
+    }
+
     /// Counts and logs a stream that a caller takes up, and how its software version was found.
     pub(crate) fn log_taken_up(&mut self, now: Time, id: &str, noted: &TakenUpStream) {
         let source = noted.source.as_str();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -48,8 +48,8 @@
     },
     ports::{
         Clock, Directory, DirectoryChannels, DirectoryUpdate, DutyReport, ForwardingContext,
-        HeadError, Protocol, ReadStats, ReceivedConfiguration, RequestHead, ResponseClass,
-        SharedTable, SharedTableUpdate, SourceDocument, TableSource, header_number,
+        HeadError, NamedAttempt, Protocol, ReadStats, ReceivedConfiguration, RequestHead,
+        ResponseClass, SharedTable, SharedTableUpdate, SourceDocument, TableSource, header_number,
     },
     rand::Rng,
     serde::{Deserialize, Serialize},
@@ -84,8 +84,9 @@
     },
     types::prelude::*,
     upstream::{
-        Call, CallFailure, ConnectionPool, Destination, EngineAdapter, NO_CONNECTION, ReuseResult,
-        ServiceAdapter, StreamItem, TokenStream, UpstreamResponse, UpstreamSender, check_listening,
+        Call, CallFailure, ConnectionId, ConnectionPool, Destination, EngineAdapter, NO_CONNECTION,
+        ReuseResult, ServiceAdapter, StreamItem, TokenStream, UpstreamResponse, UpstreamSender,
+        check_listening,
     },
 };
 
@@ -139,6 +140,7 @@
 mod probe_job;
 mod reader_signals;
 mod received_tables;
+mod rejected_response;
 mod relay;
 mod relay_rules;
 mod relay_service;
@@ -216,6 +218,7 @@
     probe_job::{ProbeJob, ProbeKind},
     reader_signals::ReaderSignals,
     received_tables::{ReceivedTables, TablesAvailability},
+    rejected_response::RejectedResponse,
     relay::Relay,
     relay_service::RelayService,
     relayed_request::RelayedRequest,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -89,6 +89,17 @@
                 let judgement = self
                     .protocol
                     .classify_response(head, status, response.headers());
+                if !matches!(judgement, ResponseClass::Success | ResponseClass::Failed) {
+                    let rejected = RejectedResponse {
+                        class: judgement,
+                        connection: sender.id(),
+                        connection_age: sender.age(),
+                        named: self.protocol.named_attempt(head, response.headers()),
+                        requests_before: sender.requests_before(),
+                        status,
+                    };
+                    self.task.report_rejected_response(order, rejected).await;
+                }
                 if judgement.is_of_upstream() {
                     let notice = self.protocol.read_notice(status, response.headers());
                     self.task.report_notice(order, notice, sent).await;
@@ -98,7 +109,7 @@
                         self.drain_refusal(order, response, sender).await;
                         AttemptError::Failed(CallFailure::not_run(cause))
                     }
-                    ResponseClass::Mismatched => {
+                    ResponseClass::Mismatched(_) => {
                         AttemptError::Failed(CallFailure::may_have_run(FailureCause::Truncated))
                     }
                     ResponseClass::UnconfirmedNotRun => {
--- a/crates/router/src/request_task.rs
+++ b/crates/router/src/request_task.rs
@@ -117,6 +117,17 @@
         .await;
     }
 
+    /// Reports a response that did not answer the request, for the log.
+    pub(crate) async fn report_rejected_response(
+        &self,
+        order: &SendOrder,
+        response: RejectedResponse,
+    ) {
+        let upstream = order.upstream.clone();
+        let message = ControllerMessage::ResponseRejected(self.id, upstream, response);
+        let _ = self.events.send_async(message).await;
+    }
+
     /// Reports which paths to an upstream were tried.
     pub(crate) async fn report_paths(&self, order: &SendOrder, tries: Vec<PathAttempt>) {
         self.send_event(Event::PathsTried {
--- a/crates/upstream/src/connection_pool.rs
+++ b/crates/upstream/src/connection_pool.rs
@@ -17,13 +17,17 @@
 /// Time without traffic after which a keep-alive probe is sent, and the time between two probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-type Sender = SendRequest<Full<Bytes>>;
-
 /// A connection that is kept open for the next request.
 #[derive(Debug)]
 struct IdleConnection {
     expires: Instant,
-    sender: Sender,
+    sender: UpstreamSender,
+}
+
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.expires && !self.sender.sender.is_closed()
+    }
 }
 
 /// Idle connections by the address of the upstream and the path to it.
@@ -38,6 +42,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<IdleConnections>>,
+    /// Number of the next connection.
+    next_connection: Arc<AtomicU64>,
     /// Tasks that drive the connections. They are aborted when the last clone of the pool is
     /// dropped.
     tasks: Arc<Mutex<JoinSet<()>>>,
@@ -133,6 +139,7 @@
     ) -> Result<(Response<Incoming>, UpstreamSender), (CallFailure, Option<Request<Full<Bytes>>>)>
     {
         let limit = InterimLimit::attach(&mut request);
+        sender.requests_sent += 1;
         let sending = timeout(head_timeout, sender.sender.try_send_request(request));
         let sent = tokio::select! {
             sent = sending => sent,
@@ -171,17 +178,24 @@
             // The result is ignored: the request that uses the connection is notified of errors.
             let _ = connection.await;
         });
-        Some(UpstreamSender { path, sender })
+        let number = self.next_connection.fetch_add(1, Ordering::Relaxed);
+        Some(UpstreamSender {
+            id: ConnectionId::new(number),
+            opened: Instant::now(),
+            path,
+            requests_sent: 0,
+            sender,
+        })
     }
 
     fn take_idle(&self, address: SocketAddr, path: Path) -> Option<UpstreamSender> {
         let mut idle = lock(&self.idle);
         let senders = idle.get_mut(&(address, path))?;
         let now = Instant::now();
-        while let Some(IdleConnection { expires, sender }) = senders.pop() {
+        while let Some(idle) = senders.pop() {
             idle_gauge().decrement(1);
-            if now < expires && sender.is_ready() && !sender.is_closed() {
-                return Some(UpstreamSender { path, sender });
+            if idle.is_usable(now) && idle.sender.sender.is_ready() {
+                return Some(idle.sender);
             }
         }
         None
@@ -193,7 +207,7 @@
         let now = Instant::now();
         lock(&self.idle).retain(|_, senders| {
             let before = senders.len() as f64;
-            senders.retain(|idle| now < idle.expires && !idle.sender.is_closed());
+            senders.retain(|idle| idle.is_usable(now));
             idle_gauge().decrement(before - senders.len() as f64);
             !senders.is_empty()
         });
@@ -202,12 +216,11 @@
     /// Returns a connection to the pool after its response has been read completely. `keep_for` is
     /// the time for which the upstream is not expected to close the connection.
     pub fn keep(&self, address: SocketAddr, sender: UpstreamSender, keep_for: Duration) {
-        let UpstreamSender { path, sender } = sender;
         let now = Instant::now();
         let mut idle = lock(&self.idle);
-        let senders = idle.entry((address, path)).or_default();
+        let senders = idle.entry((address, sender.path)).or_default();
         let before = senders.len() as f64;
-        senders.retain(|idle| now < idle.expires && !idle.sender.is_closed());
+        senders.retain(|idle| idle.is_usable(now));
         if senders.len() < MAX_IDLE_PER_PATH {
             let expires = now + keep_for;
             senders.push(IdleConnection { expires, sender });
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -21,7 +21,7 @@
         pin::Pin,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicU32, Ordering},
+            atomic::{AtomicU32, AtomicU64, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -31,6 +31,7 @@
 
 mod call;
 mod call_failure;
+mod connection_id;
 mod connection_pool;
 mod destination;
 mod engine;
@@ -49,6 +50,7 @@
 pub use {
     call::Call,
     call_failure::CallFailure,
+    connection_id::ConnectionId,
     connection_pool::{ConnectionPool, NO_CONNECTION},
     destination::Destination,
     engine::EngineAdapter,
