Send no request twice over the same connection to an upstream

Seen: a request that must run once ran twice, or ran although its response promised that it didn't (REFUSED, TWICE).

Cause: every attempt of a request carries the caller's attempt id. The pool hands out the connection that was returned last, so a retry after a refusal often went over the connection that had just brought the refusal. If the upstream sends that refusal again where the next response is due, the copy names the right attempt: the host took it for the refusal of the retry, which ran, and sent the request once more or refused it.

A request now remembers the connections that brought a response to one of its attempts, and the pool doesn't give it those again. A response that names the attempt therefore belongs to the attempt that was sent on its connection.

--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -31,6 +31,9 @@
     connections: ConnectionPool,
     /// The last failure response of an upstream. It is forwarded if no other attempt succeeds.
     failed_answer: Option<Response<WholeAnswer>>,
+    /// Connections on which an attempt was sent. Each attempt carries the same id, so the late
+    /// copy of a response would count as the response to another attempt on the same connection.
+    used_connections: Vec<ConnectionId>,
     /// Id of the last event that was forwarded.
     last_event_id: Option<String>,
     limits: Arc<Limits>,
@@ -45,6 +48,7 @@
             clock: service.clock,
             connections: service.connections.clone(),
             failed_answer: None,
+            used_connections: Vec::new(),
             last_event_id: None,
             limits: service.limits.settings_limits(),
             protocol: Arc::clone(&service.protocol),
@@ -84,6 +88,7 @@
         let sent = self.clock.now();
         let error = match self.exchange(order).await {
             Ok((response, sender)) => {
+                self.used_connections.push(sender.id());
                 let head = &self.request.head;
                 let status = response.status();
                 let judgement = self
@@ -176,7 +181,8 @@
             paths: order.paths.clone(),
             upstream: Some(order.upstream.clone()),
         };
-        let sending = connections.send_on_idle(&destination, request, HEAD_TIMEOUT);
+        let used = self.used_connections.clone();
+        let sending = connections.send_on_idle(&destination, &used, request, HEAD_TIMEOUT);
         let request = match self.within_deadline(order, sending).await? {
             ReuseResult::Sent(sent) => return sent.map_err(AttemptError::Failed),
             ReuseResult::Unsent(request) => request,
--- a/crates/upstream/src/connection_pool.rs
+++ b/crates/upstream/src/connection_pool.rs
@@ -74,7 +74,7 @@
         request: Request<Full<Bytes>>,
         head_timeout: Duration,
     ) -> Result<(Response<Incoming>, UpstreamSender), CallFailure> {
-        let request = match self.send_on_idle(to, request, head_timeout).await {
+        let request = match self.send_on_idle(to, &[], request, head_timeout).await {
             ReuseResult::Sent(sent) => return sent,
             ReuseResult::Unsent(request) => request,
         };
@@ -84,16 +84,17 @@
     }
 
     /// Sends a request over an idle connection, if there is one, and waits for the head of the
-    /// response.
+    /// response. The connections in `excluded` are not used.
     pub async fn send_on_idle(
         &self,
         to: &Destination,
+        excluded: &[ConnectionId],
         request: Request<Full<Bytes>>,
         head_timeout: Duration,
     ) -> ReuseResult {
         let mut request = request;
         for path in to.preferred_paths() {
-            while let Some(sender) = self.take_idle(to.address, path) {
+            while let Some(sender) = self.take_idle(to.address, path, excluded) {
                 match Self::try_send(sender, request, head_timeout).await {
                     Ok(response_and_sender) => {
                         count_event("reused");
@@ -188,17 +189,24 @@
         })
     }
 
-    fn take_idle(&self, address: SocketAddr, path: Path) -> Option<UpstreamSender> {
+    /// Takes the connection that was returned last and is not excluded.
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        path: Path,
+        excluded: &[ConnectionId],
+    ) -> Option<UpstreamSender> {
         let mut idle = lock(&self.idle);
         let senders = idle.get_mut(&(address, path))?;
         let now = Instant::now();
-        while let Some(idle) = senders.pop() {
+        loop {
+            let is_allowed = |idle: &IdleConnection| !excluded.contains(&idle.sender.id);
+            let idle = senders.remove(senders.iter().rposition(is_allowed)?);
             idle_gauge().decrement(1);
             if idle.is_usable(now) && idle.sender.sender.is_ready() {
                 return Some(idle.sender);
             }
         }
-        None
     }
 
     /// Closes idle connections that have expired, including connections over paths that are no
