Take a refusal that names no attempt only on an unused connection

Seen: requests ran twice, or ran although they had been refused with a promise.

Cause: classify_response asked that a refusal doesn't name another attempt, not that it names this one. A refusal without a name that arrives late, on a reused connection, counted for whichever request was next; a 421 even unmarked.

A refusal now counts if it names the attempt, or if its connection carried no other request, so that nothing else can be refused by it. Otherwise the request may have run.

--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -22,6 +22,7 @@
 };
 
 mod clock;
+mod connection_use;
 mod directory;
 mod directory_update;
 mod duty_report;
@@ -41,6 +42,7 @@
 
 pub use {
     clock::Clock,
+    connection_use::ConnectionUse,
     directory::{Directory, DirectoryChannels},
     directory_update::DirectoryUpdate,
     duty_report::DutyReport,
--- a/crates/ports/src/protocol.rs
+++ b/crates/ports/src/protocol.rs
@@ -20,11 +20,13 @@
     /// Which attempt a response names.
     fn named_attempt(&self, head: &RequestHead, headers: &HeaderMap) -> NamedAttempt;
 
-    /// Classifies an upstream's response by its head.
+    /// Classifies an upstream's response by its head. The connection has carried no other attempt of
+    /// the request.
     fn classify_response(
         &self,
         head: &RequestHead,
         status: StatusCode,
         headers: &HeaderMap,
+        connection: ConnectionUse,
     ) -> ResponseClass;
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -47,9 +47,10 @@
         WorkingSet,
     },
     ports::{
-        Clock, Directory, DirectoryChannels, DirectoryUpdate, DutyReport, ForwardingContext,
-        HeadError, NamedAttempt, Protocol, ReadStats, ReceivedConfiguration, RequestHead,
-        ResponseClass, SharedTable, SharedTableUpdate, SourceDocument, TableSource, header_number,
+        Clock, ConnectionUse, Directory, DirectoryChannels, DirectoryUpdate, DutyReport,
+        ForwardingContext, HeadError, NamedAttempt, Protocol, ReadStats, ReceivedConfiguration,
+        RequestHead, ResponseClass, SharedTable, SharedTableUpdate, SourceDocument, TableSource,
+        header_number,
     },
     rand::Rng,
     serde::{Deserialize, Serialize},
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -91,9 +91,12 @@
                 self.used_connections.push(sender.id());
                 let head = &self.request.head;
                 let status = response.status();
-                let judgement = self
-                    .protocol
-                    .classify_response(head, status, response.headers());
+                let judgement = self.protocol.classify_response(
+                    head,
+                    status,
+                    response.headers(),
+                    ConnectionUse::after(sender.requests_before()),
+                );
                 if !matches!(judgement, ResponseClass::Success | ResponseClass::Failed) {
                     let rejected = RejectedResponse {
                         class: judgement,
