Give each health check a connection of its own

On a reused connection the late response to an earlier check, or to a request for the load, could declare an upstream healthy that isn't.

A check now opens a connection and closes it. Checks only go to upstreams that were ejected, so few connections are added; the cost wasn't measured by itself.

each_health_check_has_a_connection_of_its_own failed before (3 checks over 1 connection) and passes now.

--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -66,7 +66,8 @@
     }
 
     /// Requests the health check of an upstream. Returns the status and the headers, or `None`
-    /// without a complete response.
+    /// without a complete response. The check has a connection of its own: its response names no
+    /// request, so one on a reused connection could be the response to an earlier request.
     pub async fn check_health(
         &self,
         to: &Destination,
@@ -75,13 +76,13 @@
         let request = control_request(Method::GET, to.address, path)
             .body(Full::new(Bytes::new()))
             .ok()?;
-        let sent = self.pool.send(to, request, CONTROL_TIMEOUT);
-        let (response, sender) = sent.await.ok()?;
+        let sender = self.pool.open(to).await.sender?;
+        let sent = self.pool.send_on_new(sender, request, CONTROL_TIMEOUT);
+        // The connection closes once the sender is dropped.
+        let (response, _sender) = sent.await.ok()?;
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, MAX_CONTROL_RESPONSE.get() as usize).collect();
         timeout(CONTROL_TIMEOUT, body).await.ok()?.ok()?;
-        self.pool
-            .keep(to.address, sender, upstream_response::IDLE_LIFETIME);
         Some((parts.status, parts.headers))
     }
 
