Treat an unframed stream without an event as cut off

Reported by other operators: a server stopped inside the head of its answer, and clients got a 200 with an empty body, framed as whole.

A head that is cut is no response here: tests cut the heads of plain answers, refusals, chunked and unframed streams every 13 bytes, by close and by reset, and all passed before. One step later it could happen: an engine that stops right after the whole head of a stream without length and chunks. The end of the connection is the end of such a body, so the host sent a complete stream without events.

Such a stream now needs an event, unless it was resumed, as then none may be left. Otherwise it has failed, and may have run.

an_unframed_stream_without_an_event_is_not_whole failed before (200, complete) and passes now. Plain answers without a length stay as they are: an empty one is valid HTTP.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,7 +18,8 @@
         HeaderMap, Method, Request, Response, StatusCode,
         body::{Body, Frame, Incoming, SizeHint},
         header::{
-            AUTHORIZATION, CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER, UPGRADE,
+            AUTHORIZATION, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue,
+            RETRY_AFTER, TRANSFER_ENCODING, UPGRADE,
         },
         http::request::Parts,
         server::conn::http1,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -302,6 +302,11 @@
         // The failed answer is not needed once a stream has begun, and would count as unread.
         self.failed_answer = None;
         let keep_for = connection_reuse::keep_alive_time(&response);
+        // Such a body ends with its connection, so an upstream that stops right after the head
+        // looks as if it had finished. Only a resumed stream may have no events left.
+        let must_have_event = !is_framed(&response)
+            && order.resume_from.is_none()
+            && self.request.head.resumed_stream.is_none();
         let (parts, mut body) = response.into_parts();
         let mut head = Response::new(());
         *head.status_mut() = parts.status;
@@ -313,7 +318,7 @@
             let bytes = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(_)) => return Err(stream_failure(FailureCause::Reset)),
-                None if splitter.has_partial_event() => {
+                None if splitter.has_partial_event() || (must_have_event && head.is_some()) => {
                     return Err(stream_failure(FailureCause::Truncated));
                 }
                 None => break,
@@ -394,6 +399,12 @@
     AttemptError::Failed(CallFailure::may_have_run(cause))
 }
 
+/// Whether the head says how the body ends.
+fn is_framed(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn is_event_stream(response: &Response<Incoming>) -> bool {
     let content_type = response.headers().get(CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok());
