Log what the version of a taken-up stream rests on

The line of a stream that a caller takes up named the version and whether it was known, asked or assumed. It now also names the attempt whose report gave it, how many hosts were asked and answered, and how long ago this host's list of upstreams was known to be the newest: an assumption from an old list, and a report of an earlier attempt, can be told from a truthful answer. No logic changes.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -216,6 +216,7 @@
                 self.note_listed_leaving(now, &leaving);
                 let directory = self.directory.get_or_insert_default();
                 directory.update(leaving, upstreams, now);
+                self.streams.listed.note_current(now);
                 self.apply_directory(now, actions);
                 self.is_leaving_list_read = true;
                 self.serve_if_ready(now);
--- a/crates/policy/src/streams/listed_versions.rs
+++ b/crates/policy/src/streams/listed_versions.rs
@@ -1,9 +1,10 @@
 use super::*;
 
-/// When the software versions of each target were listed last, and since when this host has seen
-/// every change of the list.
+/// When the software versions of each target were listed last, since when this host has seen every
+/// change of the list, and as of when the list is known.
 #[derive(Debug, Default)]
 pub(crate) struct ListedVersions {
+    as_of: Option<Time>,
     complete_since: Option<Time>,
     last_listed: HashMap<Target, BTreeMap<Option<SoftwareVersion>, Time>>,
 }
@@ -30,6 +31,16 @@
         }
     }
 
+    /// Records that the list was the newest one at a time.
+    pub(crate) fn note_current(&mut self, as_of: Time) {
+        self.as_of = self.as_of.max(Some(as_of));
+    }
+
+    /// Time since the list was known to be the newest one.
+    pub(crate) fn age(&self, now: Time) -> Option<Duration> {
+        self.as_of.map(|as_of| now.since(as_of))
+    }
+
     /// Records that changes of the list may have been missed until now.
     pub(crate) const fn note_gap(&mut self) {
         self.complete_since = None;
--- a/crates/policy/src/streams/taking_up.rs
+++ b/crates/policy/src/streams/taking_up.rs
@@ -19,8 +19,13 @@
         actions: &mut Vec<Action>,
     ) {
         if let Some(known) = self.streams.known.get(stream) {
-            let bound = VersionBound::Only(Some(known.software_version));
-            self.admit_taken_up(now, now, arrival, StreamSource::Known, bound, actions);
+            let noted = TakenUpStream {
+                attempt: Some(known.attempt),
+                software_version: Some(known.software_version),
+                source: StreamSource::Known,
+                ..self.unknown_stream(now, now, stream, &arrival)
+            };
+            self.admit_taken_up(now, arrival, noted, actions);
             return;
         }
         if let Some(lookup) = self.streams.lookups.get_mut(&stream) {
@@ -119,76 +124,86 @@
     ) {
         // A host that reaches no other host may also have missed a new version. Hosts of the
         // previous release send notes, but no answers.
-        let may_assume = lookup.has_answer
+        let may_assume = lookup.has_answer()
             || self.streams.keepers.is_empty()
             || !self.neighbors.hosts_with_fresh_notes(now).is_empty();
         for (arrived, arrival) in lookup.arrivals {
-            let (source, bound) = match &lookup.found {
+            let unknown = TakenUpStream {
+                answered: lookup.answered,
+                asked: lookup.asked,
+                ..self.unknown_stream(now, arrived, stream, &arrival)
+            };
+            let noted = match &lookup.found {
                 Some(found) => {
                     self.streams.known.record(found.clone(), now);
-                    let version = Some(found.software_version.clone());
-                    (StreamSource::Asked, VersionBound::Only(version))
+                    TakenUpStream {
+                        attempt: Some(found.attempt),
+                        software_version: Some(found.software_version.clone()),
+                        source: StreamSource::Asked,
+                        ..unknown
+                    }
                 }
                 None => match self.sole_version(now, &arrival.target) {
-                    Some(version) if may_assume => {
-                        (StreamSource::SoleVersion, VersionBound::Only(version))
-                    }
+                    Some(software_version) if may_assume => TakenUpStream {
+                        software_version,
+                        source: StreamSource::SoleVersion,
+                        ..unknown
+                    },
                     _ => {
-                        self.refuse_unknown_version(now, arrived, stream, &arrival, actions);
+                        refuse_unknown_version(unknown, actions);
                         continue;
                     }
                 },
             };
-            self.admit_taken_up(now, arrived, arrival, source, bound, actions);
+            self.admit_taken_up(now, arrival, noted, actions);
+        }
+    }
+
+    /// What is noted of a stream whose version was not found.
+    fn unknown_stream(
+        &self,
+        now: Time,
+        arrived: Time,
+        stream: StreamId,
+        arrival: &Arrival,
+    ) -> TakenUpStream {
+        TakenUpStream {
+            answered: 0,
+            asked: 0,
+            attempt: None,
+            list_age: self.streams.listed.age(now),
+            request: arrival.request,
+            software_version: None,
+            source: StreamSource::Unknown,
+            stream,
+            waited: now.since(arrived),
         }
     }
 
+    /// Admits a request at the version that was found for its stream.
     fn admit_taken_up(
         &mut self,
         now: Time,
-        arrived: Time,
         mut arrival: Arrival,
-        source: StreamSource,
-        bound: VersionBound,
+        noted: TakenUpStream,
         actions: &mut Vec<Action>,
     ) {
-        let waited = now.since(arrived);
         if let Some(routed) = &mut arrival.routed {
+            let waited = noted.waited;
             routed.time_limit = routed.time_limit.map(|limit| limit.saturating_sub(waited));
-            let software_version = match &bound {
-                VersionBound::Any => None,
-                VersionBound::Only(version) => version.clone(),
-            };
-            actions.push(Action::NoteTakenUp(TakenUpStream {
-                request: arrival.request,
-                software_version,
-                source,
-                stream: routed.stream,
-                waited,
-            }));
         }
+        let bound = VersionBound::Only(noted.software_version.clone());
+        actions.push(Action::NoteTakenUp(noted));
         self.admit_or_refuse(now, arrival, bound, actions);
     }
+}
 
-    fn refuse_unknown_version(
-        &mut self,
-        now: Time,
-        arrived: Time,
-        stream: StreamId,
-        arrival: &Arrival,
-        actions: &mut Vec<Action>,
-    ) {
-        actions.push(Action::NoteTakenUp(TakenUpStream {
-            request: arrival.request,
-            software_version: None,
-            source: StreamSource::Unknown,
-            stream,
-            waited: now.since(arrived),
-        }));
-        let refusal = Refusal {
-            retry_after: Some(UNKNOWN_RETRY_AFTER),
-            ..Refusal::not_run(RefusalReason::StreamVersionUnknown)
-        };
-        push_refusal(arrival.request, refusal, actions);
-    }
+fn refuse_unknown_version(noted: TakenUpStream, actions: &mut Vec<Action>) {
+    let refusal = Refusal {
+        retry_after: Some(UNKNOWN_RETRY_AFTER),
+        ..Refusal::not_run(RefusalReason::StreamVersionUnknown)
+    };
+    let request = noted.request;
+    actions.push(Action::NoteTakenUp(noted));
+    push_refusal(request, refusal, actions);
 }
--- a/crates/policy/src/streams/version_lookup.rs
+++ b/crates/policy/src/streams/version_lookup.rs
@@ -12,11 +12,13 @@
 pub(crate) struct VersionLookup {
     /// Requests that wait for the version, and when they arrived.
     pub(crate) arrivals: Vec<(Time, Arrival)>,
+    /// Number of hosts that answered.
+    pub(crate) answered: usize,
+    /// Number of hosts that were asked.
+    pub(crate) asked: usize,
     asked_count: u32,
     /// The version of the latest attempt that a host reported.
     pub(crate) found: Option<StreamVersion>,
-    /// Whether any host answered.
-    pub(crate) has_answer: bool,
     next_step: Time,
     unanswered: Vec<SocketAddr>,
 }
@@ -25,9 +27,10 @@
     pub(crate) fn new(asked: Vec<SocketAddr>, now: Time) -> Self {
         Self {
             arrivals: Vec::new(),
+            answered: 0,
+            asked: asked.len(),
             asked_count: 1,
             found: None,
-            has_answer: false,
             next_step: now + ASK_TIMEOUT,
             unanswered: asked,
         }
@@ -41,13 +44,18 @@
         if self.unanswered.len() == before {
             return;
         }
-        self.has_answer = true;
+        self.answered += 1;
         let latest = self.found.as_ref().map(|found| found.attempt);
         if found.as_ref().map(|found| found.attempt) > latest {
             self.found = found;
         }
     }
 
+    /// Whether any host answered.
+    pub(crate) const fn has_answer(&self) -> bool {
+        self.answered > 0
+    }
+
     /// Whether no further answer is expected or waited for.
     pub(crate) fn is_over(&self, now: Time) -> bool {
         let is_late = now >= self.next_step;
--- a/crates/router/src/decision_log.rs
+++ b/crates/router/src/decision_log.rs
@@ -150,6 +150,10 @@
             "version" => source,
             "software_version" => software_version.map(ToString::to_string),
             "waited_ms" => millis(noted.waited),
+            "attempt" => noted.attempt,
+            "hosts_asked" => noted.asked,
+            "hosts_answered" => noted.answered,
+            "list_age_ms" => noted.list_age.map(millis),
         );
     }
 
