--- a/crates/policy/tests/installation/stream_versions.rs
+++ b/crates/policy/tests/installation/stream_versions.rs
@@ -53,6 +53,25 @@
     }
 }
 
+/// Nine hosts that have long listed engines of one version.
+fn installation_with_old_version(seed: u64) -> StreamInstallation {
+    let mut installation = StreamInstallation::start(9, 3, &[("v1", 4)], seed);
+    installation.advance_with_notes(40_000);
+    installation
+}
+
+/// Lists engines of a new version at hosts that reach the store, and begins streams there.
+fn streams_of_new_version(installation: &mut StreamInstallation) -> Vec<BegunStream> {
+    installation.list_engines(&versioned_engines(&[("v1", 4), ("v1.1", 4)]));
+    installation.advance(500);
+    let begun = (0..STREAMS).map(|number| installation.begin(1 + number % 8));
+    let begun: Vec<BegunStream> = begun.collect();
+    begun
+        .into_iter()
+        .filter(|begun| begun.version == "v1.1")
+        .collect()
+}
+
 /// Begins and takes up streams in all sizes of installations, with a fault between the two.
 fn check_with_fault(loss: f64, fault: impl Fn(&mut StreamInstallation, &BegunStream)) {
     for (size, versions) in SIZES.into_iter().zip(VERSIONS.into_iter().cycle()) {
@@ -260,6 +279,39 @@
     assert_eq!(take_up(&mut installation), refusal, "others may exist");
 }
 
+/// Guards against a version that is assumed from a list of before a host was cut off.
+#[test]
+fn no_stream_is_joined_at_a_host_that_missed_a_new_version() {
+    let mut installation = installation_with_old_version(11);
+    installation.cut_off.insert(0);
+    let mut counts = Counts::default();
+    for begun in streams_of_new_version(&mut installation) {
+        let taken_up = installation.take_up(0, begun.stream);
+        counts.add(&begun, &taken_up);
+    }
+    assert_eq!(counts.joined, 0, "{counts:?}");
+}
+
+/// Guards against a version that is assumed because a host that does not know it answered.
+#[test]
+fn no_stream_is_joined_at_a_host_that_was_paused() {
+    const PAUSE_MS: u64 = 6_000;
+    let mut counts = Counts::default();
+    for first_heard in 1..9 {
+        let mut installation = installation_with_old_version(12);
+        installation.cut_off.insert(0);
+        let begun = streams_of_new_version(&mut installation);
+        installation.cut_off.clear();
+        installation.resume_after_pause(0, PAUSE_MS);
+        installation.deliver_load_note(first_heard, 0);
+        for begun in begun {
+            let taken_up = installation.take_up(0, begun.stream);
+            counts.add(&begun, &taken_up);
+        }
+    }
+    assert_eq!(counts.joined, 0, "{counts:?}");
+}
+
 /// Guards against refusals beside hosts of the previous release, which answer no questions.
 #[test]
 fn the_only_version_is_assumed_beside_hosts_that_do_not_answer() {
--- a/crates/policy/tests/installation/stream_versions_simulation.rs
+++ b/crates/policy/tests/installation/stream_versions_simulation.rs
@@ -41,6 +41,8 @@
 
 pub struct StreamInstallation {
     pub hosts: Vec<Host>,
+    /// Hosts that reach neither the store nor other hosts.
+    pub cut_off: BTreeSet<usize>,
     /// Hosts that receive nothing.
     pub down: BTreeSet<usize>,
     /// Share of the messages that is lost.
@@ -78,6 +80,7 @@
         });
         let mut installation = Self {
             hosts: hosts.collect(),
+            cut_off: BTreeSet::new(),
             down: BTreeSet::new(),
             loss: 0.0,
             message_bytes: 0,
@@ -124,11 +127,13 @@
         (domain..self.hosts.len()).step_by(self.domains)
     }
 
-    /// Lists other engines at all hosts.
+    /// Lists other engines at all hosts that reach the store.
     pub fn list_engines(&mut self, engines: &BTreeMap<UpstreamId, Upstream>) {
         self.listed.clone_from(engines);
-        for host in &mut self.hosts {
-            host.read_directory(engines.clone(), &[]);
+        for (number, host) in self.hosts.iter_mut().enumerate() {
+            if !self.cut_off.contains(&number) {
+                host.read_directory(engines.clone(), &[]);
+            }
         }
     }
 
@@ -153,6 +158,30 @@
         exchange_notes(&mut self.hosts);
     }
 
+    /// Lets time pass at all hosts, while one of them is paused. It then reads the configuration
+    /// before the list of upstreams.
+    pub fn resume_after_pause(&mut self, paused: usize, ms: u64) {
+        for (number, host) in self.hosts.iter_mut().enumerate() {
+            if number == paused {
+                host.now = host.now.plus_ms(ms);
+            } else {
+                host.advance(ms);
+            }
+        }
+        let as_of = self.hosts[paused].now;
+        self.hosts[paused].handle(Event::ConfigurationConfirmed { as_of });
+    }
+
+    /// Delivers the load note of one host to another one.
+    pub fn deliver_load_note(&mut self, from: usize, to: usize) {
+        let notes = self.hosts[from].take_notes();
+        let notes = notes.into_iter().filter(|(at, _)| *at == address(to));
+        for (_, note) in notes {
+            let from = address(from);
+            self.hosts[to].handle(Event::LoadNoteReceived { from, note });
+        }
+    }
+
     /// Replaces a host by one that has just started.
     pub fn restart(&mut self, host: usize) {
         let now = self.hosts[host].now;
@@ -235,7 +264,8 @@
             self.messages += 1;
             self.message_bytes += note.to_datagram("token").len();
             let is_lost = self.loss > 0.0 && self.rng.random_bool(self.loss);
-            if is_lost || self.down.contains(&to) {
+            let is_cut = self.cut_off.contains(&to) || self.cut_off.contains(&number_of(from));
+            if is_lost || is_cut || self.down.contains(&to) {
                 continue;
             }
             let event = Event::StreamNoteReceived { from, note };
