Assume the only version of a target only from a list confirmed since the take-up

Where nobody knew the version of a stream that was taken up, a host assumed the only one that it listed, however old its list was: it asked whether the store was lost (noticed after 1.6 to 2.2 s), and took any answer or a note of the last 2.5 s for being in touch, even the answer of a host that does not know the stream. A host that was cut off or paused while a new version joined therefore went on at the old one; so did a host in touch in the 0.8 s between two polls of the store.

The host now asks the store, after the take-up has arrived, for the changes since its list, and assumes a version only if there is none of other software; else it refuses with a short wait, as before. A version that another host assumes no longer counts as a report, a host that stood still for a second treats its history of versions as incomplete, and what a keeper knows from a report is compared with the other keepers, as it may have missed the report of a later attempt; a host that asked several and heard none refuses.

--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -88,6 +88,8 @@
     },
     /// Claim an idempotency key in the platform's table.
     Claim(ClaimRequest),
+    /// Ask the directory whether it still lists exactly the upstreams that this host knows.
+    ConfirmUpstreams,
     /// Fetch a newer configuration from another host.
     FetchConfiguration {
         /// Address of the other host.
--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -130,6 +130,7 @@
 
     /// Handles an event at the given time, and appends the resulting actions.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        self.streams.listed.note_event(now);
         let affected = self.affected_targets(&event);
         self.apply_event(now, event, actions);
         match affected {
@@ -195,6 +196,9 @@
             }
             Event::ConfigurationPacked(version) => self.announce_version(version, actions),
             Event::ConfigurationRead(numbered) => self.apply_configuration(now, numbered),
+            Event::DirectoryConfirmed { as_of } => {
+                self.on_directory_confirmed(now, as_of, actions);
+            }
             Event::DirectoryReachableAgain => {
                 self.directory
                     .get_or_insert_default()
@@ -216,7 +220,7 @@
                 self.note_listed_leaving(now, &leaving);
                 let directory = self.directory.get_or_insert_default();
                 directory.update(leaving, upstreams, now);
-                self.streams.listed.note_current(now);
+                self.streams.listed.note_received(now);
                 self.apply_directory(now, actions);
                 self.is_leaving_list_read = true;
                 self.serve_if_ready(now);
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -75,6 +75,11 @@
         /// Time at which the first host got a response.
         at: Time,
     },
+    /// The directory listed exactly the upstreams that were read last.
+    DirectoryConfirmed {
+        /// Time at which the query was sent that confirmed it.
+        as_of: Time,
+    },
     /// This host holds the duties that one host performs for all.
     DutyHeld(DutyNote),
     /// Another host announced that it holds these duties.
--- a/crates/policy/src/streams/known_streams.rs
+++ b/crates/policy/src/streams/known_streams.rs
@@ -7,6 +7,9 @@
 #[derive(Debug)]
 struct KnownStream {
     attempt: u32,
+    /// Whether this host sent the attempt itself. Of other hosts' attempts it may have missed a
+    /// later report.
+    is_own: bool,
     recorded: Time,
     software_version: SoftwareVersion,
 }
@@ -21,14 +24,25 @@
 }
 
 impl KnownStreams {
-    /// Records the version of a stream, unless a later attempt of the same stream is known.
+    /// Records the version of a stream that another host has sent, unless a later attempt of the
+    /// same stream is known.
     pub(crate) fn record(&mut self, version: StreamVersion, now: Time) {
+        self.record_sent(version, false, now);
+    }
+
+    /// Records the version of a stream that this host has sent.
+    pub(crate) fn record_own(&mut self, version: StreamVersion, now: Time) {
+        self.record_sent(version, true, now);
+    }
+
+    fn record_sent(&mut self, version: StreamVersion, is_own: bool, now: Time) {
         let known = self.streams.get(&version.stream);
         if known.is_some_and(|known| known.attempt > version.attempt) {
             return;
         }
         let known = KnownStream {
             attempt: version.attempt,
+            is_own,
             recorded: now,
             software_version: version.software_version,
         };
@@ -48,6 +62,12 @@
         })
     }
 
+    /// Whether this host sent the latest known attempt of a stream.
+    pub(crate) fn is_own(&self, stream: StreamId) -> bool {
+        let known = self.streams.get(&stream);
+        known.is_some_and(|known| known.is_own)
+    }
+
     /// Forgets streams that were recorded longer ago than `lifetime`.
     pub(crate) fn expire(&mut self, lifetime: Duration, now: Time) {
         let is_old = |recorded: Time| now.since(recorded) > lifetime;
--- a/crates/policy/src/streams/listed_versions.rs
+++ b/crates/policy/src/streams/listed_versions.rs
@@ -1,12 +1,18 @@
 use super::*;
 
+/// Time without any event after which the host must have stood still. A shorter standstill hides no
+/// version, as an upstream is listed for longer.
+const MIN_STANDSTILL: Duration = Duration::from_millis(1_000);
+
 /// When the software versions of each target were listed last, since when this host has seen every
-/// change of the list, and as of when the list is known.
+/// change of the list, and when the list was confirmed.
 #[derive(Debug, Default)]
 pub(crate) struct ListedVersions {
-    as_of: Option<Time>,
     complete_since: Option<Time>,
+    confirmed_at: Option<Time>,
+    last_event: Option<Time>,
     last_listed: HashMap<Target, BTreeMap<Option<SoftwareVersion>, Time>>,
+    received_at: Option<Time>,
 }
 
 impl ListedVersions {
@@ -31,14 +37,34 @@
         }
     }
 
-    /// Records that the list was the newest one at a time.
-    pub(crate) fn note_current(&mut self, as_of: Time) {
-        self.as_of = self.as_of.max(Some(as_of));
+    /// Records that this host handles an event. Changes of the list may have been missed if it
+    /// stood still before.
+    pub(crate) fn note_event(&mut self, now: Time) {
+        let last = self.last_event.replace(now);
+        if last.is_some_and(|last| now.since(last) >= MIN_STANDSTILL) {
+            self.note_gap();
+        }
+    }
+
+    /// Records that a list was received, which may be older.
+    pub(crate) const fn note_received(&mut self, now: Time) {
+        self.received_at = Some(now);
+    }
+
+    /// Records that the known list was still the newest one at a time.
+    pub(crate) fn note_confirmed(&mut self, as_of: Time) {
+        self.confirmed_at = self.confirmed_at.max(Some(as_of));
+    }
+
+    /// Whether the known list was still the newest one at some time after `start`.
+    pub(crate) fn is_confirmed_after(&self, start: Time) -> bool {
+        self.confirmed_at.is_some_and(|as_of| as_of >= start)
     }
 
-    /// Time since the list was known to be the newest one.
+    /// Time since a list was received or confirmed.
     pub(crate) fn age(&self, now: Time) -> Option<Duration> {
-        self.as_of.map(|as_of| now.since(as_of))
+        let known_at = self.received_at.max(self.confirmed_at);
+        known_at.map(|at| now.since(at))
     }
 
     /// Records that changes of the list may have been missed until now.
--- a/crates/policy/src/streams/mod.rs
+++ b/crates/policy/src/streams/mod.rs
@@ -25,7 +25,7 @@
 
 pub(crate) use {
     known_streams::KnownStreams, listed_versions::ListedVersions, stream_keepers::StreamKeepers,
-    version_lookup::VersionLookup,
+    version_lookup::VersionLookup, version_reports::ASSUMED_ATTEMPT,
 };
 
 /// What this host knows about the software versions of streams.
--- a/crates/policy/src/streams/taken_up_stream.rs
+++ b/crates/policy/src/streams/taken_up_stream.rs
@@ -9,8 +9,7 @@
     pub asked: usize,
     /// Attempt whose report gave the version; `None` if no report was found.
     pub attempt: Option<u32>,
-    /// Time since this host last knew its list of upstreams to be the newest; `None` if that is not
-    /// known.
+    /// Time since this host received its list of upstreams, or it was confirmed.
     pub list_age: Option<Duration>,
     /// The request that takes the stream up.
     pub request: RequestId,
--- a/crates/policy/src/streams/taking_up.rs
+++ b/crates/policy/src/streams/taking_up.rs
@@ -18,7 +18,8 @@
         arrival: Arrival,
         actions: &mut Vec<Action>,
     ) {
-        if let Some(known) = self.streams.known.get(stream) {
+        let known = self.streams.known.get(stream);
+        if let Some(known) = known.clone().filter(|_| self.streams.known.is_own(stream)) {
             let noted = TakenUpStream {
                 attempt: Some(known.attempt),
                 software_version: Some(known.software_version),
@@ -36,7 +37,7 @@
         let to = keepers.to_ask(stream, |host| self.neighbors.is_silent(host, now));
         let is_full = self.streams.lookups.len() >= MAX_LOOKUPS;
         let to = if is_full { Vec::new() } else { to };
-        let mut lookup = VersionLookup::new(to.clone(), now);
+        let mut lookup = VersionLookup::new(to.clone(), known, now);
         let target = arrival.target.to_string();
         lookup.arrivals.push((now, arrival));
         if to.is_empty() {
@@ -107,58 +108,107 @@
 
     fn conclude_if_over(&mut self, now: Time, stream: StreamId, actions: &mut Vec<Action>) {
         let lookups = &mut self.streams.lookups;
+        let listed = &self.streams.listed;
         let is_over = lookups
             .get(&stream)
-            .is_some_and(|lookup| lookup.is_over(now));
+            .is_some_and(|lookup| lookup.is_over(listed, now));
         if let Some(lookup) = is_over.then(|| lookups.remove(&stream)).flatten() {
             self.conclude_lookup(now, stream, lookup, actions);
         }
     }
 
+    /// Admits the requests that take a stream up, or refuses them if its version is not known. An
+    /// assumed version counts only if the list of upstreams was confirmed after the first of them
+    /// arrived: an older list may lack the version at which the stream began.
     fn conclude_lookup(
         &mut self,
         now: Time,
         stream: StreamId,
-        lookup: VersionLookup,
+        mut lookup: VersionLookup,
         actions: &mut Vec<Action>,
     ) {
-        // A host that reaches no other host may also have missed a new version. Hosts of the
-        // previous release send notes, but no answers.
-        let may_assume = lookup.has_answer()
-            || self.streams.keepers.is_empty()
-            || !self.neighbors.hosts_with_fresh_notes(now).is_empty();
-        for (arrived, arrival) in lookup.arrivals {
+        let is_confirmed = self.streams.listed.is_confirmed_after(lookup.started);
+        if !is_confirmed && self.may_assume(now, &lookup) && lookup.await_confirmation(now) {
+            self.streams.lookups.insert(stream, lookup);
+            actions.push(Action::ConfirmUpstreams);
+            return;
+        }
+        // A host that is cut off may have missed the report of a later attempt.
+        let found = lookup.found.take().filter(|_| !lookup.is_unheard());
+        if let Some(found) = &found {
+            self.streams.known.record(found.clone(), now);
+        }
+        for (arrived, arrival) in std::mem::take(&mut lookup.arrivals) {
             let unknown = TakenUpStream {
                 answered: lookup.answered,
                 asked: lookup.asked,
                 ..self.unknown_stream(now, arrived, stream, &arrival)
             };
-            let noted = match &lookup.found {
-                Some(found) => {
-                    self.streams.known.record(found.clone(), now);
-                    TakenUpStream {
-                        attempt: Some(found.attempt),
-                        software_version: Some(found.software_version.clone()),
-                        source: StreamSource::Asked,
-                        ..unknown
-                    }
-                }
-                None => match self.sole_version(now, &arrival.target) {
-                    Some(software_version) if may_assume => TakenUpStream {
-                        software_version,
-                        source: StreamSource::SoleVersion,
-                        ..unknown
-                    },
-                    _ => {
-                        refuse_unknown_version(unknown, actions);
-                        continue;
-                    }
+            let assumed = self.assumed_for(now, &lookup, &arrival.target);
+            let noted = match (&found, assumed) {
+                (Some(found), _) => TakenUpStream {
+                    attempt: Some(found.attempt),
+                    software_version: Some(found.software_version.clone()),
+                    source: StreamSource::Asked,
+                    ..unknown
                 },
+                (None, Some(software_version)) if is_confirmed => TakenUpStream {
+                    software_version,
+                    source: StreamSource::SoleVersion,
+                    ..unknown
+                },
+                _ => {
+                    refuse_unknown_version(unknown, actions);
+                    continue;
+                }
             };
             self.admit_taken_up(now, arrival, noted, actions);
         }
     }
 
+    /// Whether the version of a stream that nobody knows can be assumed once the list of upstreams
+    /// is confirmed.
+    fn may_assume(&self, now: Time, lookup: &VersionLookup) -> bool {
+        let mut targets = lookup.arrivals.iter().map(|(_, arrival)| &arrival.target);
+        lookup.found.is_none()
+            && targets.any(|target| self.assumed_for(now, lookup, target).is_some())
+    }
+
+    /// The version that a stream of unknown version must have: the only one that this host, or a
+    /// host that answered, has listed for long, if this host lists no other one now.
+    fn assumed_for(
+        &self,
+        now: Time,
+        lookup: &VersionLookup,
+        target: &Target,
+    ) -> Option<Option<SoftwareVersion>> {
+        // A host that reaches no other host may also have missed a new version. Hosts of the
+        // previous release send notes, but no answers.
+        let hears_others = lookup.has_answer()
+            || self.streams.keepers.is_empty()
+            || !self.neighbors.hosts_with_fresh_notes(now).is_empty();
+        let own = self.sole_version(now, target);
+        let own = own.filter(|_| hears_others);
+        own.or_else(|| {
+            let assumed = lookup.assumed.clone()?;
+            let listed = self.listed_version(target)?;
+            (listed == Some(&assumed)).then_some(Some(assumed))
+        })
+    }
+
+    pub(crate) fn on_directory_confirmed(
+        &mut self,
+        now: Time,
+        as_of: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        self.streams.listed.note_confirmed(as_of);
+        let pending: Vec<StreamId> = self.streams.lookups.keys().copied().collect();
+        for stream in pending {
+            self.conclude_if_over(now, stream, actions);
+        }
+    }
+
     /// What is noted of a stream whose version was not found.
     fn unknown_stream(
         &self,
--- a/crates/policy/src/streams/version_lookup.rs
+++ b/crates/policy/src/streams/version_lookup.rs
@@ -4,10 +4,15 @@
 /// a few milliseconds, so a later answer was lost or comes from a host that is down.
 const ASK_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Time within which the directory must confirm the list of upstreams. A slow store takes some 0.2 s
+/// for an answer.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Number of times that a host is asked.
 const MAX_ASKED: u32 = 2;
 
-/// A question to other hosts for the software version of a stream.
+/// A question to other hosts for the software version of a stream, and to the directory if they do
+/// not know it.
 #[derive(Debug)]
 pub(crate) struct VersionLookup {
     /// Requests that wait for the version, and when they arrived.
@@ -17,21 +22,31 @@
     /// Number of hosts that were asked.
     pub(crate) asked: usize,
     asked_count: u32,
+    /// The version that another host assumes because it has long listed no other one.
+    pub(crate) assumed: Option<SoftwareVersion>,
+    /// Time until which the directory may confirm the list; `None` if it was not asked.
+    confirmation_due: Option<Time>,
     /// The version of the latest attempt that a host reported.
     pub(crate) found: Option<StreamVersion>,
     next_step: Time,
+    /// Time at which the first request arrived. The stream began before.
+    pub(crate) started: Time,
     unanswered: Vec<SocketAddr>,
 }
 
 impl VersionLookup {
-    pub(crate) fn new(asked: Vec<SocketAddr>, now: Time) -> Self {
+    /// A lookup of a stream for which this host may have received a report.
+    pub(crate) fn new(asked: Vec<SocketAddr>, reported: Option<StreamVersion>, now: Time) -> Self {
         Self {
             arrivals: Vec::new(),
             answered: 0,
             asked: asked.len(),
             asked_count: 1,
-            found: None,
+            assumed: None,
+            confirmation_due: None,
+            found: reported,
             next_step: now + ASK_TIMEOUT,
+            started: now,
             unanswered: asked,
         }
     }
@@ -45,9 +60,14 @@
             return;
         }
         self.answered += 1;
+        let Some(found) = found else { return };
+        if found.attempt == ASSUMED_ATTEMPT {
+            self.assumed = Some(found.software_version);
+            return;
+        }
         let latest = self.found.as_ref().map(|found| found.attempt);
-        if found.as_ref().map(|found| found.attempt) > latest {
-            self.found = found;
+        if Some(found.attempt) > latest {
+            self.found = Some(found);
         }
     }
 
@@ -56,8 +76,25 @@
         self.answered > 0
     }
 
+    /// Whether several hosts were asked and none answered, as where this host is cut off.
+    pub(crate) const fn is_unheard(&self) -> bool {
+        self.asked > 1 && self.answered == 0
+    }
+
+    /// Starts to wait for the directory. Returns false if it was asked before.
+    pub(crate) fn await_confirmation(&mut self, now: Time) -> bool {
+        if self.confirmation_due.is_some() {
+            return false;
+        }
+        self.confirmation_due = Some(now + CONFIRMATION_TIMEOUT);
+        true
+    }
+
     /// Whether no further answer is expected or waited for.
-    pub(crate) fn is_over(&self, now: Time) -> bool {
+    pub(crate) fn is_over(&self, listed: &ListedVersions, now: Time) -> bool {
+        if let Some(due) = self.confirmation_due {
+            return now >= due || listed.is_confirmed_after(self.started);
+        }
         let is_late = now >= self.next_step;
         self.unanswered.is_empty()
             || (is_late && (self.found.is_some() || self.asked_count >= MAX_ASKED))
@@ -65,7 +102,7 @@
 
     /// The hosts to ask again now.
     pub(crate) fn take_repeated(&mut self, now: Time) -> &[SocketAddr] {
-        if now < self.next_step {
+        if now < self.next_step || self.asked_count >= MAX_ASKED {
             return &[];
         }
         self.asked_count += 1;
--- a/crates/policy/src/streams/version_reports.rs
+++ b/crates/policy/src/streams/version_reports.rs
@@ -5,6 +5,10 @@
 /// Number of deadlines of its class for which a stream may run, over several tries of its caller.
 const LIFETIME_DEADLINES: u32 = 3;
 
+/// Number of the attempt in an answer that is assumed and not reported. It is lower than that of
+/// any attempt that was sent.
+pub(crate) const ASSUMED_ATTEMPT: u32 = 0;
+
 impl Controller {
     /// Records the version of a stream and reports it to the keepers of the stream.
     pub(crate) fn report_stream(
@@ -13,7 +17,7 @@
         version: StreamVersion,
         actions: &mut Vec<Action>,
     ) {
-        self.streams.known.record(version.clone(), now);
+        self.streams.known.record_own(version.clone(), now);
         let keepers = &self.streams.keepers;
         let is_silent = |host: &HostId| self.neighbors.is_silent(host, now);
         let to = keepers.to_report_to(version.stream, is_silent);
@@ -53,7 +57,7 @@
         let mut targets = self.pool.targets.keys();
         let target = targets.find(|known| known.to_string() == target)?;
         Some(StreamVersion {
-            attempt: 0,
+            attempt: ASSUMED_ATTEMPT,
             software_version: self.sole_version(now, target)??,
             stream,
         })
@@ -66,21 +70,26 @@
         now: Time,
         target: &Target,
     ) -> Option<Option<SoftwareVersion>> {
+        let version = self.listed_version(target)?;
+        let lifetime = self.streams.lifetime;
+        let listed = &self.streams.listed;
+        let is_sole = !lifetime.is_zero() && listed.is_sole_version(target, version, lifetime, now);
+        is_sole.then(|| version.cloned())
+    }
+
+    /// The version of a target's upstreams, if this host knows all of them and they have the same
+    /// one now.
+    pub(crate) fn listed_version(&self, target: &Target) -> Option<Option<&SoftwareVersion>> {
         let directory = self.directory.as_ref();
         let knows_all_upstreams = self.pool.common_ids.is_none();
-        let is_current = directory.is_none_or(DirectoryView::is_reachable);
-        let lifetime = self.streams.lifetime;
-        if !knows_all_upstreams || !is_current || lifetime.is_zero() {
+        let is_reachable = directory.is_none_or(DirectoryView::is_reachable);
+        if !knows_all_upstreams || !is_reachable {
             return None;
         }
         let mut upstreams = self.pool.upstreams_of(target);
         let version = upstreams.next()?.definition.software_version();
-        let is_sole = upstreams.all(|state| state.definition.software_version() == version)
-            && self
-                .streams
-                .listed
-                .is_sole_version(target, version, lifetime, now);
-        is_sole.then(|| version.cloned())
+        let mut others = upstreams.map(|state| state.definition.software_version());
+        others.all(|other| other == version).then_some(version)
     }
 
     /// Records the versions of the upstreams before the list of them changes.
--- a/crates/policy/tests/installation/stream_versions.rs
+++ b/crates/policy/tests/installation/stream_versions.rs
@@ -72,6 +72,30 @@
         .collect()
 }
 
+/// Fails the first attempt of a stream, so that a second one begins it. Returns the stream and
+/// whether its version changed; `None` if it was not retried.
+fn retry(
+    installation: &mut StreamInstallation,
+    mut begun: BegunStream,
+) -> Option<(BegunStream, bool)> {
+    let (cause, verdict) = (FailureCause::Busy, Verdict::NotRun);
+    let host = &mut installation.hosts[begun.host];
+    let actions = host.fail(&begun.order, begun.request, cause, verdict, false);
+    // The retry budget may be used up.
+    let order = sent(&actions)?;
+    installation.deliver_from(begun.host);
+    let first_version = std::mem::replace(&mut begun.version, installation.version_of(&order));
+    installation.hosts[begun.host].handle(Event::Progressed {
+        attempt: order.attempt,
+        longest_pause: Duration::ZERO,
+        request: begun.request,
+        tokens: Tokens::new(1),
+    });
+    installation.deliver_from(begun.host);
+    let has_changed = first_version != begun.version;
+    Some((begun, has_changed))
+}
+
 /// Begins and takes up streams in all sizes of installations, with a fault between the two.
 fn check_with_fault(loss: f64, fault: impl Fn(&mut StreamInstallation, &BegunStream)) {
     for (size, versions) in SIZES.into_iter().zip(VERSIONS.into_iter().cycle()) {
@@ -162,24 +186,11 @@
     let mut changed = 0;
     for _ in 0..STREAMS {
         let host = installation.random_host();
-        let mut begun = installation.begin(host);
-        let (cause, verdict) = (FailureCause::Busy, Verdict::NotRun);
-        let host_of = &mut installation.hosts[host];
-        let actions = host_of.fail(&begun.order, begun.request, cause, verdict, false);
-        // The retry budget may be used up.
-        let Some(order) = sent(&actions) else {
+        let begun = installation.begin(host);
+        let Some((begun, has_changed)) = retry(&mut installation, begun) else {
             continue;
         };
-        installation.deliver_from(host);
-        let first_version = std::mem::replace(&mut begun.version, installation.version_of(&order));
-        changed += usize::from(first_version != begun.version);
-        installation.hosts[host].handle(Event::Progressed {
-            attempt: order.attempt,
-            longest_pause: Duration::ZERO,
-            request: begun.request,
-            tokens: Tokens::new(1),
-        });
-        installation.deliver_from(host);
+        changed += usize::from(has_changed);
         installation.down.insert(host);
         let taken_up = installation.take_up((host + 1) % 9, begun.stream);
         counts.add(&begun, &taken_up);
@@ -189,6 +200,33 @@
     counts.check("retried");
 }
 
+/// Guards against a keeper that missed the report of a later attempt.
+#[test]
+fn an_outdated_report_joins_no_stream() {
+    for still_cut_off in [false, true] {
+        let mut installation = StreamInstallation::start(9, 3, VERSIONS[1], 13);
+        let mut counts = Counts::default();
+        for number in 0..4 * STREAMS {
+            let host = number % 9;
+            let keeper = (host + 1 + number % 8) % 9;
+            let begun = installation.begin(host);
+            installation.cut_off.insert(keeper);
+            let retried = retry(&mut installation, begun);
+            if !still_cut_off {
+                installation.cut_off.clear();
+            }
+            if let Some((begun, true)) = retried {
+                let taken_up = installation.take_up(keeper, begun.stream);
+                counts.add(&begun, &taken_up);
+            }
+            installation.cut_off.clear();
+            installation.advance(1_000);
+        }
+        assert_eq!(counts.joined, 0, "{still_cut_off}: {counts:?}");
+        assert_eq!(counts.gone_on == 0, still_cut_off, "{counts:?}");
+    }
+}
+
 #[test]
 fn a_stream_may_be_taken_up_several_times() {
     let mut installation = StreamInstallation::start(66, 3, VERSIONS[2], 5);
--- a/crates/policy/tests/installation/stream_versions_simulation.rs
+++ b/crates/policy/tests/installation/stream_versions_simulation.rs
@@ -52,9 +52,13 @@
     domains: usize,
     in_transit: VecDeque<(usize, SocketAddr, StreamNote)>,
     listed: BTreeMap<UpstreamId, Upstream>,
+    /// Hosts that have missed a change of the list.
+    outdated: BTreeSet<usize>,
     next_prompt: u64,
     restarts: u64,
     rng: SmallRng,
+    /// Hosts that wait for a confirmation of their list.
+    unconfirmed: Vec<usize>,
 }
 
 /// Engines of each version, as many as given.
@@ -88,9 +92,11 @@
             domains,
             in_transit: VecDeque::new(),
             listed: versioned_engines(versions),
+            outdated: BTreeSet::new(),
             next_prompt: 0,
             restarts: 0,
             rng: SmallRng::seed_from_u64(seed),
+            unconfirmed: Vec::new(),
         };
         for number in 0..installation.hosts.len() {
             installation.list_hosts(number);
@@ -130,8 +136,9 @@
     /// Lists other engines at all hosts that reach the store.
     pub fn list_engines(&mut self, engines: &BTreeMap<UpstreamId, Upstream>) {
         self.listed.clone_from(engines);
+        self.outdated.clone_from(&self.cut_off);
         for (number, host) in self.hosts.iter_mut().enumerate() {
-            if !self.cut_off.contains(&number) {
+            if !self.outdated.contains(&number) {
                 host.read_directory(engines.clone(), &[]);
             }
         }
@@ -260,6 +267,7 @@
     /// Like `deliver_from`, and appends the actions that the messages cause.
     fn deliver_keeping(&mut self, host: usize, kept: &mut Vec<Action>) {
         self.collect(host);
+        kept.extend(self.confirm_lists());
         while let Some((to, from, note)) = self.in_transit.pop_front() {
             self.messages += 1;
             self.message_bytes += note.to_datagram("token").len();
@@ -271,17 +279,36 @@
             let event = Event::StreamNoteReceived { from, note };
             kept.extend(self.hosts[to].handle(event));
             self.collect(to);
+            kept.extend(self.confirm_lists());
         }
     }
 
+    /// Confirms the list at the hosts that have asked for it, reach the store and have the newest
+    /// one.
+    fn confirm_lists(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for host in std::mem::take(&mut self.unconfirmed) {
+            if !self.cut_off.contains(&host) && !self.outdated.contains(&host) {
+                let as_of = self.hosts[host].now;
+                actions.extend(self.hosts[host].handle(Event::DirectoryConfirmed { as_of }));
+            }
+        }
+        actions
+    }
+
     /// Takes the messages that a host has sent.
     fn collect(&mut self, from: usize) {
         for action in std::mem::take(&mut self.hosts[from].actions) {
-            if let Action::SendStreamNote { note, to } = action {
-                let messages = to
-                    .iter()
-                    .map(|to| (number_of(*to), address(from), note.clone()));
-                self.in_transit.extend(messages);
+            match action {
+                Action::SendStreamNote { note, to } => {
+                    let messages = to
+                        .iter()
+                        .map(|to| (number_of(*to), address(from), note.clone()));
+                    self.in_transit.extend(messages);
+                }
+                Action::ConfirmUpstreams => self.unconfirmed.push(from),
+
+                _ => {}
             }
         }
     }
--- a/crates/policy/tests/properties/model.rs
+++ b/crates/policy/tests/properties/model.rs
@@ -291,6 +291,7 @@
             | Action::RequestTokens { .. }
             | Action::GrantTokens { .. }
             | Action::SendUpstreamNote { .. }
+            | Action::ConfirmUpstreams
             | Action::NoteTakenUp(_)
             | Action::SendStreamNote { .. }
             | Action::SendCrashNote { .. }
--- a/crates/policy/tests/script/render.rs
+++ b/crates/policy/tests/script/render.rs
@@ -19,6 +19,7 @@
         Action::CheckPath { upstream, .. } => format!("look for a path to {upstream}"),
         Action::CheckListening { upstream, .. } => format!("look whether {upstream} listens"),
         Action::Claim(claim) => format!("claim {} for {}", claim.key, claim.request),
+        Action::ConfirmUpstreams => "confirm the list of upstreams".to_string(),
         Action::FetchConfiguration { address, .. } => format!("fetch configuration of {address}"),
         Action::GrantTokens { grant, .. } => format!("grant {} tokens", grant.count),
         Action::StoreCrashes(crashes) => format!("keep {} crashes", crashes.len()),
--- a/crates/ports/src/directory.rs
+++ b/crates/ports/src/directory.rs
@@ -13,6 +13,9 @@
     pub draining: Arc<AtomicBool>,
     /// Configurations of other hosts. The directory applies those that are newer than its own.
     pub received_configurations: flume::Receiver<ReceivedConfiguration>,
+    /// Receives a signal when the host needs to know whether the upstreams it was told of are still
+    /// all those that are listed.
+    pub unconfirmed_upstreams: flume::Receiver<()>,
     /// Sends what the directory has read.
     pub updates: flume::Sender<DirectoryUpdate>,
     /// Usage counts for the usage reports, from this host and from others.
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -89,6 +89,11 @@
     },
     /// The store's data of a table, to be passed on to other hosts.
     TableRead(SharedTableUpdate),
+    /// The upstreams announced last were still those that the store listed at a given time.
+    UpstreamsConfirmed {
+        /// Time at which the request was sent that confirmed them.
+        as_of: Time,
+    },
     /// All upstreams that the store lists.
     Upstreams {
         /// Upstreams that the hosts of all failure domains know; `None` if all hosts know all
--- a/crates/router/src/channels.rs
+++ b/crates/router/src/channels.rs
@@ -4,6 +4,10 @@
 /// it only notifies the directory thread that there was a request.
 const TABLE_REQUEST_CAPACITY: usize = 1;
 
+/// Capacity of the channel of requests to confirm the list of upstreams. One entry is enough: a
+/// request that is not yet taken is sent later than all that led to it.
+const UNCONFIRMED_CAPACITY: usize = 1;
+
 /// Capacity of the channel of messages to the controller thread.
 const EVENT_CAPACITY: usize = 65_536;
 
@@ -42,6 +46,7 @@
     pub(crate) peer_jobs: (flume::Sender<PeerJob>, flume::Receiver<PeerJob>),
     pub(crate) platform_jobs: (flume::Sender<PlatformJob>, flume::Receiver<PlatformJob>),
     pub(crate) probes: (flume::Sender<ProbeJob>, flume::Receiver<ProbeJob>),
+    pub(crate) unconfirmed_upstreams: (flume::Sender<()>, flume::Receiver<()>),
     pub(crate) usage: (flume::Sender<UsageNote>, flume::Receiver<UsageNote>),
 }
 
@@ -55,6 +60,7 @@
             peer_jobs: flume::bounded(PEER_CAPACITY),
             platform_jobs: flume::bounded(PLATFORM_CAPACITY),
             probes: flume::bounded(PROBE_CAPACITY),
+            unconfirmed_upstreams: flume::bounded(UNCONFIRMED_CAPACITY),
             usage: flume::bounded(USAGE_CAPACITY),
         }
     }
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -37,6 +37,7 @@
     /// Maximum time between the stop message and the end of the thread; `None` for no limit.
     pub(crate) stop_timeout: Option<Duration>,
     /// Responses that are buffered until their callers read them.
+    pub(crate) unconfirmed_upstreams: flume::Sender<()>,
     pub(crate) unread: UnreadAnswers,
     /// Usage counts of this host, if this host collects the counts of all hosts.
     pub(crate) usage: flume::Sender<UsageNote>,
@@ -268,6 +269,10 @@
                     sender.send_token_grant(&grant, to);
                 }
             }
+            // Fails if such a request is already waiting.
+            Action::ConfirmUpstreams => {
+                let _ = self.thread.unconfirmed_upstreams.try_send(());
+            }
             // The channel is full only after a long outage of the store. Other hosts receive the
             // crashes directly.
             Action::StoreCrashes(crashes) => {
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -20,6 +20,7 @@
     pub(crate) metrics: HostMetrics,
     pub(crate) offers: flume::Receiver<ReceivedConfiguration>,
     pub(crate) shutdown: Shutdown,
+    pub(crate) unconfirmed_upstreams: flume::Receiver<()>,
     pub(crate) usage: flume::Receiver<UsageNote>,
 }
 
@@ -52,6 +53,7 @@
             metrics: _,
             offers,
             shutdown,
+            unconfirmed_upstreams,
             usage,
         } = self;
         let channels = DirectoryChannels {
@@ -59,6 +61,7 @@
             crashes,
             draining,
             received_configurations: offers,
+            unconfirmed_upstreams,
             updates: sender,
             usage,
         };
@@ -208,6 +211,7 @@
                 }
                 return None;
             }
+            DirectoryUpdate::UpstreamsConfirmed { as_of } => Event::DirectoryConfirmed { as_of },
             DirectoryUpdate::Upstreams {
                 common,
                 leaving,
--- a/crates/router/src/host_threads.rs
+++ b/crates/router/src/host_threads.rs
@@ -61,6 +61,7 @@
             probes: self.channels.probes.0.clone(),
             read_configuration: Arc::clone(&self.shared.read_configuration),
             status: Arc::clone(&self.shared.status),
+            unconfirmed_upstreams: self.channels.unconfirmed_upstreams.0.clone(),
             unread: self.shared.unread.clone(),
             usage: self.channels.usage.0.clone(),
             stop_timeout: relays.then_some(relay_rules::STOP_RESERVE / CONTROLLER_STOP_DIVISOR),
@@ -95,6 +96,7 @@
             metrics: self.metrics.clone(),
             offers,
             shutdown: self.background_shutdown.clone(),
+            unconfirmed_upstreams: self.channels.unconfirmed_upstreams.1.clone(),
             usage: self.channels.usage.1.clone(),
         };
         self.background_threads.push(thread.spawn()?);
