Assume no version while a host may still send to another one

A host that lost the store goes on with its list; when it ends, its streams are taken up at hosts that have listed only a newer version for three deadlines, and which it could not report to: they were joined. The new test failed before (a stream sent to v1.1 instead of refused) and passes. A version that is no longer listed now counts as in use for ten minutes.

A report that a host received counts only if another host answered, also where none is left to ask and where the answer of the other keeper is later than 60 ms; else the only version is assumed if the store confirms the list, so that a host that is left alone goes on. A host that took a stream up counts as its sender. The confirmation is waited for longer than one earlier question and a slow answer take.

Two tests changed with it. a_stream_of_unknown_version_is_refused_unless_there_is_only_ one_version expected the assumption 30 s after a version left: it now expects a refusal then, and the assumption ten minutes later. the_only_version_is_assumed_beside_hosts_ that_do_not_answer had cut off the host itself as well; only the others are down now, as its name says, and a host that is cut off gets no confirmation in the simulation.

--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -88,7 +88,8 @@
     },
     /// Claim an idempotency key in the platform's table.
     Claim(ClaimRequest),
-    /// Ask the directory whether it still lists exactly the upstreams that this host knows.
+    /// Ask the directory whether the upstreams that it lists now run the software that this host
+    /// knows of.
     ConfirmUpstreams,
     /// Fetch a newer configuration from another host.
     FetchConfiguration {
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -75,7 +75,7 @@
         /// Time at which the first host got a response.
         at: Time,
     },
-    /// The directory listed exactly the upstreams that were read last.
+    /// The directory listed no software other than that of the upstreams that were read last.
     DirectoryConfirmed {
         /// Time at which the query was sent that confirmed it.
         as_of: Time,
--- a/crates/policy/src/streams/known_streams.rs
+++ b/crates/policy/src/streams/known_streams.rs
@@ -37,12 +37,15 @@
 
     fn record_sent(&mut self, version: StreamVersion, is_own: bool, now: Time) {
         let known = self.streams.get(&version.stream);
-        if known.is_some_and(|known| known.attempt > version.attempt) {
+        let is_later = known.is_some_and(|known| known.attempt > version.attempt);
+        if is_later && !is_own {
             return;
         }
+        let is_same = known.is_some_and(|known| known.software_version == version.software_version);
         let known = KnownStream {
-            attempt: version.attempt,
-            is_own,
+            attempt: known.map_or(version.attempt, |known| known.attempt.max(version.attempt)),
+            // The version that this host has sent does not become uncertain by the same report.
+            is_own: is_own || (is_same && known.is_some_and(|known| known.is_own)),
             recorded: now,
             software_version: version.software_version,
         };
--- a/crates/policy/src/streams/listed_versions.rs
+++ b/crates/policy/src/streams/listed_versions.rs
@@ -1,9 +1,12 @@
 use super::*;
 
-/// Time without any event after which the host must have stood still. A shorter standstill hides no
-/// version, as an upstream is listed for longer.
+/// Time without any event after which the host must have stood still.
 const MIN_STANDSTILL: Duration = Duration::from_millis(1_000);
 
+/// Time for which a version that is no longer listed may still be in use: a host that lost the
+/// store goes on with its old list.
+const MIN_UNLISTED: Duration = Duration::from_secs(600);
+
 /// When the software versions of each target were listed last, since when this host has seen every
 /// change of the list, and when the list was confirmed.
 #[derive(Debug, Default)]
@@ -85,14 +88,23 @@
         let mut versions = self.last_listed.get(target).into_iter().flatten();
         self.complete_since.is_some_and(is_complete)
             && versions.all(|(listed, last_listed)| {
-                listed.as_ref() == version || now.since(*last_listed) >= lifetime
+                listed.as_ref() == version
+                    || now.since(*last_listed) >= time_in_use(listed.as_ref(), lifetime)
             })
     }
 
-    /// Forgets versions that were listed last longer ago than `lifetime`.
+    /// Forgets versions that were listed last so long ago that no stream has them.
     pub(crate) fn expire(&mut self, lifetime: Duration, now: Time) {
         for versions in self.last_listed.values_mut() {
-            versions.retain(|_, last_listed| now.since(*last_listed) < lifetime);
+            versions.retain(|version, last_listed| {
+                now.since(*last_listed) < time_in_use(version.as_ref(), lifetime)
+            });
         }
     }
 }
+
+/// Time after which no stream has a version that is no longer listed. Upstreams that name no version
+/// count as alike.
+fn time_in_use(version: Option<&SoftwareVersion>, lifetime: Duration) -> Duration {
+    version.map_or(lifetime, |_| lifetime.max(MIN_UNLISTED))
+}
--- a/crates/policy/src/streams/taking_up.rs
+++ b/crates/policy/src/streams/taking_up.rs
@@ -127,14 +127,18 @@
         mut lookup: VersionLookup,
         actions: &mut Vec<Action>,
     ) {
+        let found = lookup.version(self.streams.keepers.is_empty());
         let is_confirmed = self.streams.listed.is_confirmed_after(lookup.started);
-        if !is_confirmed && self.may_assume(now, &lookup) && lookup.await_confirmation(now) {
+        if found.is_none()
+            && !is_confirmed
+            && !lookup.awaits_confirmation()
+            && self.may_assume(now, &lookup)
+        {
+            lookup.await_confirmation(now);
             self.streams.lookups.insert(stream, lookup);
             actions.push(Action::ConfirmUpstreams);
             return;
         }
-        // A host that is cut off may have missed the report of a later attempt.
-        let found = lookup.found.take().filter(|_| !lookup.is_unheard());
         if let Some(found) = &found {
             self.streams.known.record(found.clone(), now);
         }
@@ -170,8 +174,7 @@
     /// is confirmed.
     fn may_assume(&self, now: Time, lookup: &VersionLookup) -> bool {
         let mut targets = lookup.arrivals.iter().map(|(_, arrival)| &arrival.target);
-        lookup.found.is_none()
-            && targets.any(|target| self.assumed_for(now, lookup, target).is_some())
+        targets.any(|target| self.assumed_for(now, lookup, target).is_some())
     }
 
     /// The version that a stream of unknown version must have: the only one that this host, or a
@@ -182,14 +185,7 @@
         lookup: &VersionLookup,
         target: &Target,
     ) -> Option<Option<SoftwareVersion>> {
-        // A host that reaches no other host may also have missed a new version. Hosts of the
-        // previous release send notes, but no answers.
-        let hears_others = lookup.has_answer()
-            || self.streams.keepers.is_empty()
-            || !self.neighbors.hosts_with_fresh_notes(now).is_empty();
-        let own = self.sole_version(now, target);
-        let own = own.filter(|_| hears_others);
-        own.or_else(|| {
+        self.sole_version(now, target).or_else(|| {
             let assumed = lookup.assumed.clone()?;
             let listed = self.listed_version(target)?;
             (listed == Some(&assumed)).then_some(Some(assumed))
--- a/crates/policy/src/streams/version_lookup.rs
+++ b/crates/policy/src/streams/version_lookup.rs
@@ -4,9 +4,9 @@
 /// a few milliseconds, so a later answer was lost or comes from a host that is down.
 const ASK_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Time within which the directory must confirm the list of upstreams. A slow store takes some 0.2 s
-/// for an answer.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time within which the directory must confirm the list of upstreams. A question that is sent
+/// after another one waits for it, and a slow store takes some 0.2 s for an answer.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Number of times that a host is asked.
 const MAX_ASKED: u32 = 2;
@@ -26,9 +26,11 @@
     pub(crate) assumed: Option<SoftwareVersion>,
     /// Time until which the directory may confirm the list; `None` if it was not asked.
     confirmation_due: Option<Time>,
-    /// The version of the latest attempt that a host reported.
-    pub(crate) found: Option<StreamVersion>,
+    /// The version of the latest attempt in the answers.
+    found: Option<StreamVersion>,
     next_step: Time,
+    /// The version that was reported to this host.
+    reported: Option<StreamVersion>,
     /// Time at which the first request arrived. The stream began before.
     pub(crate) started: Time,
     unanswered: Vec<SocketAddr>,
@@ -44,8 +46,9 @@
             asked_count: 1,
             assumed: None,
             confirmation_due: None,
-            found: reported,
+            found: None,
             next_step: now + ASK_TIMEOUT,
+            reported,
             started: now,
             unanswered: asked,
         }
@@ -71,23 +74,23 @@
         }
     }
 
-    /// Whether any host answered.
-    pub(crate) const fn has_answer(&self) -> bool {
-        self.answered > 0
+    /// The version of the latest known attempt. A report that this host received counts only if
+    /// another host answered or none exists: a host that is cut off may have missed a later report.
+    pub(crate) fn version(&self, is_only_host: bool) -> Option<StreamVersion> {
+        let reported = self.reported.as_ref();
+        let reported = reported.filter(|_| self.answered > 0 || is_only_host);
+        let known = reported.into_iter().chain(&self.found);
+        known.max_by_key(|known| known.attempt).cloned()
     }
 
-    /// Whether several hosts were asked and none answered, as where this host is cut off.
-    pub(crate) const fn is_unheard(&self) -> bool {
-        self.asked > 1 && self.answered == 0
+    /// Whether the directory was asked to confirm the list.
+    pub(crate) const fn awaits_confirmation(&self) -> bool {
+        self.confirmation_due.is_some()
     }
 
-    /// Starts to wait for the directory. Returns false if it was asked before.
-    pub(crate) fn await_confirmation(&mut self, now: Time) -> bool {
-        if self.confirmation_due.is_some() {
-            return false;
-        }
+    /// Starts to wait for the directory.
+    pub(crate) fn await_confirmation(&mut self, now: Time) {
         self.confirmation_due = Some(now + CONFIRMATION_TIMEOUT);
-        true
     }
 
     /// Whether no further answer is expected or waited for.
--- a/crates/policy/tests/installation/stream_versions.rs
+++ b/crates/policy/tests/installation/stream_versions.rs
@@ -302,6 +302,12 @@
     installation.list_engines(&versioned_engines(&[("v1", 4)]));
     assert_eq!(take_up(&mut installation), refusal, "v1.1 just left");
     installation.advance(30_000);
+    assert_eq!(
+        take_up(&mut installation),
+        refusal,
+        "a host may still list v1.1"
+    );
+    installation.advance_coarsely(600_000);
     assert_eq!(take_up(&mut installation), only_version);
     installation.down = (0..9).collect();
     assert_eq!(take_up(&mut installation), refusal, "cut off");
@@ -330,6 +336,20 @@
     assert_eq!(counts.joined, 0, "{counts:?}");
 }
 
+/// Guards against a version that is assumed although a host that is cut off still sends to another.
+#[test]
+fn no_stream_of_a_host_with_an_old_list_is_joined() {
+    let mut installation = installation_with_old_version(14);
+    installation.cut_off.insert(0);
+    installation.list_engines(&versioned_engines(&[("v1.1", 4)]));
+    installation.advance_with_notes(40_000);
+    let refusal = TakeUp::Refused(RefusalReason::StreamVersionUnknown);
+    for number in 0..STREAMS {
+        let stream = installation.begin_unreported(0);
+        assert_eq!(installation.take_up(1 + number % 8, stream), refusal);
+    }
+}
+
 /// Guards against a version that is assumed because a host that does not know it answered.
 #[test]
 fn no_stream_is_joined_at_a_host_that_was_paused() {
@@ -355,7 +375,7 @@
 fn the_only_version_is_assumed_beside_hosts_that_do_not_answer() {
     let mut installation = StreamInstallation::start(9, 3, &[("v1", 4)], 10);
     installation.advance_with_notes(30_000);
-    installation.down = (0..9).collect();
+    installation.down = (1..9).collect();
     let unknown = StreamId::of_attempt("begun by nobody");
     let only_version = TakeUp::Sent("v1".to_string());
     assert_eq!(installation.take_up(0, unknown), only_version);
--- a/crates/policy/tests/installation/stream_versions_simulation.rs
+++ b/crates/policy/tests/installation/stream_versions_simulation.rs
@@ -156,6 +156,19 @@
         }
     }
 
+    /// Like `advance`, with few ticks.
+    pub fn advance_coarsely(&mut self, ms: u64) {
+        const STEP_MS: u64 = 500;
+        for _ in 0..ms / STEP_MS {
+            for host in &mut self.hosts {
+                host.now = host.now.plus_ms(STEP_MS);
+                host.handle(Event::Ticked);
+                host.actions.clear();
+            }
+        }
+        self.advance(10);
+    }
+
     /// Lets time pass, and delivers the load notes of the end of this time.
     pub fn advance_with_notes(&mut self, ms: u64) {
         self.advance(ms);
@@ -204,6 +217,15 @@
         self.list_hosts(host);
     }
 
+    /// Id of a stream that a host begins and can report to no other host.
+    pub fn begin_unreported(&mut self, host: usize) -> StreamId {
+        let prompt = self.new_prompt();
+        let (request, actions) = self.hosts[host].ask(prompt);
+        assert!(sent(&actions).is_some());
+        self.deliver_from(host);
+        self.hosts[host].stream_of(request)
+    }
+
     /// Begins a stream at a host.
     pub fn begin(&mut self, host: usize) -> BegunStream {
         let prompt = self.new_prompt();
@@ -288,7 +310,8 @@
     fn confirm_lists(&mut self) -> Vec<Action> {
         let mut actions = Vec::new();
         for host in std::mem::take(&mut self.unconfirmed) {
-            if !self.cut_off.contains(&host) && !self.outdated.contains(&host) {
+            let unreachable = [&self.cut_off, &self.down, &self.outdated];
+            if !unreachable.iter().any(|hosts| hosts.contains(&host)) {
                 let as_of = self.hosts[host].now;
                 actions.extend(self.hosts[host].handle(Event::DirectoryConfirmed { as_of }));
             }
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -89,7 +89,7 @@
     },
     /// The store's data of a table, to be passed on to other hosts.
     TableRead(SharedTableUpdate),
-    /// The upstreams announced last were still those that the store listed at a given time.
+    /// The store listed no software other than that of the upstreams announced last at a given time.
     UpstreamsConfirmed {
         /// Time at which the request was sent that confirmed them.
         as_of: Time,
--- a/crates/router/src/controller_thread.rs
+++ b/crates/router/src/controller_thread.rs
@@ -36,8 +36,9 @@
     pub(crate) status: Arc<ArcSwap<HostStatus>>,
     /// Maximum time between the stop message and the end of the thread; `None` for no limit.
     pub(crate) stop_timeout: Option<Duration>,
-    /// Responses that are buffered until their callers read them.
+    /// Requests to the directory to confirm the list of upstreams.
     pub(crate) unconfirmed_upstreams: flume::Sender<()>,
+    /// Responses that are buffered until their callers read them.
     pub(crate) unread: UnreadAnswers,
     /// Usage counts of this host, if this host collects the counts of all hosts.
     pub(crate) usage: flume::Sender<UsageNote>,
