Treat the history of versions as incomplete where changes were missed

A host that read the removal of an upstream that it never listed, or lost the store's history, kept its history of versions, and could assume the only version for a stream that began at one that came and went; it also counted the history as complete again when a list was read while the store was away. Both now end it, and it begins anew while the directory is reachable.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -196,6 +196,7 @@
             }
             Event::ConfigurationPacked(version) => self.announce_version(version, actions),
             Event::ConfigurationRead(numbered) => self.apply_configuration(now, numbered),
+            Event::DirectoryChangesMissed => self.streams.listed.note_gap(),
             Event::DirectoryConfirmed { as_of } => {
                 self.on_directory_confirmed(now, as_of, actions);
             }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -68,6 +68,8 @@
         /// All listed upstreams.
         upstreams: BTreeMap<UpstreamId, Upstream>,
     },
+    /// Upstreams may have been listed that were never read.
+    DirectoryChangesMissed,
     /// Another host reports that the directory is reachable and was reachable all the time.
     DirectoryReachableAgain,
     /// The directory responds again.
--- a/crates/policy/src/streams/listed_versions.rs
+++ b/crates/policy/src/streams/listed_versions.rs
@@ -25,7 +25,6 @@
         upstreams: impl Iterator<Item = &'a UpstreamState>,
         now: Time,
     ) {
-        self.complete_since.get_or_insert(now);
         for state in upstreams {
             let version = state.definition.software_version();
             for target in pool::targets_of(&state.definition) {
@@ -70,6 +69,13 @@
         known_at.map(|at| now.since(at))
     }
 
+    /// Records that changes of the list are followed from now on, unless they were before.
+    pub(crate) fn note_followed(&mut self, now: Time) {
+        if self.received_at.is_some() {
+            self.complete_since.get_or_insert(now);
+        }
+    }
+
     /// Records that changes of the list may have been missed until now.
     pub(crate) const fn note_gap(&mut self) {
         self.complete_since = None;
--- a/crates/policy/src/streams/taking_up.rs
+++ b/crates/policy/src/streams/taking_up.rs
@@ -63,9 +63,16 @@
         }
     }
 
-    /// Repeats questions, concludes lookups that take too long, and forgets old streams.
+    /// Notes that the list is followed, repeats questions, concludes lookups that take too long, and forgets old streams.
     pub(crate) fn tick_streams(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.streams.known.expire(self.streams.lifetime, now);
+        if self
+            .directory
+            .as_ref()
+            .is_none_or(DirectoryView::is_reachable)
+        {
+            self.streams.listed.note_followed(now);
+        }
         let pending: Vec<StreamId> = self.streams.lookups.keys().copied().collect();
         for stream in pending {
             self.conclude_if_over(now, stream, actions);
--- a/crates/policy/tests/installation/stream_versions.rs
+++ b/crates/policy/tests/installation/stream_versions.rs
@@ -350,6 +350,21 @@
     }
 }
 
+/// Guards against a version that is assumed although another one came and went unseen.
+#[test]
+fn no_version_is_assumed_after_changes_of_the_list_were_missed() {
+    let mut installation = installation_with_old_version(15);
+    let refusal = TakeUp::Refused(RefusalReason::StreamVersionUnknown);
+    for host in &mut installation.hosts {
+        host.handle(Event::DirectoryChangesMissed);
+    }
+    let unknown = |number: u32| StreamId::of_attempt(&format!("begun by nobody, {number}"));
+    assert_eq!(installation.take_up(0, unknown(1)), refusal);
+    installation.advance(40_000);
+    let only_version = TakeUp::Sent("v1".to_string());
+    assert_eq!(installation.take_up(0, unknown(2)), only_version);
+}
+
 /// Guards against a version that is assumed because a host that does not know it answered.
 #[test]
 fn no_stream_is_joined_at_a_host_that_was_paused() {
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -89,6 +89,8 @@
     },
     /// The store's data of a table, to be passed on to other hosts.
     TableRead(SharedTableUpdate),
+    /// Upstreams may have been listed that were never announced.
+    UpstreamsMissed,
     /// The store listed no software other than that of the upstreams announced last at a given time.
     UpstreamsConfirmed {
         /// Time at which the request was sent that confirmed them.
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -211,6 +211,7 @@
                 }
                 return None;
             }
+            DirectoryUpdate::UpstreamsMissed => Event::DirectoryChangesMissed,
             DirectoryUpdate::UpstreamsConfirmed { as_of } => Event::DirectoryConfirmed { as_of },
             DirectoryUpdate::Upstreams {
                 common,
