Enforce a request's time limit while a stream's parts are always ready

Callers saw streams go on past their time limit for as long as a faulty server kept writing events or comments: the limit of 1.5 s wasn't enforced within the 2 s that the tests allow.

The timer started anew for each part with at least the grace of 100 ms, and the next part always came sooner. The end of the wait is now a fixed point in time, and is checked before each part.

--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -207,16 +207,18 @@
         order: &SendOrder,
         operation: impl Future<Output = T>,
     ) -> Result<T, AttemptError> {
-        let time_left = order.deadline.since(self.clock.now()) + LATE_ANSWER_GRACE;
+        let time_left = (order.deadline + LATE_ANSWER_GRACE).since(self.clock.now());
+        // Parts of a stream that are always ready would win against the timer.
+        if time_left.is_zero() {
+            return Err(may_have_run(FailureCause::TimedOut));
+        }
         tokio::select! {
             output = operation => Ok(output),
             () = self.task.answer.caller_gone() => Err(AttemptError::CallerGone),
             () = self.task.instructions.wait_for_abandon(order.attempt) => {
-                Err(AttemptError::Failed(CallFailure::may_have_run(FailureCause::Silent)))
-            }
-            () = sleep(time_left) => {
-                Err(AttemptError::Failed(CallFailure::may_have_run(FailureCause::TimedOut)))
+                Err(may_have_run(FailureCause::Silent))
             }
+            () = sleep(time_left) => Err(may_have_run(FailureCause::TimedOut)),
         }
     }
 
@@ -317,16 +319,16 @@
             let frame = self.within_deadline(order, body.frame()).await?;
             let bytes = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(_)) => return Err(stream_failure(FailureCause::Reset)),
+                Some(Err(_)) => return Err(may_have_run(FailureCause::Reset)),
                 None if splitter.has_partial_event() || (must_have_event && head.is_some()) => {
-                    return Err(stream_failure(FailureCause::Truncated));
+                    return Err(may_have_run(FailureCause::Truncated));
                 }
                 None => break,
             };
             splitter.push(&bytes);
             self.forward_events(order, &mut head, &mut splitter).await?;
             if splitter.partial_event_bytes() > self.limits.max_unread_stream_bytes.get() {
-                return Err(stream_failure(FailureCause::Truncated));
+                return Err(may_have_run(FailureCause::Truncated));
             }
         }
         if let Some(head) = head.take() {
@@ -395,7 +397,7 @@
     }
 }
 
-fn stream_failure(cause: FailureCause) -> AttemptError {
+fn may_have_run(cause: FailureCause) -> AttemptError {
     AttemptError::Failed(CallFailure::may_have_run(cause))
 }
 
