Split events without moving the rest of their chunk

Other callers' requests waited while a stream of small events in large chunks was split: each event moved the rest of its chunk, so that the cost grew with the square of the chunk's size.

Events are now split off a shared buffer. The new test checks that no event of a chunk of 200,000 was moved, and rests on no clock.

--- a/crates/router/src/event_splitter.rs
+++ b/crates/router/src/event_splitter.rs
@@ -8,7 +8,7 @@
 /// one.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
-    buffer: Vec<u8>,
+    buffer: BytesMut,
     /// Number of bytes at the start of the buffer that contain no end of an event.
     searched: usize,
 }
@@ -32,7 +32,7 @@
     }
 
     /// Number of bytes of the incomplete event once `next_event` has returned `None`.
-    pub(crate) const fn partial_event_bytes(&self) -> u64 {
+    pub(crate) fn partial_event_bytes(&self) -> u64 {
         self.buffer.len() as u64
     }
 
@@ -42,14 +42,10 @@
             self.searched = self.buffer.len().saturating_sub(MAX_TERMINATOR_BYTES - 1);
             return None;
         };
-        let rest = self.buffer.split_off(end);
-        let event = std::mem::replace(&mut self.buffer, rest);
+        let bytes = self.buffer.split_to(end).freeze();
         self.searched = 0;
-        let id = event_id(&event);
-        Some(WholeEvent {
-            bytes: event.into(),
-            id,
-        })
+        let id = event_id(&bytes);
+        Some(WholeEvent { bytes, id })
     }
 
     /// Finds the position after the empty line that ends the first event.
@@ -76,3 +72,7 @@
     let id = std::str::from_utf8(id).ok()?;
     Some(id.strip_prefix(' ').unwrap_or(id).to_string())
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/event_splitter.rs"]
+mod tests;
