Let other tasks run while an upstream's bytes are always ready

Other callers of a host got no answer (their connections were closed) while a faulty server sent zeros without end as the size of a chunk, or small events in large chunks.

The HTTP library reads a connection for as long as bytes are ready, and decodes the size of a chunk byte by byte. The runtime's budget counts reads, and a read brings up to 400 KB, so that one turn of a connection took seconds; the thread then counted as overloaded and closed new connections.

A connection to an upstream now gives way after 16 KB. The size is that of the parts in which answers are accounted for.

A connection that sends zeros still takes its share of the processor up to the request's time limit.

--- a/crates/upstream/src/connection_pool.rs
+++ b/crates/upstream/src/connection_pool.rs
@@ -172,7 +172,7 @@
     }
 
     async fn start_http(&self, path: Path, stream: TcpStream) -> Option<UpstreamSender> {
-        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        let (sender, connection) = handshake(TokioIo::new(TurnLimit::new(stream))).await.ok()?;
         let mut tasks = lock(&self.tasks);
         while tasks.try_join_next().is_some() {}
         tasks.spawn(async move {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -17,15 +17,23 @@
     socket2::{SockRef, TcpKeepalive},
     std::{
         fmt::{self, Display, Formatter},
+        io::{self, IoSlice},
         net::SocketAddr,
         pin::Pin,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU32, AtomicU64, Ordering},
         },
+        task::{Context, Poll},
         time::{Duration, Instant},
     },
-    tokio::{net::TcpStream, sync::Notify, task::JoinSet, time::timeout},
+    tokio::{
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take},
+        net::TcpStream,
+        sync::Notify,
+        task::JoinSet,
+        time::timeout,
+    },
     types::{Listening, prelude::*},
 };
 
@@ -44,6 +52,7 @@
 mod stream_item;
 mod token_stream;
 mod transit;
+mod turn_limit;
 mod upstream_response;
 mod upstream_sender;
 
@@ -69,6 +78,7 @@
     interim_limit::InterimLimit,
     path_race::open_first,
     transit::connect_through,
+    turn_limit::TurnLimit,
 };
 
 /// Header by which an upstream states that it did not run a request.
