Limit the bytes that are read for one event of the own interface

A faulty engine that wrote an event, lines of one event or comments without end was read until the idle timeout, and the host kept the bytes of an event until its end: the parser has no limit of its own.

A stream now counts as truncated when 1 MiB came without an event. It is four times the default that a relayed stream may keep for a caller, and far above an event with the text of some tokens.

How much memory the process took was not measured.

--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,7 +4,10 @@
 use {
     bytes::Bytes,
     eventsource_stream::{Event, EventStream, EventStreamError, Eventsource},
-    futures::{FutureExt, StreamExt, stream::FuturesUnordered},
+    futures::{
+        FutureExt, StreamExt,
+        stream::{BoxStream, FuturesUnordered},
+    },
     http_body_util::{BodyDataStream, BodyExt, Full, Limited},
     hyper::{
         HeaderMap, Method, Request, Response, StatusCode,
@@ -22,7 +25,7 @@
         pin::Pin,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicU32, AtomicU64, Ordering},
+            atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering},
         },
         task::{Context, Poll},
         time::{Duration, Instant},
@@ -43,6 +46,7 @@
 mod connection_pool;
 mod destination;
 mod engine;
+mod event_limit;
 mod interim_limit;
 mod listening;
 mod open_result;
@@ -75,6 +79,7 @@
 
 use {
     connection_pool::{CONNECT_TIMEOUT, open_stream},
+    event_limit::{EventBytes, EventLimit},
     interim_limit::InterimLimit,
     path_race::open_first,
     transit::connect_through,
--- a/crates/upstream/src/token_stream.rs
+++ b/crates/upstream/src/token_stream.rs
@@ -6,27 +6,27 @@
 /// Timeout for the end of the body after the end marker.
 const FINISH_TIMEOUT: Duration = Duration::from_millis(100);
 
-type EventResult = Result<Event, EventStreamError<hyper::Error>>;
-
-type Events = EventStream<BodyDataStream<Incoming>>;
+type EventResult = Result<Event, EventStreamError<FailureCause>>;
 
 /// The events of a response, up to its end marker.
 pub struct TokenStream {
     address: SocketAddr,
     pool: ConnectionPool,
     ended: bool,
-    events: Pin<Box<Events>>,
+    events: EventStream<EventBytes>,
+    limit: EventLimit,
     sender: Option<UpstreamSender>,
 }
 
 impl TokenStream {
     pub(crate) fn new(response: UpstreamResponse) -> Self {
-        let events = BodyDataStream::new(response.body).eventsource();
+        let limit = EventLimit::default();
         Self {
             address: response.address,
             pool: response.pool,
             ended: false,
-            events: Box::pin(events),
+            events: limit.apply(response.body).eventsource(),
+            limit,
             sender: Some(response.sender),
         }
     }
@@ -54,15 +54,14 @@
     }
 
     fn convert_event(&mut self, event: Option<EventResult>) -> Result<StreamItem, CallFailure> {
+        self.limit.note_event();
         match event {
             Some(Ok(event)) if event.data == END_MARK => {
                 self.ended = true;
                 Ok(StreamItem::End)
             }
             Some(Ok(Event { data, id, .. })) => Ok(StreamItem::Event { data, id }),
-            Some(Err(EventStreamError::Transport(_))) => {
-                Err(CallFailure::may_have_run(FailureCause::Reset))
-            }
+            Some(Err(EventStreamError::Transport(cause))) => Err(CallFailure::may_have_run(cause)),
             Some(Err(_)) | None => Err(CallFailure::may_have_run(FailureCause::Truncated)),
         }
     }
