Let other tasks run while the store's bytes are always ready

A host no longer followed the store after the store had sent zeros without end as the size of a chunk for 2 s: 10 s after the store was sound again, the host hadn't read the next configuration.

The cause is that of connections to upstreams: the HTTP library reads and decodes for as long as bytes are ready, and kept the thread that also runs the timeouts of the calls. Connections to the store, to the duties' platform and to other hosts' tables, which share one client, now give way after 16 KB too. For that, the store's crate uses a type of the upstream crate.

--- a/crates/store/src/endpoint_client.rs
+++ b/crates/store/src/endpoint_client.rs
@@ -83,7 +83,7 @@
                 .set_linger(Some(Duration::ZERO))
                 .map_err(not_executed)?;
         }
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let (sender, connection) = handshake(TokioIo::new(TurnLimit::new(stream)))
             .await
             .map_err(not_executed)?;
         let mut connection_tasks = lock(&self.connection_tasks);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -30,6 +30,7 @@
         time::{Instant, timeout, timeout_at},
     },
     types::prelude::*,
+    upstream::TurnLimit,
 };
 
 mod claim_row;
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -73,6 +73,7 @@
     service::ServiceAdapter,
     stream_item::StreamItem,
     token_stream::TokenStream,
+    turn_limit::TurnLimit,
     upstream_response::UpstreamResponse,
     upstream_sender::UpstreamSender,
 };
@@ -83,7 +84,6 @@
     interim_limit::InterimLimit,
     path_race::open_first,
     transit::connect_through,
-    turn_limit::TurnLimit,
 };
 
 /// Header by which an upstream states that it did not run a request.
--- a/crates/upstream/src/turn_limit.rs
+++ b/crates/upstream/src/turn_limit.rs
@@ -4,14 +4,15 @@
 const MAX_TURN_BYTES: u64 = 16 * 1024;
 
 /// A connection whose task gives way after [`MAX_TURN_BYTES`]. The HTTP library reads for as long
-/// as bytes are ready, so a faulty upstream that writes without end could keep the thread.
+/// as bytes are ready, so a faulty server that writes without end could keep the thread.
 #[derive(Debug)]
-pub(crate) struct TurnLimit {
+pub struct TurnLimit {
     stream: Take<TcpStream>,
 }
 
 impl TurnLimit {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    /// Limits the turns of this connection.
+    pub fn new(stream: TcpStream) -> Self {
         Self {
             stream: stream.take(MAX_TURN_BYTES),
         }
