Refuse what can't end before a planned stop, and answer what is cut off

What callers saw: while a host stopped (SIGTERM, drain limit), requests that came late were sent on, and at the end of the drain their connections were closed without an answer, also those of requests that may not be repeated and of requests that were still waiting at the host and had never been sent.

Cause: the end of the drain was known only to the threads that close the connections. Where sends are decided, the event of the drain carried no time. These threads also used the drain limit of the host's start, so a reloaded limit had no effect.

Change: the event carries the end of the drain. A first attempt, a retry or a queued request is sent only if it is expected to end before that: by the duration of nine of ten of the last 32 requests of its class at the target, or by its own deadline if that is sooner. Where none has ended, the first half of the drain still sends. The rest is refused as not run (503, `draining`, Retry-After 0.2 s: other hosts take it at once). At the end the running attempts are abandoned, which isn't held against their upstreams, and their callers get 502 or 504, or a broken stream. For that the connections stay open for at most 0.15 s of the 0.6 s that are reserved for the exit. Host::drain computes the end once, from the settings in force, for all threads.

The minimum of half a drain, nine of ten and 0.15 s are chosen, not measured.

Changed in an existing test: the script command `drain` sends the event without an end, as hosts outside an installation do.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -43,6 +43,7 @@
     pub(crate) deadlines: BTreeSet<(Time, RequestId)>,
     /// Upstreams from the directory; `None` if the configuration lists the upstreams.
     pub(crate) directory: Option<DirectoryView>,
+    pub(crate) drain: Drain,
     pub(crate) early_refusal: EarlyRefusal,
     /// Whether any upstream is brittle.
     pub(crate) has_brittle_upstreams: bool,
@@ -66,7 +67,7 @@
     pub(crate) own_paths: OwnPaths,
     /// Requests parked while the store is unavailable, ordered by when they are queued again.
     pub(crate) parked: BTreeSet<(Time, RequestId)>,
-    phase: HostPhase,
+    pub(crate) phase: HostPhase,
     pub(crate) peering: Peering,
     pub(crate) pool: Pool,
     pub(crate) queued_count: usize,
@@ -95,6 +96,7 @@
             crashes: Crashes::default(),
             deadlines: BTreeSet::new(),
             directory: None,
+            drain: Drain::default(),
             early_refusal: EarlyRefusal::default(),
             has_brittle_upstreams: false,
             streams: Streams::default(),
@@ -228,7 +230,7 @@
             }
             Event::CrashesListed(crashes) => self.on_crashes_listed(now, &crashes, actions),
             Event::CrashesReceived(note) => self.on_crashes_received(now, &note, actions),
-            Event::DrainStarted => self.phase = HostPhase::Draining,
+            Event::DrainStarted { end } => self.start_drain(now, end, actions),
             Event::DutyHeld(note) => self.on_duty_held(now, note, actions),
             Event::DutyAdvertised { from, note } => self.on_duty_advertised(now, from, &note),
             Event::HeartbeatAnswered { answer, host, sent } => {
@@ -406,6 +408,7 @@
             self.restore_lapsed_limits(now);
         }
         self.team_limits.retain(&numbered.document);
+        self.drain.retain(&numbered.document);
         self.peering.apply_scheduling(&numbered.document.scheduling);
         self.configuration = Some(numbered);
         self.note_in_force();
@@ -537,6 +540,7 @@
             self.deadlines.pop_first();
             self.refuse_overdue(now, request, actions);
         }
+        self.tick_drain(now, actions);
         self.requeue_parked(now);
         self.serve_if_ready(now);
         self.tick_speeds(now, actions);
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -51,7 +51,10 @@
     /// Another host announced crashes, or completions of requests with earlier crashes.
     CrashesReceived(CrashNote),
     /// The host was asked to stop, and begins to drain.
-    DrainStarted,
+    DrainStarted {
+        /// Time at which its requests must have ended; `None` for no limit.
+        end: Option<Time>,
+    },
     /// The configuration in force was confirmed to be the newest.
     ConfigurationConfirmed {
         /// Time at which the query was sent that confirmed it.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 mod brittleness;
 mod controller;
 mod crashes;
+mod draining;
 mod duties;
 mod event;
 mod fetch_end;
@@ -81,6 +82,7 @@
 use {
     brittleness::Brittleness,
     crashes::{Crashes, crash_subjects},
+    draining::Drain,
     duties::Reporting,
     hosts::{GroupCapacity, Neighbors, NewerConfiguration, Peering, Share},
     overload::{CongestionControl, EarlyRefusal},
--- a/crates/policy/src/queueing/dispatch.rs
+++ b/crates/policy/src/queueing/dispatch.rs
@@ -51,6 +51,10 @@
             let Some(Stage::Queued(request)) = self.requests.get(&item.request) else {
                 return true;
             };
+            if !self.drain.can_end(now, &request.facts) {
+                self.refuse_draining(now, item.request, actions);
+                continue;
+            }
             let priority = request.facts.engine_priority;
             let pace_ms = self.required_pace_ms(now, request);
             let is_bound = request.facts.version_bound != VersionBound::Any;
@@ -87,6 +91,10 @@
             let Some(item) = self.peek(now, &target, rank) else {
                 continue;
             };
+            let stage = self.requests.get(&item.request);
+            if !stage.is_some_and(|stage| self.drain.can_end(now, stage.facts())) {
+                continue;
+            }
             // Uses the most urgent rank for the choice of an upstream, so that minimum shares may
             // use the headroom.
             let placement_rank = Rank::MOST_URGENT;
--- a/crates/policy/src/requests/attempts.rs
+++ b/crates/policy/src/requests/attempts.rs
@@ -153,6 +153,11 @@
             let span = now.since(request.stage.sent);
             queues.service_rate.note_answer(request.item.cost, span);
         }
+        if request.stage.resume_count == 0 {
+            let duration = now.since(request.stage.sent);
+            self.drain
+                .note_duration(&facts.target, &facts.class, duration);
+        }
         self.team_limits.release(&facts.team);
         self.length_estimate
             .note(&facts.class, &facts.team, request.tokens);
@@ -177,7 +182,9 @@
         self.note_unfinished(now, &request);
         let is_path_failure =
             failure.cause.is_connection_loss() && self.is_path_lost(&request.stage);
-        let says_nothing = is_path_failure || self.was_abandoned_as_barred(now, &request);
+        let says_nothing = is_path_failure
+            || self.was_abandoned_as_barred(now, &request)
+            || self.was_abandoned_by_drain(now, &request);
         if !says_nothing {
             self.record_attempt_failure(now, &request, failure.cause);
         }
--- a/crates/policy/src/requests/refusal_reason.rs
+++ b/crates/policy/src/requests/refusal_reason.rs
@@ -18,6 +18,8 @@
     DeadlinePassed,
     /// The request is not expected to start before the deadline of its class.
     DeadlineUnreachable,
+    /// This host is stopping, and the request is not expected to end before that.
+    Draining,
     /// Another request with this idempotency key is in progress.
     InProgress,
     /// The idempotency key was used for a different request.
@@ -72,6 +74,7 @@
             Self::CrashesUpstreams => "crashes_upstreams",
             Self::DeadlinePassed => "deadline_passed",
             Self::DeadlineUnreachable => "deadline_unreachable",
+            Self::Draining => "draining",
             Self::InProgress => "request_in_progress",
             Self::KeyReused => "idempotency_key_reused",
             Self::NoTimeLeft => "no_time",
@@ -142,6 +145,7 @@
             Self::DeadlineUnreachable => {
                 "the request cannot start within the deadline of its class"
             }
+            Self::Draining => "the host stops before the request is expected to end",
             Self::InProgress => "a request with this idempotency key is in progress",
             Self::KeyReused => "the idempotency key was used for another request",
             Self::NoTimeLeft => "the request is not expected to end in time",
--- a/crates/policy/src/requests/resuming.rs
+++ b/crates/policy/src/requests/resuming.rs
@@ -26,6 +26,7 @@
         };
         let is_worth_resuming =
             failure.cause != FailureCause::ErrorStatus && !self.is_barred(now, &request.facts);
+        let is_worth_resuming = is_worth_resuming && !self.drain.is_over(now);
         if engine_resumes && is_worth_resuming && request.stage.resume_count < MAX_RESUMES {
             request.stage.resume_count += 1;
             let attempt = request.stage.attempt;
@@ -70,6 +71,7 @@
             && now < facts.deadline
             && failure.cause != FailureCause::TimedOut
             && !self.is_barred(now, facts)
+            && !self.drain.is_over(now)
             && self.has_attempts_left(&request);
         if !allowed {
             return Some(request);
--- a/crates/policy/tests/installation/main.rs
+++ b/crates/policy/tests/installation/main.rs
@@ -20,6 +20,7 @@
 mod overload;
 mod pauses;
 mod placement;
+mod planned_stop;
 mod preferred_host;
 mod prompt_transfers;
 mod reach;
--- a/crates/policy/tests/script/mod.rs
+++ b/crates/policy/tests/script/mod.rs
@@ -85,7 +85,7 @@
                 };
                 end_attempts(host, &args, completed)
             }
-            "drain" => host.handle(Event::DrainStarted),
+            "drain" => host.handle(Event::DrainStarted { end: None }),
             "fail" => {
                 let failed = AttemptEnd::Failed {
                     cause: failure_cause(&args),
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -110,6 +110,7 @@
         | RefusalReason::CrashesUpstreams
         | RefusalReason::DeadlinePassed
         | RefusalReason::DeadlineUnreachable
+        | RefusalReason::Draining
         | RefusalReason::NoTimeLeft
         | RefusalReason::NoUpstream
         | RefusalReason::NotReady
--- a/crates/router/src/caller_thread.rs
+++ b/crates/router/src/caller_thread.rs
@@ -13,8 +13,6 @@
     pub(crate) logger: Logger,
     pub(crate) metrics: HostMetrics,
     pub(crate) service: CallerInterface,
-    /// Maximum time from closing the listener until all requests have ended; no limit if `None`.
-    pub(crate) drain_limit: Option<Duration>,
     pub(crate) shutdown: Shutdown,
     pub(crate) unread: UnreadAnswers,
 }
@@ -104,8 +102,8 @@
         });
     }
 
-    /// Closes idle connections and waits until all requests in flight have ended or `drain_limit`
-    /// has passed.
+    /// Closes idle connections and waits until all requests in flight have ended, or the shutdown
+    /// must be complete.
     async fn drain(&self, graceful: GracefulShutdown, mut connections: JoinSet<()>) {
         info!(self.logger, "callers: no new connections"; "open" => connections.len());
         let all_ended = async {
@@ -114,8 +112,8 @@
             let mut tasks = self.service.take_tasks();
             while tasks.join_next().await.is_some() {}
         };
-        let ended = match self.drain_limit {
-            Some(limit) => timeout(limit, all_ended).await.is_ok(),
+        let ended = match self.shutdown.end() {
+            Some(end) => timeout_at(end.into(), all_ended).await.is_ok(),
             None => {
                 all_ended.await;
                 true
--- a/crates/router/src/host.rs
+++ b/crates/router/src/host.rs
@@ -20,7 +20,10 @@
 pub struct Serving;
 
 /// Phase of a host that fails its readiness check but still serves requests.
-pub struct Draining;
+pub struct Draining {
+    /// Time at which the requests must have ended; `None` for no limit.
+    end: Option<Instant>,
+}
 
 struct HostParts {
     caller_address: SocketAddr,
@@ -147,16 +150,22 @@
     }
 
     /// Starts a graceful stop: from now on the readiness check fails, while requests are still
-    /// served.
+    /// served. In an installation, only requests that are expected to end before the drain limit
+    /// are sent from now on.
     pub fn drain(self) -> Host<Draining> {
         info!(self.parts.threads.logger, "host: draining");
         let draining = &self.parts.threads.shared.draining;
         draining.store(true, Ordering::Relaxed);
+        let threads = &self.parts.threads;
+        let time_left = relay_rules::drain_time(&threads.settings);
+        let end = time_left.map(|time_left| threads.shared.clock.now() + time_left);
         self.parts
-            .send_to_controller(ControllerMessage::Event(Event::DrainStarted));
+            .send_to_controller(ControllerMessage::Event(Event::DrainStarted { end }));
         Host {
+            state: Draining {
+                end: time_left.map(|time_left| Instant::now() + time_left),
+            },
             parts: self.parts,
-            state: Draining,
         }
     }
 }
@@ -169,7 +178,9 @@
         let mut parts = self.parts;
         let pause_ms = parts.threads.settings.balancer_pause_ms;
         std::thread::sleep(Duration::from_millis(pause_ms));
-        parts.threads.caller_shutdown.start();
+        let end = self.state.end;
+        let callers_end = end.map(|end| end + relay_rules::LAST_ANSWER_RESERVE);
+        parts.threads.caller_shutdown.start_until(callers_end);
         let began = Instant::now();
         for thread in std::mem::take(&mut parts.caller_threads) {
             join(thread)?;
--- a/crates/router/src/host_threads.rs
+++ b/crates/router/src/host_threads.rs
@@ -267,7 +267,6 @@
             .map(|number| {
                 CallerThread {
                     connections: Arc::clone(&connections),
-                    drain_limit: relay_rules::drain_limit(&self.settings),
                     listener: listener.try_clone()?,
                     logger: self.logger.clone(),
                     metrics: self.metrics.clone(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -82,7 +82,7 @@
         net::{TcpListener, TcpStream},
         sync::{Notify, mpsc, oneshot, watch},
         task::JoinSet,
-        time::{MissedTickBehavior, interval, sleep, timeout},
+        time::{MissedTickBehavior, interval, sleep, timeout, timeout_at},
     },
     types::prelude::*,
     upstream::{
--- a/crates/router/src/relay_rules.rs
+++ b/crates/router/src/relay_rules.rs
@@ -16,6 +16,10 @@
 /// exit.
 pub(crate) const STOP_RESERVE: Duration = Duration::from_millis(600);
 
+/// Part of [`STOP_RESERVE`] in which the requests that are cut off at the end of the drain get
+/// their answers.
+pub(crate) const LAST_ANSWER_RESERVE: Duration = Duration::from_millis(150);
+
 /// Returns the rules that the controller follows.
 pub(crate) fn relay_rules(relay: &RelaySettings) -> RelayRules {
     let limit = Duration::from_millis(relay.key_knowledge_limit_ms);
@@ -33,6 +37,12 @@
     }
 }
 
+/// Returns the time that requests have to end after the stop has begun.
+pub(crate) fn drain_time(settings: &Settings) -> Option<Duration> {
+    let pause = Duration::from_millis(settings.balancer_pause_ms);
+    Some(pause + drain_limit(settings)?)
+}
+
 /// Returns the time that requests have to end after the listener is closed.
 pub(crate) fn drain_limit(settings: &Settings) -> Option<Duration> {
     let relay = settings.relay.as_ref()?;
