Leave the time for which a stream waits for its caller out of its time limit

Callers that read a long stream slowly would have lost its end: since the time limit is enforced while parts are ready, a stream was cut 0.1 s after it, also where the upstream had sent in time what its caller read later. The time that parts wait for the caller now extends the limit, by at most the time after which a caller counts as too slow. A caller that pauses for 5.5 s of a limit of 5 s got no whole stream before (test failed before) and gets it now; the 19 tests of bytes without end pass as before.

--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -40,6 +40,8 @@
     protocol: Arc<dyn Protocol>,
     request: RelayedRequest,
     task: RequestTask,
+    /// Time for which parts of the stream waited for a caller that reads slowly.
+    waited_for_caller: Duration,
 }
 
 impl Relay {
@@ -54,6 +56,7 @@
             protocol: Arc::clone(&service.protocol),
             request,
             task,
+            waited_for_caller: Duration::ZERO,
         }
     }
 
@@ -207,7 +210,10 @@
         order: &SendOrder,
         operation: impl Future<Output = T>,
     ) -> Result<T, AttemptError> {
-        let time_left = (order.deadline + LATE_ANSWER_GRACE).since(self.clock.now());
+        // The upstream may have sent in time what a slow caller reads later.
+        let waited = self.waited_for_caller.min(self.slow_reader_timeout());
+        let end = order.deadline + waited + LATE_ANSWER_GRACE;
+        let time_left = end.since(self.clock.now());
         // Parts of a stream that are always ready would win against the timer.
         if time_left.is_zero() {
             return Err(may_have_run(FailureCause::TimedOut));
@@ -370,6 +376,7 @@
         if let Some(head) = head.take() {
             self.task.answer.start_stream(head);
         }
+        let began = self.clock.now();
         if !self
             .task
             .answer
@@ -378,6 +385,7 @@
         {
             return Err(AttemptError::CallerGone);
         }
+        self.waited_for_caller += self.clock.now().since(began);
         self.task.report_progress(order).await;
         Ok(())
     }
