Bound the take-ups that wait for a confirmed list

A take-up that finds 1,024 others waiting is decided at once; while it waited for the confirmation it was added to them beyond that bound. It is refused now unless a report is known. Found in the reading of the diff; the 16 tests of stream versions pass, none reaches the bound.

--- a/crates/policy/src/streams/taking_up.rs
+++ b/crates/policy/src/streams/taking_up.rs
@@ -136,11 +136,8 @@
     ) {
         let found = lookup.version(self.streams.keepers.is_empty());
         let is_confirmed = self.streams.listed.is_confirmed_after(lookup.started);
-        if found.is_none()
-            && !is_confirmed
-            && !lookup.awaits_confirmation()
-            && self.may_assume(now, &lookup)
-        {
+        let can_wait = !lookup.awaits_confirmation() && self.streams.lookups.len() < MAX_LOOKUPS;
+        if found.is_none() && !is_confirmed && can_wait && self.may_assume(now, &lookup) {
             lookup.await_confirmation(now);
             self.streams.lookups.insert(stream, lookup);
             actions.push(Action::ConfirmUpstreams);
