Take a status below 200 or above 599 for no response

A caller got the response of an upstream in trouble whose status was 101, without having asked for an upgrade, 600 or 999: an answer that RFC 9110 does not have. Statuses that are no three-digit number, and 000 to 099, fail in the HTTP library already.

Where connections to upstreams are read, such a response now counts as one that broke off: the request may have run, the connection is not used again. It holds for all responses of upstreams, also to health checks and through other hosts.

--- a/crates/upstream/src/connection_pool.rs
+++ b/crates/upstream/src/connection_pool.rs
@@ -149,7 +149,8 @@
             }
         };
         match sent {
-            Ok(Ok(response)) => Ok((response, sender)),
+            Ok(Ok(response)) if is_final_status(response.status()) => Ok((response, sender)),
+            Ok(Ok(_)) => Err((CallFailure::may_have_run(FailureCause::Truncated), None)),
             Ok(Err(mut error)) => match error.take_message() {
                 Some(unsent) => {
                     let failure = CallFailure::not_run(FailureCause::Reset);
@@ -237,6 +238,11 @@
     }
 }
 
+/// Whether a response with this status can be the final one to a request that asks for no upgrade.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
