Bound the time for which an idle connection is kept

A caller got 502 although its upstream had answered, if that answer named a keep-alive time beyond the range of the clock: the sum with the present time panicked in the task that held the answer. The time is now an hour at most. an_endless_keep_alive_time_loses_no_answer failed before (502) and passes.

--- a/crates/router/src/connection_reuse.rs
+++ b/crates/router/src/connection_reuse.rs
@@ -10,6 +10,9 @@
 /// that is sent while the upstream closes the connection may be lost.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Longest time for which an idle connection is kept.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
+
 /// Time for which the connection may be kept after this response; `None` if the upstream
 /// closes the connection.
 pub(crate) fn keep_alive_time(response: &Response<Incoming>) -> Option<Duration> {
@@ -28,7 +31,7 @@
                 .find_map(|part| part.trim().strip_prefix("timeout="))
         })
         .and_then(|seconds| seconds.trim().parse().ok())
-        .map(Duration::from_secs);
+        .map(|seconds: u64| Duration::from_secs(seconds).min(MAX_KEEP_ALIVE));
     Some(match advertised {
         Some(timeout) => timeout.saturating_sub(KEEP_ALIVE_MARGIN),
         None => DEFAULT_KEEP_ALIVE,
