Let sums of what others report saturate

Numbers of other hosts' notes, of engines' reports and of stored records were added up without a bound: loads on an upstream, running and waiting requests, wanted tokens, ends of usage windows, fencing tokens; and the share of a host in a group multiplied slots by hosts in 32 bits. With overflow checks such a sum ends the thread of decisions, without them it wraps; a duration beyond 2^64 microseconds became an arbitrary one, so a report of such an age counted as recent. They saturate now, the share is computed in 64 bits.

The tests of policy and types pass unchanged.

--- a/crates/policy/src/brittleness/brittleness.rs
+++ b/crates/policy/src/brittleness/brittleness.rs
@@ -107,7 +107,7 @@
         if self.recent_rejections(now) as f64 >= max_rejections.max(1.0) {
             return false;
         }
-        let free = f64::from(slots.saturating_sub(in_flight + others));
+        let free = f64::from(slots.saturating_sub(in_flight.saturating_add(others)));
         // Every host may see the same free slots and use one at the same moment.
         let has_spare_slots = free > f64::from(slots) * MIN_FREE_SHARE
             && free + max_rejections >= f64::from(self.hosts);
--- a/crates/policy/src/duties/lease_record.rs
+++ b/crates/policy/src/duties/lease_record.rs
@@ -21,7 +21,7 @@
     pub fn next(self, replaced: StorePosition) -> Self {
         let era = u64::from(replaced.era.get()) << ERA_SHIFT;
         let revision = replaced.revision.min(u64::from(u32::MAX) >> 1);
-        Self(self.0.max(era | revision) + 1)
+        Self(self.0.max(era | revision).saturating_add(1))
     }
 
     /// Token with which a holder goes on in a later era of the store; the same one within an era.
--- a/crates/policy/src/duties/median_clock.rs
+++ b/crates/policy/src/duties/median_clock.rs
@@ -19,7 +19,8 @@
 impl MedianClock {
     /// Records the Unix time of a source at the steady time `now`.
     pub fn record(&mut self, now: Time, source: HostId, unix_ms: u64) {
-        let offset_ms = unix_ms as i64 - steady_ms(now);
+        let unix_ms = i64::try_from(unix_ms).unwrap_or(i64::MAX);
+        let offset_ms = unix_ms - steady_ms(now);
         self.offsets_ms.insert(source, (now, offset_ms));
         if self.offsets_ms.len() > MAX_SOURCES {
             self.offsets_ms
@@ -34,7 +35,7 @@
         let mut offsets_ms: Vec<i64> = fresh.map(|(_, offset_ms)| *offset_ms).collect();
         offsets_ms.sort_unstable();
         let offset_ms = offsets_ms.get(offsets_ms.len() / 2)?;
-        u64::try_from(steady_ms(now) + offset_ms).ok()
+        u64::try_from(steady_ms(now).saturating_add(*offset_ms)).ok()
     }
 }
 
--- a/crates/policy/src/duties/usage_ledger.rs
+++ b/crates/policy/src/duties/usage_ledger.rs
@@ -36,7 +36,9 @@
     }
 
     fn end_ms(self, window: u64) -> u64 {
-        (window + 1) * self.window_length_ms()
+        window
+            .saturating_add(1)
+            .saturating_mul(self.window_length_ms())
     }
 }
 
@@ -142,7 +144,7 @@
         let unix_ms = self.unix_ms(now)?;
         let current = self.rules.window_at(unix_ms);
         let window = match self.reported_through {
-            Some(reported) => self.skip_expired(reported + 1, unix_ms),
+            Some(reported) => self.skip_expired(reported.saturating_add(1), unix_ms),
             None => {
                 // Without an earlier report, reporting begins with the current window.
                 self.reported_through = current.checked_sub(1);
--- a/crates/policy/src/hosts/neighbors.rs
+++ b/crates/policy/src/hosts/neighbors.rs
@@ -313,8 +313,8 @@
         for load in self.fresh_notes(now).flat_map(|(_, note)| &note.loads) {
             let sum = loads.entry(load.upstream.clone()).or_default();
             sum.backlog += u64::from(load.backlog.get());
-            sum.in_flight += load.in_flight;
-            sum.pause_bound += load.pause_bound;
+            sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
+            sum.pause_bound = sum.pause_bound.saturating_add(load.pause_bound);
         }
         loads
     }
--- a/crates/policy/src/hosts/share.rs
+++ b/crates/policy/src/hosts/share.rs
@@ -15,8 +15,11 @@
     /// hosts. It has at least one slot, so that every host can use the group.
     pub(crate) fn equal(slots: u32, hosts: u32, index: u32) -> Self {
         let hosts = hosts.max(1);
-        let first = slots * index / hosts;
-        let end = slots * (index + 1) / hosts;
+        let part_end = |parts: u32| {
+            let end = u64::from(slots) * u64::from(parts) / u64::from(hosts);
+            u32::try_from(end).unwrap_or(u32::MAX)
+        };
+        let (first, end) = (part_end(index), part_end(index.saturating_add(1)));
         Self {
             first: first.min(slots.saturating_sub(1)),
             headroom: 0,
@@ -26,7 +29,8 @@
 
     /// Number of slots of this share in the range of `slots` slots that starts at `first`.
     pub(crate) fn overlap(self, first: u32, slots: u32) -> u32 {
-        let end = (self.first + self.slots).min(first + slots);
+        let own_end = self.first.saturating_add(self.slots);
+        let end = own_end.min(first.saturating_add(slots));
         end.saturating_sub(self.first.max(first))
     }
 }
--- a/crates/policy/src/overload/pool_load.rs
+++ b/crates/policy/src/overload/pool_load.rs
@@ -27,7 +27,7 @@
         for state in states {
             engines += 1.0;
             slots += f64::from(state.definition.slots());
-            in_flight += f64::from(state.in_flight + state.others_in_flight);
+            in_flight += f64::from(state.all_in_flight());
             waiting_ms += state.queued_prefill_ms();
         }
         let waiting_s = waiting_ms * hosts_per_observed / f64::max(engines, 1.0) / 1_000.0;
--- a/crates/policy/src/upstream_limits/token_issuer.rs
+++ b/crates/policy/src/upstream_limits/token_issuer.rs
@@ -121,7 +121,8 @@
         let delay = self
             .issues_from
             .map_or(Duration::ZERO, |from| from.since(now));
-        delay + self.bucket.refill_time(ahead.sum::<u32>() + 1)
+        let ahead = ahead.fold(1, u32::saturating_add);
+        delay.saturating_add(self.bucket.refill_time(ahead))
     }
 
     /// Issues the available tokens to the most urgent requests first and, among equally urgent
--- a/crates/policy/src/upstream_limits/upstream_limit.rs
+++ b/crates/policy/src/upstream_limits/upstream_limit.rs
@@ -28,12 +28,13 @@
     pub(crate) fn wanted_count(&self, priority: Option<u8>) -> u32 {
         let wanted = self.wanted.iter();
         let same = wanted.filter(|wanted| wanted.priority == priority);
-        same.map(|wanted| wanted.count).sum()
+        same.map(|wanted| wanted.count).fold(0, u32::saturating_add)
     }
 
     /// Tokens that are still wanted for all priorities.
     pub(crate) fn total_wanted(&self) -> u32 {
-        self.wanted.iter().map(|wanted| wanted.count).sum()
+        let counts = self.wanted.iter().map(|wanted| wanted.count);
+        counts.fold(0, u32::saturating_add)
     }
 
     /// Deducts granted tokens, those of the most urgent requests first.
--- a/crates/policy/src/upstreams/placement.rs
+++ b/crates/policy/src/upstreams/placement.rs
@@ -251,8 +251,7 @@
     /// Cost of placing the prompt on an engine, in prompt tokens.
     fn cost(&self, state: &UpstreamState) -> f64 {
         let uncached = self.uncached_tokens(state);
-        let running_cost =
-            RUNNING_REQUEST_COST_TOKENS * f64::from(state.in_flight + state.others_in_flight);
+        let running_cost = RUNNING_REQUEST_COST_TOKENS * f64::from(state.all_in_flight());
         let queued = (state.backlog_tokens + state.others_backlog_tokens) as f64 + running_cost;
         let slowness = self.slowness(state);
         let first_token_ms = (queued + uncached) * slowness / self.prefill_tokens_per_ms(state);
@@ -292,7 +291,11 @@
     /// long, however early their first tokens are, and the most urgent class misses the target for
     /// its longest pause by a few milliseconds.
     fn pause_cost(&self, state: &UpstreamState) -> f64 {
-        let delayed_streams = f64::from(state.pause_sensitive + state.others_pause_sensitive);
+        let delayed_streams = f64::from(
+            state
+                .pause_sensitive
+                .saturating_add(state.others_pause_sensitive),
+        );
         let long_prompt = if self.has_long_prompt {
             LONG_PROMPT_COST_PER_STREAM_TOKENS * delayed_streams
         } else {
--- a/crates/policy/src/upstreams/pool.rs
+++ b/crates/policy/src/upstreams/pool.rs
@@ -177,7 +177,7 @@
                 group.in_flight_trial += state.in_flight_trial;
                 if !state.removed {
                     group.upstream_indexes.push(index);
-                    group.slots += state.definition.slots();
+                    group.slots = group.slots.saturating_add(state.definition.slots());
                 }
             }
             for target in targets {
--- a/crates/policy/src/upstreams/upstream_state.rs
+++ b/crates/policy/src/upstreams/upstream_state.rs
@@ -101,7 +101,7 @@
     /// made.
     pub(crate) fn note_report(&mut self, report: LoadReport, now: Time) {
         self.departure.note_reported(report.leaving);
-        let reported = report.running + report.waiting;
+        let reported = report.running.saturating_add(report.waiting);
         let made = now - Duration::from_millis(report.age_ms);
         self.others_in_flight = reported.saturating_sub(self.in_flight_history.at(made));
     }
@@ -228,8 +228,7 @@
 
     /// Whether a slot is free, according to the last load report or note and this host's requests.
     pub(crate) fn has_free_slot(&self, now: Time) -> bool {
-        self.accepts_request(now)
-            && self.in_flight + self.others_in_flight < self.slow_start_slots(now)
+        self.accepts_request(now) && self.all_in_flight() < self.slow_start_slots(now)
     }
 
     /// Whether another request fits into the upstream's own queue. Only engines serve their queue
@@ -239,15 +238,19 @@
             return false;
         };
         let slow_start = self.health.slot_share(now) < 1.0;
-        let in_flight = self.in_flight + self.others_in_flight;
-        self.accepts_request(now) && !slow_start && in_flight < engine.slots + engine.queue_bound
+        let places = engine.slots.saturating_add(engine.queue_bound);
+        self.accepts_request(now) && !slow_start && self.all_in_flight() < places
+    }
+
+    /// Requests of all hosts in flight.
+    pub(crate) const fn all_in_flight(&self) -> u32 {
+        self.in_flight.saturating_add(self.others_in_flight)
     }
 
     /// Requests in flight as a share of the slots; 1 if all slots are taken. Requests of other
     /// hosts are counted according to the last load report or note.
     pub(crate) fn utilization(&self) -> f64 {
-        f64::from(self.in_flight + self.others_in_flight)
-            / f64::from(self.definition.slots().max(1))
+        f64::from(self.all_in_flight()) / f64::from(self.definition.slots().max(1))
     }
 
     /// Whether the upstream generates tokens fast enough for a target. An upstream of unknown speed
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -36,7 +36,7 @@
     type Output = Self;
 
     fn add(self, span: Duration) -> Self {
-        Self(self.0.saturating_add(span.as_micros() as u64))
+        Self(self.0.saturating_add(whole_us(span)))
     }
 }
 
@@ -44,10 +44,15 @@
     type Output = Self;
 
     fn sub(self, span: Duration) -> Self {
-        Self(self.0.saturating_sub(span.as_micros() as u64))
+        Self(self.0.saturating_sub(whole_us(span)))
     }
 }
 
+/// Microseconds of a duration, at most the longest time that a [`Time`] can hold.
+fn whole_us(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl Display for Time {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{:03}ms", self.0 / 1_000, self.0 % 1_000)
