--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -32,15 +32,27 @@
 impl Deployment {
     /// Starts the deployment with a configuration; `None` if its hosts don't become ready.
     pub fn start(folder: &Path, record: &Arc<Record>, config: Value) -> Option<Self> {
+        Self::start_with(folder, record, config, &[])
+    }
+
+    /// Like [`Self::start`], with more servers, each given by its id and its zone.
+    pub fn start_with(
+        folder: &Path,
+        record: &Arc<Record>,
+        config: Value,
+        more: &[(&str, &str)],
+    ) -> Option<Self> {
         let store = StoreStandin::start();
         store.put("op", "config", config);
         let runs: Runs = Arc::new(Mutex::new(Vec::new()));
         let mut servers = Vec::new();
         let mut rows = Vec::new();
-        for zone in ZONES {
-            let name = format!("i-{zone}");
-            let server = shop_server(&name, Duration::from_millis(30), &runs, record);
-            rows.push((name, server.address, zone.to_string()));
+        let usual = ZONES.map(|zone| (format!("i-{zone}"), zone.to_string()));
+        let more = more.iter();
+        let more = more.map(|(id, zone)| (id.to_string(), zone.to_string()));
+        for (id, zone) in usual.into_iter().chain(more) {
+            let server = shop_server(&id, Duration::from_millis(30), &runs, record);
+            rows.push((id, server.address, zone));
             servers.push(server);
         }
         let heartbeats = Heartbeats::start(&store, rows);
@@ -97,6 +109,9 @@
 /// Bound of the site for the removal of a key.
 pub const REVOKE: Duration = Duration::from_millis(5_000);
 
+/// Bound of the site for the leaving of a server.
+pub const DRAIN: Duration = Duration::from_millis(2_000);
+
 /// Bound of the site for a change of the configuration.
 pub const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
 
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,6 +3,7 @@
 //! `TROUBLE=0` the disruption is left out.
 
 mod deployment;
+mod gone_server;
 mod record;
 mod revoked_key;
 mod site;
@@ -32,6 +33,7 @@
     let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a temporary folder can be made");
     let verdict = match case.as_str() {
+        "gone-server" => gone_server::run(&folder, &record, has_trouble),
         "revoked-key" => revoked_key::run(&folder, &record, has_trouble),
         "split-route" => split_route::run(&folder, &record, has_trouble),
         "tenant-name" => tenant_name::run(&folder, &record, has_trouble),
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -14,7 +14,7 @@
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         thread,
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -141,48 +141,70 @@
     })
 }
 
-/// The row that a server writes about itself.
-pub fn entry(service: &str, address: SocketAddr, zone: &str, sequence: u64) -> Value {
+/// The row that a server writes about itself; `born` is the Unix millisecond of its start.
+pub fn entry(service: &str, address: SocketAddr, zone: &str, sequence: u64, born: u64) -> Value {
     json!({
-        "service": service, "address": address, "zone": zone, "version": "v1",
+        "service": service, "address": address, "zone": zone, "version": "v1", "born": born,
         "slots": 6, "state": "ready", "cold-remaining-ms": 0, "sequence": sequence,
     })
 }
 
+/// A server: its id, its address and its zone.
+pub type Server = (String, SocketAddr, String);
+
 /// Servers that renew their rows every [`HEARTBEAT`], as long as the store answers.
 pub struct Heartbeats {
-    stopped: Arc<AtomicBool>,
     paused: Arc<AtomicBool>,
+    servers: Arc<Mutex<Vec<Server>>>,
+    stopped: Arc<AtomicBool>,
+    store: StoreStandin,
 }
 
 impl Heartbeats {
-    pub fn start(store: &StoreStandin, servers: Vec<(String, SocketAddr, String)>) -> Self {
-        let stopped = Arc::new(AtomicBool::new(false));
-        let paused = Arc::new(AtomicBool::new(false));
-        let (stop, pause, store) = (Arc::clone(&stopped), Arc::clone(&paused), store.clone());
+    pub fn start(store: &StoreStandin, servers: Vec<Server>) -> Self {
+        let heartbeats = Self {
+            paused: Arc::default(),
+            servers: Arc::new(Mutex::new(servers)),
+            stopped: Arc::default(),
+            store: store.clone(),
+        };
+        let (stopped, paused) = (
+            Arc::clone(&heartbeats.stopped),
+            Arc::clone(&heartbeats.paused),
+        );
+        let (servers, store) = (Arc::clone(&heartbeats.servers), store.clone());
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born = born.map_or(0, |born| born.as_millis() as u64);
         let sequence = AtomicU64::new(1);
         let write = move || {
             let sequence = sequence.fetch_add(1, Ordering::Relaxed);
-            for (id, address, zone) in &servers {
-                store.put("servers", id, entry("shop", *address, zone, sequence));
+            for (id, address, zone) in servers.lock().unwrap().iter() {
+                store.put("servers", id, entry("shop", *address, zone, sequence, born));
             }
         };
         write();
         thread::spawn(move || {
-            while !stop.load(Ordering::Relaxed) {
+            while !stopped.load(Ordering::Relaxed) {
                 thread::sleep(HEARTBEAT);
-                if !pause.load(Ordering::Relaxed) {
+                if !paused.load(Ordering::Relaxed) {
                     write();
                 }
             }
         });
-        Self { stopped, paused }
+        heartbeats
     }
 
     /// Writes nothing while the store is away.
     pub fn pause(&self, is_paused: bool) {
         self.paused.store(is_paused, Ordering::Relaxed);
     }
+
+    /// Removes the row of a server that leaves, which writes it no more.
+    pub fn leave(&self, leaving: &str) {
+        let mut servers = self.servers.lock().unwrap();
+        servers.retain(|(id, ..)| id != leaving);
+        self.store.remove("servers", leaving);
+    }
 }
 
 impl Drop for Heartbeats {
