Review: run the cases of the second review in a folder that is cleaned up

run-case-2.sh ends the hosts that are left if a run is ended from outside, and removes the temporary folder, as the scripts of the first review do. The cases, their checks and their bounds are unchanged.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs one case of the review: `review-standin-2 CASE RECORD`, in the root of the repository.
+//! Runs one case of the review: `review-standin-2 CASE FOLDER RECORD`, in the root of the repository.
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
 //! `TROUBLE=0` the disruption is left out.
 
@@ -24,22 +24,20 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [case, path] = &arguments[..] else {
-        eprintln!("expected a case and the path of its record");
+    let [case, folder, path] = &arguments[..] else {
+        eprintln!("expected a case, a temporary folder and the path of the record");
         return ExitCode::from(2);
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Arc::new(Record::create(Path::new(path)));
-    let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a temporary folder can be made");
+    let folder = Path::new(folder);
     let verdict = match case.as_str() {
-        "gone-server" => gone_server::run(&folder, &record, has_trouble),
-        "revoked-key" => revoked_key::run(&folder, &record, has_trouble),
-        "split-route" => split_route::run(&folder, &record, has_trouble),
-        "tenant-name" => tenant_name::run(&folder, &record, has_trouble),
+        "gone-server" => gone_server::run(folder, &record, has_trouble),
+        "revoked-key" => revoked_key::run(folder, &record, has_trouble),
+        "split-route" => split_route::run(folder, &record, has_trouble),
+        "tenant-name" => tenant_name::run(folder, &record, has_trouble),
         _ => Verdict::NotRun,
     };
-    let _ = std::fs::remove_dir_all(&folder);
     let (code, text) = match verdict {
         Verdict::Broken => (1, "the rule was broken"),
         Verdict::Held => (0, "the rule held"),
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -6,8 +6,10 @@
     platform_standin::{Caller, CallerResponse, ServerStandin, Step, StoreStandin, answer},
     serde_json::{Value, json},
     std::{
+        fs::OpenOptions,
+        io::Write,
         net::{SocketAddr, TcpListener, UdpSocket},
-        path::PathBuf,
+        path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         sync::{
             Arc, Mutex,
@@ -33,7 +35,7 @@
 
 impl Host {
     /// Writes the settings that `deploy/host.toml.template` gives to a host.
-    pub fn new(folder: &std::path::Path, name: &str, zone: &str, store: SocketAddr) -> Self {
+    pub fn new(folder: &Path, name: &str, zone: &str, store: SocketAddr) -> Self {
         let (callers, ready, peers, metrics) = (free_port(), free_port(), free_port(), free_port());
         let text = format!(
             "host = \"{name}\"\nfailure_domain = \"{zone}\"\ncaller_address = \"{callers}\"\n\
@@ -59,7 +61,7 @@
 
     /// Starts the process with the command of the deploy file.
     pub fn start(&mut self) {
-        let log = std::fs::OpenOptions::new()
+        let log = OpenOptions::new()
             .append(true)
             .create(true)
             .open(&self.log)
@@ -73,6 +75,7 @@
             .stderr(errors)
             .spawn()
             .expect("the host can be started");
+        note_process(&self.file, process.id());
         self.process = Some(process);
     }
 
@@ -105,6 +108,15 @@
     }
 }
 
+/// Notes the id of a process in the folder of the run, so that the script can end what is left if
+/// this program is ended.
+fn note_process(settings: &Path, id: u32) {
+    let list = settings.with_file_name("processes");
+    let list = OpenOptions::new().append(true).create(true).open(list);
+    let mut list = list.expect("the list of processes can be opened");
+    writeln!(list, "{id}").expect("the list of processes can be written");
+}
+
 impl Drop for Host {
     fn drop(&mut self) {
         self.kill();
