Keep a version that can't be used from being forgotten

Cause: the answer of the store that brought the version was no confirmation, but nothing remembered the version. The store's next answer without rows then confirmed the version before, which was still thought to be the stored one.

An unusable version counts until one as new is in force. It is logged with its number and exported as a gauge.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -190,6 +190,9 @@
                 self.confirmed_at = self.confirmed_at.max(Some(as_of));
                 self.newer_configuration.note_confirmed();
             }
+            Event::ConfigurationUsability { is_usable } => {
+                self.newer_configuration.note_usability(is_usable);
+            }
             Event::NewerConfigurationAtPeer { from, version } => {
                 self.on_newer_at_peer(now, from, version, actions);
             }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -55,6 +55,11 @@
         /// Time at which its requests must have ended; `None` for no limit.
         end: Option<Time>,
     },
+    /// Whether the newest known version of the configuration can be used has changed.
+    ConfigurationUsability {
+        /// Whether it can be used.
+        is_usable: bool,
+    },
     /// The configuration in force was confirmed to be the newest.
     ConfigurationConfirmed {
         /// Time at which the query was sent that confirmed it.
--- a/crates/policy/src/hosts/load_notes.rs
+++ b/crates/policy/src/hosts/load_notes.rs
@@ -34,7 +34,7 @@
     }
 
     /// Updates the time at which the configuration in force here was last known to be the newest,
-    /// if the sender has the same version.
+    /// if the sender has the same version, and this host knows of no newer one.
     ///
     /// The age that the sender reports is counted back from the time at which this host sent the
     /// note that the sender echoes. A note that was delayed in the network, or waited while this
@@ -45,7 +45,8 @@
             .echo
             .filter(|echo| echo.incarnation == self.options.incarnation);
         let same_version = note.version.is_some() && note.version == self.version();
-        let (Some(echo), Some(age_ms), true) = (own_echo, note.confirmed_age_ms, same_version)
+        let is_evidence = same_version && !self.is_behind();
+        let (Some(echo), Some(age_ms), true) = (own_echo, note.confirmed_age_ms, is_evidence)
         else {
             return;
         };
--- a/crates/policy/src/hosts/newer_configuration.rs
+++ b/crates/policy/src/hosts/newer_configuration.rs
@@ -46,6 +46,8 @@
     /// Whether a fetch is in progress. Hosts are asked one at a time, because parallel answers
     /// would share the bandwidth of one link.
     is_fetching: bool,
+    /// Whether a newer version was read that can't be used.
+    is_unusable: bool,
     /// Until when to wait for a fetched configuration to be put in force.
     applying_until: Time,
 }
@@ -64,6 +66,16 @@
         self.first_seen.values().min().copied()
     }
 
+    /// Records whether the newest known version can be used.
+    pub(crate) const fn note_usability(&mut self, is_usable: bool) {
+        self.is_unusable = !is_usable;
+    }
+
+    /// Whether a newer version than the one in force is known to exist.
+    fn exists(&self) -> bool {
+        self.is_unusable || !self.first_seen.is_empty()
+    }
+
     /// Records that the store has confirmed the configuration in force as the newest.
     pub(crate) fn note_confirmed(&mut self) {
         self.fetch_immediately = false;
@@ -219,6 +231,6 @@
 
     /// Whether a newer configuration is known to exist.
     pub fn is_behind(&self) -> bool {
-        self.newer_configuration.behind_since().is_some()
+        self.newer_configuration.exists()
     }
 }
--- a/crates/ports/src/directory_update.rs
+++ b/crates/ports/src/directory_update.rs
@@ -29,6 +29,16 @@
         /// What went wrong, and how much of the response had arrived.
         error: String,
     },
+    /// A newer version of the configuration can't be used, so the one announced last is no longer
+    /// confirmed.
+    ConfigurationUnusable {
+        /// What is wrong with the version.
+        error: String,
+        /// The version, if its number could be read.
+        version: Option<ConfigVersion>,
+    },
+    /// A version that can be used has replaced the one that can't.
+    ConfigurationUsable,
     /// The version announced last was still the newest one at a given time.
     ConfigurationConfirmed {
         /// Time at which the request was sent that confirmed the version.
--- a/crates/router/src/directory_thread.rs
+++ b/crates/router/src/directory_thread.rs
@@ -146,6 +146,18 @@
                 note_confirmed(&self.served_configuration, as_of);
                 Event::ConfigurationConfirmed { as_of }
             }
+            DirectoryUpdate::ConfigurationUnusable { error, version } => {
+                let version = version.map_or("unknown".to_string(), |version| version.to_string());
+                warn!(logger, "directory: configuration not usable";
+                    "error" => error, "version" => version);
+                gauge!("rhubarbcove_configuration_unusable").set(1.0);
+                Event::ConfigurationUsability { is_usable: false }
+            }
+            DirectoryUpdate::ConfigurationUsable => {
+                info!(logger, "directory: configuration usable again");
+                gauge!("rhubarbcove_configuration_unusable").set(0.0);
+                Event::ConfigurationUsability { is_usable: true }
+            }
             DirectoryUpdate::Crashes(crashes) => Event::CrashesListed(crashes),
             DirectoryUpdate::DutyHeld(note) => Event::DutyHeld(note),
             DirectoryUpdate::DutyReported(report) => {
