--- a/crates/config/src/config_error.rs
+++ b/crates/config/src/config_error.rs
@@ -3,6 +3,11 @@
 /// Why a configuration document or patch cannot be used.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ConfigError {
+    /// A name has characters that this document's names may not have, or is too long.
+    BadName {
+        /// What is wrong with the name.
+        error: ParseIdError,
+    },
     /// Two upstreams have the same address.
     DuplicateAddress {
         /// The shared address.
@@ -72,6 +77,7 @@
 impl Display for ConfigError {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self {
+            Self::BadName { error } => Display::fmt(error, f),
             Self::DuplicateAddress {
                 address,
                 first,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,7 +10,7 @@
         net::SocketAddr,
         ops::RangeInclusive,
     },
-    types::prelude::*,
+    types::{ParseIdError, prelude::*},
 };
 
 mod caller_limits;
--- a/crates/config/src/routes.rs
+++ b/crates/config/src/routes.rs
@@ -22,6 +22,10 @@
 }
 
 impl Routes {
+    pub(crate) fn ids(&self) -> impl Iterator<Item = &RouteId> {
+        self.routes.iter().map(|(id, _)| id)
+    }
+
     /// Finds the route of a request: among the routes of its host name, the one with the longest
     /// prefix of its path.
     pub fn find(&self, hostname: &str, path: &str) -> Option<&Route> {
--- a/crates/config/src/validation.rs
+++ b/crates/config/src/validation.rs
@@ -13,6 +13,7 @@
 pub const PROMPT_TOKEN_BYTES_RANGE: RangeInclusive<u64> = 1..=64 * 1_024 * 1_024;
 
 pub(crate) fn check(document: &Document) -> Result<(), ConfigError> {
+    check_names(document).map_err(|error| ConfigError::BadName { error })?;
     check_trial(&document.trial)?;
     check_scheduling(&document.scheduling)?;
     if let Some(limits) = &document.caller_limits {
@@ -31,6 +32,28 @@
     check_addresses(document)
 }
 
+/// Checks the names of an operator's own document, which are used in paths and row keys.
+fn check_names(document: &Document) -> Result<(), ParseIdError> {
+    let Document {
+        classes,
+        routes,
+        services,
+        teams,
+        upstreams,
+        ..
+    } = document;
+    classes.keys().try_for_each(ClassId::check_plain)?;
+    routes.ids().try_for_each(RouteId::check_plain)?;
+    services.keys().try_for_each(ServiceId::check_plain)?;
+    teams.keys().try_for_each(TeamId::check_plain)?;
+    let engines = upstreams.values().filter_map(|upstream| match upstream {
+        Upstream::Engine(engine) => Some(engine),
+        Upstream::Service(_) => None,
+    });
+    let mut models = engines.flat_map(|engine| &engine.models);
+    models.try_for_each(ModelId::check_plain)
+}
+
 fn ensure_in_range(is_valid: bool, field: String, expected: &str) -> Result<(), ConfigError> {
     if is_valid {
         return Ok(());
--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -79,6 +79,24 @@
 }
 
 /// Guards against prompt transfers that are planned with values that no engine can have.
+/// Guards against names that don't fit into the paths and row keys of the own interface.
+#[test]
+fn names_are_plain() {
+    for (list, kind) in [
+        ("classes", "class"),
+        ("teams", "team"),
+        ("services", "service"),
+    ] {
+        for name in ["a name", "a/b", "G\u{fc}lde", &"n".repeat(65)] {
+            let mut document = example_document();
+            let (_, value) = document[list].as_object().unwrap().iter().next().unwrap();
+            document[list][name] = value.clone();
+            let error = Document::from_json(&document.to_string()).unwrap_err();
+            assert!(error.to_string().contains(&format!("{kind} id")), "{error}");
+        }
+    }
+}
+
 #[test]
 fn transfer_settings_must_be_in_range() {
     let set = |field: &str, value: Value| {
--- a/crates/router/src/caller_service.rs
+++ b/crates/router/src/caller_service.rs
@@ -35,6 +35,9 @@
     ) -> Result<Option<CallerRequest>, Box<HttpAnswer>> {
         let key_hash = bearer_key(&request)?;
         let class = parsed_header::<ClassId>(&request, CLASS_HEADER)?;
+        if let Some(Err(error)) = class.as_ref().map(ClassId::check_plain) {
+            return Err(bad_header(CLASS_HEADER, &error.to_string()));
+        }
         let key = parsed_header::<IdempotencyKey>(&request, KEY_HEADER)?;
         let must_not_repeat = parsed_header::<bool>(&request, IDEMPOTENT_HEADER)? == Some(false);
         let method = request.method().clone();
@@ -196,6 +199,11 @@
     }
 }
 
+fn bad_header(name: &str, error: &str) -> Box<HttpAnswer> {
+    let message = format!("header {name}: {error}");
+    boxed_refusal(StatusCode::BAD_REQUEST, "bad_header", &message)
+}
+
 fn parsed_header<T>(request: &Request<Incoming>, name: &str) -> Result<Option<T>, Box<HttpAnswer>>
 where
     T: std::str::FromStr,
@@ -210,22 +218,18 @@
         .and_then(|text| text.parse().map_err(|error: T::Err| error.to_string()));
     match parsed {
         Ok(value) => Ok(Some(value)),
-        Err(error) => {
-            let message = format!("header {name}: {error}");
-            Err(boxed_refusal(
-                StatusCode::BAD_REQUEST,
-                "bad_header",
-                &message,
-            ))
-        }
+        Err(error) => Err(bad_header(name, &error)),
     }
 }
 
 fn parse_engine_request(path: String, body: &[u8]) -> Result<ParsedRequest, Box<HttpAnswer>> {
-    let parsed: EngineBody<'_> = serde_json::from_slice(body).map_err(|error| {
+    let bad_body = |error: &dyn Display| {
         let message = format!("the body is not a completion request: {error}");
         boxed_refusal(StatusCode::BAD_REQUEST, "bad_body", &message)
-    })?;
+    };
+    let parsed: EngineBody<'_> = serde_json::from_slice(body).map_err(|error| bad_body(&error))?;
+    let model = parsed.model.check_plain();
+    model.map_err(|error| bad_body(&error))?;
     Ok(ParsedRequest {
         max_output: parsed.max_output(),
         path,
@@ -238,9 +242,11 @@
 fn parse_service_request(path: &str) -> Result<ParsedRequest, Box<HttpAnswer>> {
     let rest = path.trim_start_matches("/services/");
     let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
-    let service = service.parse().map_err(|error: types::ParseIdError| {
-        boxed_refusal(StatusCode::BAD_REQUEST, "bad_path", &error.to_string())
-    })?;
+    let plain = |service: ServiceId| service.check_plain().map(|()| service);
+    let service = service
+        .parse()
+        .and_then(plain)
+        .map_err(|error| boxed_refusal(StatusCode::BAD_REQUEST, "bad_path", &error.to_string()))?;
     Ok(ParsedRequest {
         max_output: None,
         path: format!("/{path}"),
--- a/crates/types/src/class_id.rs
+++ b/crates/types/src/class_id.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-text_id!(
+text_name!(
     /// Id of a request class, which defines latency targets and a tier.
     ClassId,
     "class"
--- a/crates/types/src/macros.rs
+++ b/crates/types/src/macros.rs
@@ -3,6 +3,28 @@
 /// Defines a text id: 1 to 64 characters from `A-Z a-z 0-9 . _ -`.
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        checked_text!($(#[$doc])* $name, $kind, check);
+    };
+}
+
+/// Defines an id that is a name given by an operator: 1 to 1,024 bytes without control characters.
+macro_rules! text_name {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        checked_text!($(#[$doc])* $name, $kind, check_name);
+
+        impl $name {
+            /// Checks that the name could also be a text id: 1 to 64 letters, digits, `.`, `_` or
+            /// `-`.
+            pub fn check_plain(&self) -> Result<(), ParseIdError> {
+                ParseIdError::check($kind, &self.0)
+            }
+        }
+    };
+}
+
+/// Defines a newtype of a text that a function of [`ParseIdError`] checks.
+macro_rules! checked_text {
+    ($(#[$doc:meta])* $name:ident, $kind:literal, $check:ident) => {
         $(#[$doc])*
         #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
         #[serde(into = "String", try_from = "String")]
@@ -25,7 +47,7 @@
             type Err = ParseIdError;
 
             fn from_str(text: &str) -> Result<Self, ParseIdError> {
-                ParseIdError::check($kind, text)?;
+                ParseIdError::$check($kind, text)?;
                 Ok(Self(text.to_string()))
             }
         }
@@ -40,7 +62,7 @@
             type Error = ParseIdError;
 
             fn try_from(text: String) -> Result<Self, ParseIdError> {
-                ParseIdError::check($kind, &text)?;
+                ParseIdError::$check($kind, &text)?;
                 Ok(Self(text))
             }
         }
--- a/crates/types/src/model_id.rs
+++ b/crates/types/src/model_id.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-text_id!(
+text_name!(
     /// Id of a model that engines serve.
     ModelId,
     "model"
--- a/crates/types/src/route_id.rs
+++ b/crates/types/src/route_id.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-text_id!(
+text_name!(
     /// Id of a route in the shared configuration.
     RouteId,
     "route"
--- a/crates/types/src/service_id.rs
+++ b/crates/types/src/service_id.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-text_id!(
+text_name!(
     /// Id of a plain HTTP service that is not a model engine, such as a shop's order service.
     ServiceId,
     "service"
--- a/crates/types/src/team_id.rs
+++ b/crates/types/src/team_id.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-text_id!(
+text_name!(
     /// Id of a team, the customer for whom a request is made.
     TeamId,
     "team"
