Ask other hosts before a store is believed at a start

Cause: an answer of the store confirms the version that the store holds, if it is the one in force. A host that starts has none of its own, takes over the copy's and confirms it. What other hosts say in notes was overruled by that.

A host answers with the version and age of what it has, so one that is starting too is told from one that knows. While a newer version is known from notes, no confirmation counts, and it is fetched once the store was asked after that. The request for another host's configuration moves to the store's package, as two places now make it.

--- a/crates/policy/src/controller.rs
+++ b/crates/policy/src/controller.rs
@@ -187,8 +187,7 @@
             }
             Event::ConfigurationAnnounced => self.on_configuration_announced(now, actions),
             Event::ConfigurationConfirmed { as_of } => {
-                self.confirmed_at = self.confirmed_at.max(Some(as_of));
-                self.newer_configuration.note_confirmed();
+                self.on_configuration_confirmed(now, as_of, actions);
             }
             Event::ConfigurationUsability { is_usable } => {
                 self.newer_configuration.note_usability(is_usable);
--- a/crates/policy/src/hosts/newer_configuration.rs
+++ b/crates/policy/src/hosts/newer_configuration.rs
@@ -133,6 +133,28 @@
 }
 
 impl Controller {
+    /// Handles the confirmation that the configuration in force is the newest. While another host
+    /// is known to have a newer one, it is none: the store was restored from an older copy, or was
+    /// asked before the newer version was written.
+    pub(crate) fn on_configuration_confirmed(
+        &mut self,
+        now: Time,
+        as_of: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.is_behind() {
+            self.confirmed_at = self.confirmed_at.max(Some(as_of));
+            self.newer_configuration.note_confirmed();
+            return;
+        }
+        let since = self.newer_configuration.behind_since();
+        if since.is_some_and(|since| since < as_of) {
+            // The store does not hold the newer version.
+            self.newer_configuration.fetch_immediately = true;
+            self.fetch_newer(now, actions);
+        }
+    }
+
     /// Handles the start of a large answer from the store. Other hosts may be able to send the same
     /// configuration in a tenth of the bytes.
     pub(crate) fn on_configuration_announced(&mut self, now: Time, actions: &mut Vec<Action>) {
--- a/crates/policy/tests/installation/newer_configuration.rs
+++ b/crates/policy/tests/installation/newer_configuration.rs
@@ -8,6 +8,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
+        time::Duration,
     },
     types::prelude::*,
 };
@@ -45,6 +46,31 @@
     host.handle(Event::ConfigurationConfirmed { as_of });
 }
 
+/// Guards against a store that was restored from an older copy and confirms its configuration, while
+/// other hosts have a newer one: removed keys stay valid, and the newer one is never fetched.
+#[test]
+fn the_store_confirms_no_version_that_is_older_than_those_of_other_hosts() {
+    let mut host = Host::new(0);
+    host.handle(advertised(3, 2));
+    host.now = host.now + APPLY_LIMIT / 2;
+    let as_of = host.now;
+    let actions = host.handle(Event::ConfigurationConfirmed { as_of });
+    assert_eq!(fetch_address(&actions), Some(address(3)));
+    let is_confirmed = |host: &Host| host.controller.config_age(host.now) == Some(Duration::ZERO);
+    assert!(!is_confirmed(&host));
+
+    let mut host = Host::new(0);
+    let before = host.now;
+    host.now = host.now + Duration::from_millis(10);
+    host.handle(advertised(3, 2));
+    let actions = host.handle(Event::ConfigurationConfirmed { as_of: before });
+    assert_eq!(
+        fetch_address(&actions),
+        None,
+        "the store was asked before version 2 was known, and is expected to send it"
+    );
+}
+
 /// Guards against every host reading a large configuration over its own slow link to the store,
 /// although another host has it already. This happens if a host asks other hosts only after the
 /// store has sent nothing for 2.2 s.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -49,9 +49,8 @@
     },
     ports::{
         Clock, ConnectionUse, Directory, DirectoryChannels, DirectoryUpdate, DutyReport,
-        ForwardingContext, HeadError, NamedAttempt, Protocol, ReadStats, ReceivedConfiguration,
-        RequestHead, ResponseClass, SharedTable, SharedTableUpdate, SourceDocument, TableSource,
-        header_number,
+        ForwardingContext, HeadError, NamedAttempt, Protocol, ReceivedConfiguration, RequestHead,
+        ResponseClass, SharedTable, SharedTableUpdate, SourceDocument, TableSource, header_number,
     },
     rand::Rng,
     serde::{Deserialize, Serialize},
@@ -73,8 +72,9 @@
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     store::{
-        ClaimRow, ClaimState, ConfigStore, ConfigStoreError, EndpointClient, HostList, ListedHost,
-        ListedState, PlatformClient, PlatformError, Row, TableBatch, TableOperation, TableResult,
+        ClaimRow, ClaimState, ConfigStore, ConfigStoreError, ConfigurationClient,
+        ConfigurationError, ConfigurationReply, HostList, ListedHost, ListedState, PlatformClient,
+        PlatformError, Row, TableBatch, TableOperation, TableResult,
     },
     subtle::ConstantTimeEq,
     tokio::{
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -70,11 +70,14 @@
 
     fn answer_document(&self, newer_than: u64) -> Response<AnswerBody> {
         let configuration = self.served_configuration.load_full();
-        let newer =
-            configuration.filter(|configuration| configuration.document.version.get() > newer_than);
-        let Some(configuration) = newer else {
+        let Some(configuration) = configuration else {
             return text_answer(StatusCode::NO_CONTENT, "text/plain", Bytes::new());
         };
+        if configuration.document.version.get() <= newer_than {
+            let mut response = text_answer(StatusCode::NO_CONTENT, "text/plain", Bytes::new());
+            self.insert_version_and_age(&configuration, response.headers_mut());
+            return response;
+        }
         match self
             .configuration_transfers
             .begin(configuration.document.packed.clone())
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,10 +10,11 @@
         Method, Request, Response, StatusCode,
         body::{Body, Incoming},
         client::conn::http1::{SendRequest, handshake},
-        header::{CONTENT_TYPE, ETAG, HOST, HeaderValue, IF_NONE_MATCH},
+        header::{AUTHORIZATION, CONTENT_TYPE, ETAG, HOST, HeaderValue, IF_NONE_MATCH},
         http::response::Parts,
     },
     hyper_util::rt::TokioIo,
+    ports::{Clock, ReadStats, ReceivedConfiguration, SourceDocument, header_number},
     rand::Rng,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     serde_json::Value,
@@ -38,6 +39,8 @@
 mod config_head;
 mod config_store;
 mod config_store_error;
+mod configuration_client;
+mod configuration_error;
 mod endpoint_client;
 mod host_list;
 mod listed_state;
@@ -58,6 +61,8 @@
     config_head::ConfigHead,
     config_store::ConfigStore,
     config_store_error::ConfigStoreError,
+    configuration_client::{ConfigurationClient, ConfigurationReply, KnownConfiguration},
+    configuration_error::ConfigurationError,
     endpoint_client::EndpointClient,
     host_list::{HostList, ListedHost, ListedUpstream},
     listed_state::ListedState,
