--- a/crates/store/src/configuration_client.rs
+++ b/crates/store/src/configuration_client.rs
@@ -50,8 +50,15 @@
         let requested_at = self.clock.now();
         let calls = EndpointClient::new(address, 0);
         let answer = calls.send(request, head_timeout).await?;
+        let has_newer = answer.status() == StatusCode::OK;
         let body_started = Instant::now();
-        let (head, packed) = answer.read_body().await?;
+        let (head, packed) = answer.read_body().await.map_err(|error| {
+            if has_newer {
+                ConfigurationError::CutShort(error)
+            } else {
+                error.into()
+            }
+        })?;
         let duration = body_started.elapsed();
         let header = |name| header_number(&head.headers, name);
         let age = header(http_api::CONFIGURATION_AGE_HEADER).map(Duration::from_millis);
--- a/crates/store/src/pending_response.rs
+++ b/crates/store/src/pending_response.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Status of the response.
+    pub fn status(&self) -> StatusCode {
+        self.head.status
+    }
+
     /// Returns the length of the body, if the head states the length.
     pub fn content_length(&self) -> Option<ByteSize> {
         self.body.size_hint().exact().map(ByteSize::new)
